--- /dev/null
+++ b/crates/keys/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder while the crate is being set up.
--- /dev/null
+++ b/crates/tables/src/lib.rs
@@ -0,0 +1,9 @@
+//! The two tables that operators edit: routes and pools.
+
+mod pool;
+mod route;
+mod tables;
+
+pub use pool::{Domain, Guarantee, Pool, PoolKind, Team};
+pub use route::Route;
+pub use tables::Tables;
