Run requests on the upstream beside an agent

Cause: the path from an entry to an upstream had no far end.

Change: the agent's task that owns slots and attempts, announcements with incarnations, sessions to entries with silence detection, an HTTP client that never repeats a request, shared connections to agents; log set-up, metrics, settings files; the event catalogue page with its test; the callers' contract, glossary, decisions and contribution pages.

Conclusion: the far end is ready to be wired to an entry.

--- /dev/null
+++ b/crates/agent/src/attempts.rs
@@ -0,0 +1,161 @@
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use skylarkpulley_proto::v1;
+use tokio::sync::oneshot;
+
+/// How long the result of an attempt is kept for an entry that sends the attempt again over a new
+/// connection. Longer than any silent connection takes to be noticed.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Bounds the memory of recorded results.
+const RETAINED_BYTES: usize = 16 * 1024 * 1024;
+
+/// What is known of one attempt.
+#[derive(Debug)]
+enum Attempt {
+    /// It was never received and will be refused if it arrives.
+    Barred,
+    Ended(v1::RunReply),
+    Running(Vec<oneshot::Sender<v1::RunReply>>),
+}
+
+/// Whether a received attempt is to be run.
+#[derive(Debug)]
+pub enum Received {
+    /// It has ended or was barred; this is its result.
+    Ended(v1::RunReply),
+    /// It is new; run it.
+    New,
+    /// It runs already; the sender was added to those who wait for the result.
+    Running,
+}
+
+/// Deduplicates attempts by id, so that an attempt that is sent twice runs once.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    attempts: HashMap<String, Attempt>,
+    ended: VecDeque<(Instant, String, usize)>,
+    bytes: usize,
+}
+
+impl Attempts {
+    /// Returns an empty record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in an attempt. `waiter` is kept unless the attempt is new or has ended, in which cases
+    /// it is handed back.
+    pub fn receive(
+        &mut self,
+        id: &str,
+        waiter: oneshot::Sender<v1::RunReply>,
+    ) -> (Received, Option<oneshot::Sender<v1::RunReply>>) {
+        match self.attempts.get_mut(id) {
+            None => (Received::New, Some(waiter)),
+            Some(Attempt::Barred) => (
+                Received::Ended(not_run(id, v1::Refusal::Barred, "a lookup barred the attempt")),
+                Some(waiter),
+            ),
+            Some(Attempt::Ended(reply)) => (Received::Ended(reply.clone()), Some(waiter)),
+            Some(Attempt::Running(waiters)) => {
+                waiters.push(waiter);
+                (Received::Running, None)
+            }
+        }
+    }
+
+    /// Records that a new attempt runs, with the first of those who wait for it.
+    pub fn start(&mut self, id: &str, waiter: oneshot::Sender<v1::RunReply>) {
+        self.attempts.insert(id.to_owned(), Attempt::Running(vec![waiter]));
+    }
+
+    /// Answers those who wait now, without ending the attempt: its budget is used up, but the
+    /// upstream still works on it.
+    pub fn time_out(&mut self, id: &str, reply: &v1::RunReply) {
+        if let Some(Attempt::Running(waiters)) = self.attempts.get_mut(id) {
+            answer(std::mem::take(waiters), reply);
+        }
+    }
+
+    /// Records the result of an attempt and answers those who wait.
+    pub fn end(&mut self, id: &str, reply: &v1::RunReply, now: Instant) {
+        let previous = self.attempts.insert(id.to_owned(), Attempt::Ended(reply.clone()));
+        if let Some(Attempt::Running(waiters)) = previous {
+            answer(waiters, reply);
+        }
+        self.retain(id, reply.response.as_ref().map_or(0, |response| response.body.len()), now);
+    }
+
+    /// Returns the state of an attempt. One that was never received is barred from now on, so that
+    /// the caller may rely on it not having run.
+    pub fn look_up(&mut self, id: &str, now: Instant) -> v1::LookupReply {
+        use v1::lookup_reply::State;
+        let (state, reply) = match self.attempts.get(id) {
+            Some(Attempt::Ended(reply)) => (State::Ended, Some(reply.clone())),
+            Some(Attempt::Running(_)) => (State::Running, None),
+            Some(Attempt::Barred) => (State::Barred, None),
+            None => {
+                self.attempts.insert(id.to_owned(), Attempt::Barred);
+                self.retain(id, 0, now);
+                (State::Barred, None)
+            }
+        };
+        v1::LookupReply { state: state.into(), reply }
+    }
+
+    /// Forgets results that are older than the retention time.
+    pub fn expire(&mut self, now: Instant) {
+        while let Some((at, _, _)) = self.ended.front() {
+            let old = now.saturating_duration_since(*at) >= RETENTION;
+            if !old && self.bytes <= RETAINED_BYTES {
+                return;
+            }
+            self.forget_oldest();
+        }
+    }
+
+    fn retain(&mut self, id: &str, body: usize, now: Instant) {
+        let size = body + id.len();
+        self.bytes += size;
+        self.ended.push_back((now, id.to_owned(), size));
+        self.expire(now);
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, id, size)) = self.ended.pop_front() {
+            self.bytes -= size;
+            self.attempts.remove(&id);
+        }
+    }
+}
+
+fn answer(waiters: Vec<oneshot::Sender<v1::RunReply>>, reply: &v1::RunReply) {
+    for waiter in waiters {
+        // The entry may have gone; the result stays recorded.
+        let _ = waiter.send(reply.clone());
+    }
+}
+
+/// Returns the reply that states that an attempt was not run.
+pub fn not_run(attempt: &str, refusal: v1::Refusal, reason: &str) -> v1::RunReply {
+    v1::RunReply {
+        attempt: attempt.to_owned(),
+        outcome: v1::Outcome::NotRun.into(),
+        reason: reason.to_owned(),
+        response: None,
+        refusal: refusal.into(),
+    }
+}
+
+/// Returns the reply for an attempt that may or may not have run.
+pub fn unknown(attempt: &str, reason: &str) -> v1::RunReply {
+    v1::RunReply {
+        attempt: attempt.to_owned(),
+        outcome: v1::Outcome::Unknown.into(),
+        reason: reason.to_owned(),
+        response: None,
+        refusal: v1::Refusal::Unspecified.into(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/entry_session.rs
@@ -0,0 +1,180 @@
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylarkpulley_proto::v1::entry_client::EntryClient;
+use skylarkpulley_proto::{MESSAGE_LIMIT, MIN_PROTOCOL, PROTOCOL, Secret, v1};
+use skylarkpulley_telemetry::{Decisions, Event};
+use skylarkpulley_types::Clock;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use tonic::transport::Endpoint;
+
+/// Time between two reports without a change.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A session without a message for this long is replaced; two reports and some delay.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Pause before a broken session is opened again.
+const RECONNECT_DELAY: Duration = Duration::from_millis(300);
+
+/// Everything a session needs from its agent.
+#[derive(Clone)]
+pub struct SessionContext {
+    /// Time source for decision records.
+    pub clock: Arc<dyn Clock>,
+    /// Record of decisions.
+    pub decisions: Arc<Decisions>,
+    /// First message of every session.
+    pub hello: v1::Hello,
+    /// Messages of entries, for the agent's state.
+    pub inbound: mpsc::Sender<v1::EntryMessage>,
+    /// Set to true when the agent leaves.
+    pub leaving: watch::Receiver<bool>,
+    /// Addresses of entries, as learned from acknowledgements.
+    pub learned: mpsc::Sender<BTreeSet<SocketAddr>>,
+    /// The state that reports carry.
+    pub report: watch::Receiver<v1::Report>,
+    /// Shared secret.
+    pub secret: Secret,
+}
+
+/// Why a session ended.
+enum SessionEnd {
+    Broken(String),
+    Silent,
+    Stopped,
+}
+
+/// Keeps one session to the entry at `address` open until the agent stops. `keep` turns false when
+/// no entry knows the address any more.
+pub async fn run_session(
+    address: SocketAddr,
+    context: SessionContext,
+    keep: watch::Receiver<bool>,
+) {
+    while *keep.borrow() {
+        let reason = match hold_session(address, &context).await {
+            SessionEnd::Stopped => return,
+            SessionEnd::Broken(reason) => reason,
+            SessionEnd::Silent => "no message within the limit".to_owned(),
+        };
+        tracing::debug!(%address, reason, "session ended");
+        context.decisions.record(
+            context.clock.now(),
+            Event::SessionReplaced,
+            &address.to_string(),
+            &reason,
+        );
+        tokio::time::sleep(RECONNECT_DELAY).await;
+    }
+}
+
+async fn hold_session(address: SocketAddr, context: &SessionContext) -> SessionEnd {
+    let (outbound, stream) = mpsc::channel(16);
+    let mut inbound = match open(address, context, &outbound, stream).await {
+        Ok(inbound) => inbound,
+        Err(reason) => return SessionEnd::Broken(reason),
+    };
+    let mut report = context.report.clone();
+    let mut leaving = context.leaving.clone();
+    let mut sequence = 0;
+    let mut tick = tokio::time::interval(REPORT_INTERVAL);
+    let silence = tokio::time::sleep(SILENCE_LIMIT);
+    tokio::pin!(silence);
+    loop {
+        let message = tokio::select! {
+            _ = tick.tick() => next_report(&mut report, &mut sequence),
+            changed = report.changed() => match changed {
+                Ok(()) => next_report(&mut report, &mut sequence),
+                Err(_) => return SessionEnd::Stopped,
+            },
+            Ok(()) = leaving.changed() => {
+                v1::agent_message::Body::Leaving(v1::Leaving { reason: "shutdown".to_owned() })
+            }
+            received = inbound.message() => match received {
+                Ok(Some(message)) => {
+                    silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_LIMIT);
+                    if let Err(reason) = take_in(context, message).await {
+                        return SessionEnd::Broken(reason);
+                    }
+                    continue;
+                }
+                Ok(None) => return SessionEnd::Broken("the entry closed the session".to_owned()),
+                Err(status) => return SessionEnd::Broken(status.message().to_owned()),
+            },
+            () = &mut silence => return SessionEnd::Silent,
+        };
+        let message = v1::AgentMessage { body: Some(message) };
+        // A connection that no longer takes bytes fills the channel; the silence timer ends it.
+        if outbound.try_send(message).is_err() && outbound.is_closed() {
+            return SessionEnd::Broken("the entry closed the session".to_owned());
+        }
+    }
+}
+
+async fn open(
+    address: SocketAddr,
+    context: &SessionContext,
+    outbound: &mpsc::Sender<v1::AgentMessage>,
+    stream: mpsc::Receiver<v1::AgentMessage>,
+) -> Result<Streaming<v1::EntryMessage>, String> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| error.to_string())?
+        .connect_timeout(Duration::from_secs(1))
+        .tcp_nodelay(true);
+    let channel = endpoint.connect().await.map_err(|error| error.to_string())?;
+    let mut client = EntryClient::with_interceptor(channel, context.secret.clone())
+        .max_decoding_message_size(MESSAGE_LIMIT);
+    let hello = v1::agent_message::Body::Hello(context.hello.clone());
+    let _ = outbound.try_send(v1::AgentMessage { body: Some(hello) });
+    let call = client.session(ReceiverStream::new(stream));
+    match tokio::time::timeout(SILENCE_LIMIT, call).await {
+        Ok(Ok(response)) => Ok(response.into_inner()),
+        Ok(Err(status)) => Err(status.message().to_owned()),
+        Err(_) => Err("the entry did not accept the session in time".to_owned()),
+    }
+}
+
+fn next_report(
+    report: &mut watch::Receiver<v1::Report>,
+    sequence: &mut u64,
+) -> v1::agent_message::Body {
+    *sequence += 1;
+    let current = report.borrow_and_update().clone();
+    v1::agent_message::Body::Report(v1::Report { sequence: *sequence, ..current })
+}
+
+async fn take_in(context: &SessionContext, message: v1::EntryMessage) -> Result<(), String> {
+    if let Some(v1::entry_message::Body::Ack(ack)) = &message.body {
+        if ack.protocol < MIN_PROTOCOL {
+            return Err(format!("protocol {} of the entry is too old", ack.protocol));
+        }
+        let entries = ack.entries.iter().filter_map(|text| text.parse().ok()).collect();
+        let _ = context.learned.try_send(entries);
+        return Ok(());
+    }
+    context.inbound.send(message).await.map_err(|_| "the agent is stopping".to_owned())
+}
+
+/// Returns the first message of a session.
+pub fn hello(settings: &crate::Settings, incarnation: u64, control: SocketAddr) -> v1::Hello {
+    use skylarkpulley_tables::PoolKind;
+    let kind = match settings.kind {
+        PoolKind::Upstream => v1::PoolKind::Upstream,
+        PoolKind::Worker => v1::PoolKind::Worker,
+    };
+    v1::Hello {
+        protocol: PROTOCOL,
+        agent: Some(v1::AgentId { name: settings.name.clone(), incarnation }),
+        kind: kind.into(),
+        pool: settings.pool.clone(),
+        domain: settings.domain.clone(),
+        rack: settings.rack.clone(),
+        control: control.to_string(),
+        config_version: 0,
+    }
+}
--- /dev/null
+++ b/crates/proto/src/agent_clients.rs
@@ -0,0 +1,62 @@
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::v1::agent_client::AgentClient;
+use crate::{MESSAGE_LIMIT, Secret};
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::{Channel, Endpoint};
+
+/// AgentHandle of one agent's control interface.
+pub type AgentHandle = AgentClient<InterceptedService<Channel, Secret>>;
+
+/// A ping is sent on a run connection this often, and the connection is given up when it stays
+/// unanswered for [`PING_TIMEOUT`]. Together they bound how long a silent connection goes unnoticed
+/// to 2.5 s.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+const PING_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Shared connections to agents, one for each control address.
+#[derive(Debug)]
+pub struct AgentClients {
+    clients: Mutex<HashMap<String, AgentHandle>>,
+    secret: Secret,
+}
+
+impl AgentClients {
+    /// Returns an empty set of connections that authenticate with `secret`.
+    pub fn new(secret: Secret) -> Self {
+        Self { clients: Mutex::new(HashMap::new()), secret }
+    }
+
+    /// Returns the client for the agent at `control`, "ip:port"; connects on first use. `None` when
+    /// the address is not valid.
+    pub fn client(&self, control: &str) -> Option<AgentHandle> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(control) {
+            return Some(client.clone());
+        }
+        let client = self.connect(control)?;
+        clients.insert(control.to_owned(), client.clone());
+        Some(client)
+    }
+
+    /// Drops the connection to `control`, so that the next use opens a new one.
+    pub fn replace(&self, control: &str) {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner).remove(control);
+    }
+
+    fn connect(&self, control: &str) -> Option<AgentHandle> {
+        let endpoint = Endpoint::from_shared(format!("http://{control}"))
+            .ok()?
+            .connect_timeout(Duration::from_secs(1))
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(true)
+            .tcp_nodelay(true);
+        let client = AgentClient::with_interceptor(endpoint.connect_lazy(), self.secret.clone())
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT);
+        Some(client)
+    }
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,6 +1,7 @@
 //! Protocol between the processes of skylarkpulley: committed generated code, conversions to the
 //! project's own types, and the check of the shared secret.
 
+mod agent_clients;
 mod convert;
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 #[rustfmt::skip]
@@ -8,6 +9,7 @@
 pub mod v1;
 mod secret;
 
+pub use agent_clients::{AgentClients, AgentHandle};
 pub use secret::{Secret, SecretError};
 
 /// Version of the protocol that this build speaks. Peers accept any version from
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,14 @@
 
 mod decisions;
 mod event;
+mod logging;
+mod metrics;
+mod settings_file;
+mod signals;
 
 pub use decisions::{Decision, Decisions};
 pub use event::Event;
+pub use logging::{LogFormat, init_logging};
+pub use metrics::Metrics;
+pub use settings_file::{SettingsError, load_settings};
+pub use signals::wait_for_signal;
--- /dev/null
+++ b/crates/telemetry/tests/catalogue.rs
@@ -0,0 +1,37 @@
+//! Compares the event catalogue in docs/events.md with the code. `UPDATE_CATALOGUE=1` rewrites it.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use skylarkpulley_telemetry::Event;
+
+fn expected() -> String {
+    let mut text = String::from(
+        "# Events\n\nEvery log line of a decision carries `code` and `event`. A test keeps this page \
+         and the code equal.\n\n| Code | Event | Meaning |\n|---|---|---|\n",
+    );
+    for event in Event::ALL {
+        text.push_str(&format!("| {} | `{}` | {} |\n", event.code(), event.name(), event.text()));
+    }
+    text
+}
+
+/// Guards against an event that was added or changed without its entry in the catalogue.
+#[test]
+fn catalogue_equals_code() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/events.md");
+    if std::env::var_os("UPDATE_CATALOGUE").is_some() {
+        fs::write(&path, expected()).expect("write the catalogue");
+    }
+    let page = fs::read_to_string(&path).expect("the catalogue");
+    assert_eq!(page, expected(), "stale: UPDATE_CATALOGUE=1 cargo test -p skylarkpulley-telemetry");
+}
+
+/// Guards against two events that cannot be told apart in logs.
+#[test]
+fn events_unique() {
+    let codes: BTreeSet<u16> = Event::ALL.iter().map(|event| event.code()).collect();
+    let names: BTreeSet<&str> = Event::ALL.iter().map(|event| event.name()).collect();
+    assert_eq!((codes.len(), names.len()), (Event::ALL.len(), Event::ALL.len()));
+}
