Parse, check and write both tables

Cause: the tables had a model but no reader, and nothing decided whether guarantees fit on the described workers.

Change: spanned TOML reading with rules per field, so that all faults are found in one pass; rows as texts for distribution; a packer that searches depth first over interchangeable racks and workers, with a budget; the number of workers and racks that may fail; samples for both deployments.

The canteen's guarantees survive any 3 workers or any 1 rack, the booking service's any 2 workers or any 1 rack.

--- /dev/null
+++ b/crates/tables/src/parse.rs
@@ -0,0 +1,109 @@
+use std::collections::BTreeMap;
+
+use crate::document::Document;
+use crate::read_pools::{ReadPool, listed, read_pools};
+use crate::read_routes::read_routes;
+use crate::shapes::check_shapes;
+use crate::{Fault, Row, Tables};
+
+/// One table as it is given to [`parse_files`].
+#[derive(Clone, Copy, Debug)]
+pub struct SourceFile<'a> {
+    /// Name that faults show.
+    pub name: &'a str,
+    /// TOML text.
+    pub bytes: &'a [u8],
+}
+
+/// Parses and checks both tables. Returns all faults, the ones of the routes first, each table's
+/// in order of their places.
+pub fn parse(routes: &[u8], pools: &[u8]) -> Result<Tables, Vec<Fault>> {
+    parse_files(
+        SourceFile { name: "routes.toml", bytes: routes },
+        SourceFile { name: "pools.toml", bytes: pools },
+    )
+}
+
+/// Does the same as [`parse`] with the names of the files.
+pub fn parse_files(routes: SourceFile<'_>, pools: SourceFile<'_>) -> Result<Tables, Vec<Fault>> {
+    let routes_document = Document::new(routes.name, routes.bytes);
+    let pools_document = Document::new(pools.name, pools.bytes);
+    let (read, names) = read_pools(&pools_document);
+    // Without a readable pools table every route would be reported as a consequence.
+    let known = !names.is_empty() && !pools_document.is_broken();
+    let mut tables = Tables::default();
+    for (route, pool, spot) in read_routes(&routes_document) {
+        if known && !names.contains(&pool) {
+            let names: Vec<_> = names.iter().map(String::as_str).collect();
+            routes_document.report(spot, &listed("must be the name of a pool", &names));
+        }
+        tables.routes.extend(route);
+    }
+    for ReadPool { pool, spots } in read {
+        check_shapes(&pools_document, &pool, &spots);
+        tables.pools.push(pool);
+    }
+    let mut faults = routes_document.into_faults();
+    faults.extend(pools_document.into_faults());
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    tables.sort();
+    Ok(tables)
+}
+
+impl Tables {
+    /// Builds the tables from rows, as [`Tables::rows`] returns them. Checks each row, and that
+    /// every route has its pool. Does not check that guarantees fit together, which is done once
+    /// when an edit is accepted.
+    pub fn from_rows<'a>(
+        rows: impl IntoIterator<Item = (&'a str, &'a str)>,
+    ) -> Result<Self, Vec<Fault>> {
+        let mut tables = Self::default();
+        let mut faults = Vec::new();
+        for (key, text) in rows {
+            match Row::parse(key, text) {
+                Ok(Row::Route(route)) => tables.routes.push(route),
+                Ok(Row::Pool(pool)) => tables.pools.push(pool),
+                Err(found) => faults.extend(found),
+            }
+        }
+        tables.sort();
+        if faults.is_empty() {
+            faults.extend(
+                tables.routes.iter().filter(|route| tables.pool(&route.pool).is_none()).map(
+                    |route| Fault {
+                        file: format!("route/{}", route.name),
+                        line: 1,
+                        column: 1,
+                        field: format!("route.{}.pool", route.name),
+                        value: format!("{:?}", route.pool),
+                        allowed: "must be the name of a pool".to_owned(),
+                    },
+                ),
+            );
+        }
+        if faults.is_empty() { Ok(tables) } else { Err(faults) }
+    }
+
+    /// Returns the text of each row by its key.
+    pub fn rows(&self) -> BTreeMap<String, String> {
+        let routes = self.routes.iter().cloned().map(Row::Route);
+        let pools = self.pools.iter().cloned().map(Row::Pool);
+        routes.chain(pools).map(|row| (row.key(), row.to_text())).collect()
+    }
+
+    /// Returns the texts of the routes table and of the pools table.
+    pub fn to_texts(&self) -> (String, String) {
+        let join = |rows: Vec<Row>| rows.iter().map(Row::to_text).collect::<Vec<_>>().join("\n");
+        (
+            join(self.routes.iter().cloned().map(Row::Route).collect()),
+            join(self.pools.iter().cloned().map(Row::Pool).collect()),
+        )
+    }
+
+    fn sort(&mut self) {
+        self.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+}
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -1,13 +1,16 @@
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use skylarkpulley_types::Shape;
 
 /// What the members of a pool are.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum PoolKind {
     /// Upstreams that answer requests.
+    #[display("upstream")]
     Upstream,
     /// Workers that run jobs on accelerators.
+    #[display("worker")]
     Worker,
 }
 
--- /dev/null
+++ b/crates/tables/tests/samples.rs
@@ -0,0 +1,49 @@
+//! The samples must be accepted and must survive being written and read again.
+
+use std::fs;
+use std::path::Path;
+
+use skylarkpulley_tables::{Packer, Row, Tables, Tolerance, parse};
+
+fn sample(name: &str) -> Tables {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples").join(name);
+    let read = |file: &str| fs::read(folder.join(file)).expect("the sample exists");
+    parse(&read("routes.toml"), &read("pools.toml")).expect("the sample has no faults")
+}
+
+#[test]
+fn parse_samples() {
+    for (name, workers, racks) in [("canteen", 3, 1), ("booking", 2, 1)] {
+        let tables = sample(name);
+        let pool = tables.pools.iter().find(|pool| pool.accelerators == 8).expect("worker pool");
+        assert_eq!(pool.worker_count(), 11);
+        let tolerance = Tolerance::new(&Packer::for_pool(pool)).expect("guarantees fit");
+        println!("{name}: {tolerance:?}");
+        assert_eq!((tolerance.workers.failures, tolerance.workers.exact), (workers, true));
+        assert_eq!((tolerance.racks.failures, tolerance.racks.exact), (racks, true));
+    }
+}
+
+/// Guards against rows that change when they are distributed as text.
+#[test]
+fn from_rows_same_tables() {
+    for name in ["canteen", "booking"] {
+        let tables = sample(name);
+        let rows = tables.rows();
+        let pairs = rows.iter().map(|(key, text)| (key.as_str(), text.as_str()));
+        assert_eq!(Tables::from_rows(pairs), Ok(tables.clone()));
+        let (routes, pools) = tables.to_texts();
+        assert_eq!(parse(routes.as_bytes(), pools.as_bytes()), Ok(tables));
+    }
+}
+
+#[test]
+fn parse_row_wrong_key() {
+    let rows = sample("canteen").rows();
+    let text = &rows["route/check"];
+    assert!(Row::parse("route/check", text).is_ok());
+    for key in ["route/settle", "pool/check", "check", "team/check"] {
+        let faults = Row::parse(key, text).expect_err("the key does not match");
+        assert_eq!(faults[0].file, key);
+    }
+}
