Add key ranges and the owner and witness state machine

Cause: a request with an idempotency key may run at most once, whatever agent or entry dies between its reservation and its response.

--- /dev/null
+++ b/crates/keys/src/candidate.rs
@@ -0,0 +1,25 @@
+use crate::Place;
+
+/// A live agent that may own or witness key ranges.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// The agent and its control address.
+    pub place: Place,
+    /// Failure domain of the agent.
+    pub domain: String,
+    /// True once the agent has announced that it leaves; it receives no new range.
+    pub leaving: bool,
+}
+
+impl Candidate {
+    /// Returns a candidate that stays.
+    pub fn new(place: Place, domain: &str) -> Self {
+        Self { place, domain: domain.to_owned(), leaving: false }
+    }
+
+    /// Marks the candidate as leaving.
+    pub fn with_leaving(mut self) -> Self {
+        self.leaving = true;
+        self
+    }
+}
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder while the crate is being set up.
+//! At-most-once execution of requests that carry an idempotency key.
+//!
+//! Keys are hashed into 64 ranges. [`RangeMap`] names an owner and a witness for each range;
+//! [`KeyTable`] is the state machine that plays both parts on one agent. Neither has sockets or a
+//! clock: events and the current time go in, messages and answers come out. See
+//! docs/at-most-once.md for the argument.
+
+mod action;
+mod candidate;
+mod key_range;
+mod key_table;
+mod limits;
+mod message;
+mod place;
+mod range_map;
+mod range_state;
+mod record;
+mod records;
+mod response;
+
+pub use action::{Action, KeyReply};
+pub use candidate::Candidate;
+pub use key_range::KeyRange;
+pub use key_table::KeyTable;
+pub use limits::Limits;
+pub use message::{
+    Attempt, Batch, CopyReply, CopyRequest, FenceReply, FenceRequest, LookupResult, ReserveRequest,
+};
+pub use place::Place;
+pub use range_map::{RANGES, RangeMap, range_of};
+pub use record::{KeyRecord, RecordState};
+pub use response::Response;
--- /dev/null
+++ b/crates/keys/src/limits.rs
@@ -0,0 +1,20 @@
+use std::time::Duration;
+
+/// Bounds of a key table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Records per range; a full range refuses new keys.
+    pub records: usize,
+    /// Bytes per range above which new keys are refused. Responses of keys that were reserved
+    /// before may exceed it.
+    pub bytes: usize,
+    /// Time for which a finished key is remembered.
+    pub retention: Duration,
+}
+
+impl Default for Limits {
+    /// 2.5 MiB per range keep an agent with the 12 ranges of an 11-agent pool near 30 MB.
+    fn default() -> Self {
+        Self { records: 16_384, bytes: 2_621_440, retention: Duration::from_secs(24 * 3600) }
+    }
+}
--- /dev/null
+++ b/crates/keys/src/place.rs
@@ -0,0 +1,18 @@
+use serde::{Deserialize, Serialize};
+use skylarkpulley_types::AgentId;
+
+/// An agent and the address of its control listener.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Place {
+    /// The agent, with its incarnation.
+    pub agent: AgentId,
+    /// Control address as "ip:port".
+    pub control: String,
+}
+
+impl Place {
+    /// Returns the place of `agent` at the address `control`.
+    pub fn new(agent: AgentId, control: &str) -> Self {
+        Self { agent, control: control.to_owned() }
+    }
+}
