--- a/crates/tables/src/document.rs
+++ b/crates/tables/src/document.rs
@@ -128,8 +128,13 @@
         let mut lines = HashSet::new();
         for error in errors {
             let span = error.span().unwrap_or(0..0);
-            self.report(self.spot(span, "syntax"), &format!("not valid TOML: {}", error.message()));
-            lines.insert(self.spot(error.span().unwrap_or(0..0), "").line);
+            let mut spot = self.spot(span, "syntax");
+            let line = spot.line;
+            // The span of a syntax fault is often empty; the line shows what was read.
+            let text = self.text.lines().nth(line as usize - 1).unwrap_or_default();
+            spot.value = text.trim().chars().take(QUOTE).collect();
+            self.report(spot, &format!("not valid TOML: {}", error.message()));
+            lines.insert(line);
         }
         self.syntax = !lines.is_empty();
         self.broken.extend(lines);
--- a/crates/tables/src/packer.rs
+++ b/crates/tables/src/packer.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+
 use skylarkpulley_types::{Locality, Shape};
 
 use crate::Pool;
@@ -101,9 +103,10 @@
         stage.merge(&self.space).units().map(|(levels, _)| levels.workers()).max().unwrap_or(0)
     }
 
-    /// Returns the described workers with all accelerators free.
-    pub(crate) fn space(&self) -> &Space {
-        &self.space
+    /// Returns the described workers with all accelerators free, in one domain when no demand
+    /// depends on domains.
+    pub(crate) fn space(&self) -> Space {
+        if self.depends_on_domains() { self.space.clone() } else { self.space.forget_domains() }
     }
 
     /// Decides whether all demands fit on `space`, and counts the placements tried.
@@ -112,26 +115,52 @@
         if self.impossible || !self.kinds.iter().all(fits_alone) {
             return (Packing::DoesNotFit, 0);
         }
-        let instances: u64 = self.kinds.iter().map(|kind| kind.count).sum();
-        let mut by_size = self.kinds.clone();
-        by_size.sort_by_key(|kind| (kind.stage, std::cmp::Reverse((kind.size, kind.workers))));
-        let mut by_total = self.kinds.clone();
-        by_total.sort_by_key(|kind| (kind.stage, std::cmp::Reverse(kind.size * kind.workers)));
-        let mut by_width = self.kinds.clone();
-        by_width.sort_by_key(|kind| (kind.stage, std::cmp::Reverse((kind.workers, kind.size))));
-
-        let quick = QUICK_BUDGET.min(self.budget);
-        let mut tried = 0;
-        for (kinds, budget) in
-            [(&by_size, quick), (&by_total, quick), (&by_width, quick), (&by_size, self.budget)]
-        {
-            let mut search = Search::new(space, kinds, instances + budget);
-            let packing = search.run();
-            tried += search.tried();
-            if packing != Packing::NotProved {
-                return (packing, tried);
-            }
+        if !self.depends_on_domains() {
+            return search(&space.forget_domains(), &self.kinds, self.budget);
+        }
+        // Without regard to domains there are far fewer different placements, so that a search is
+        // more often complete. What does not fit then does not fit at all.
+        let widened = |kind: &Kind| match kind.stage {
+            Stage::Domain => Kind { stage: Stage::Pool, ..kind.clone() },
+            _ => kind.clone(),
+        };
+        let relaxed: Vec<_> = self.kinds.iter().map(widened).collect();
+        let (packing, tried) =
+            search(&space.forget_domains(), &relaxed, QUICK_BUDGET.min(self.budget));
+        if packing == Packing::DoesNotFit {
+            return (packing, tried);
+        }
+        let (packing, more) = search(space, &self.kinds, self.budget);
+        (packing, tried + more)
+    }
+
+    fn depends_on_domains(&self) -> bool {
+        self.kinds.iter().any(|kind| kind.stage == Stage::Domain)
+    }
+}
+
+/// Searches with several orders of `kinds`, each briefly, and then with the whole budget.
+fn search(space: &Space, kinds: &[Kind], budget: u64) -> (Packing, u64) {
+    let instances: u64 = kinds.iter().map(|kind| kind.count).sum();
+    let sorted = |key: fn(&Kind) -> (u32, u32)| {
+        let mut sorted = kinds.to_vec();
+        sorted.sort_by_key(|kind| (kind.stage, Reverse(key(kind))));
+        sorted
+    };
+    let by_size = sorted(|kind| (kind.size, kind.workers));
+    let by_total = sorted(|kind| (kind.size * kind.workers, kind.size));
+    let by_width = sorted(|kind| (kind.workers, kind.size));
+    let quick = QUICK_BUDGET.min(budget);
+    let mut tried = 0;
+    for (kinds, budget) in
+        [(&by_size, quick), (&by_total, quick), (&by_width, quick), (&by_size, budget)]
+    {
+        let mut search = Search::new(space, kinds, instances + budget);
+        let packing = search.run();
+        tried += search.tried();
+        if packing != Packing::NotProved {
+            return (packing, tried);
         }
-        (Packing::NotProved, tried)
     }
+    (Packing::NotProved, tried)
 }
--- a/crates/tables/src/parse.rs
+++ b/crates/tables/src/parse.rs
@@ -16,7 +16,8 @@
 }
 
 /// Parses and checks both tables. Returns all faults, the ones of the routes first, each table's
-/// in order of their places.
+/// in order of their places. Guarantees that are hard to pack take up to a second, so a server
+/// calls this where it may block.
 pub fn parse(routes: &[u8], pools: &[u8]) -> Result<Tables, Vec<Fault>> {
     parse_files(
         SourceFile { name: "routes.toml", bytes: routes },
@@ -35,7 +36,8 @@
     for (route, pool, spot) in read_routes(&routes_document) {
         if known && !names.contains(&pool) {
             let names: Vec<_> = names.iter().map(String::as_str).collect();
-            routes_document.report(spot, &listed("must be the name of a pool", &names));
+            routes_document
+                .report(spot, &format!("must be the name of a pool: {}", listed(&names)));
         }
         tables.routes.extend(route);
     }
--- a/crates/tables/src/read_pools.rs
+++ b/crates/tables/src/read_pools.rs
@@ -179,7 +179,10 @@
             && !teams.iter().any(|candidate| candidate.name == *team)
         {
             let names: Vec<_> = teams.iter().map(|team| team.name.as_str()).collect();
-            document.report(section.spot("team"), &listed("must be a team of the pool", &names));
+            document.report(
+                section.spot("team"),
+                &format!("must be a team of the pool: {}", listed(&names)),
+            );
         }
         let per_worker = rule::integer(*ACCELERATORS.start()..=most.into());
         let accelerators = section.required("accelerators", &per_worker);
@@ -195,12 +198,12 @@
     guarantees
 }
 
-/// Completes `text` with the first of the allowed names.
-pub(crate) fn listed(text: &str, names: &[&str]) -> String {
+/// Writes the first of `names`.
+pub(crate) fn listed(names: &[&str]) -> String {
     const SHOWN: usize = 10;
-    let mut list = names[..names.len().min(SHOWN)].join(", ");
-    if names.len() > SHOWN {
-        list.push_str(&format!(" and {} more", names.len() - SHOWN));
+    let list = names[..names.len().min(SHOWN)].join(", ");
+    match names.len().saturating_sub(SHOWN) {
+        0 => list,
+        more => format!("{list} and {more} more"),
     }
-    if list.is_empty() { format!("{text}; there are none") } else { format!("{text}: {list}") }
 }
--- a/crates/tables/src/rule.rs
+++ b/crates/tables/src/rule.rs
@@ -82,8 +82,10 @@
 
 /// A size of whole MiB within `range`, which is in bytes.
 pub(crate) fn mebibytes(range: RangeInclusive<u64>, example: &str) -> Rule<u64> {
+    let [low, high] = [*range.start(), *range.end()].map(format_size);
+    let allowed =
+        format!("must be a size from {low} to {high} in whole MiB, such as \"{example}\"");
     let bytes = size(range, example);
-    let allowed = format!("{} in whole MiB", bytes.allowed);
     Rule::new(allowed, move |value| {
         let bytes = bytes.read(value)?;
         bytes.is_multiple_of(1 << 20).then_some(bytes >> 20)
--- a/crates/tables/src/shapes.rs
+++ b/crates/tables/src/shapes.rs
@@ -76,8 +76,8 @@
         }
         let most = most_beside(&packer, guarantee);
         let allowed = format!(
-            "{}, {most} of {} instances fit",
-            listed("the guarantees cannot all be held at once; beside the ones before", &before),
+            "the guarantees cannot all be held at once: beside {}, {most} of {} instances fit",
+            listed(&before),
             guarantee.count
         );
         let spot = Fault { value: guarantee.shape.to_string(), ..header.clone() };
--- a/crates/tables/src/space.rs
+++ b/crates/tables/src/space.rs
@@ -42,6 +42,15 @@
         Self { domains: vec![all.into_iter().collect()] }
     }
 
+    /// Puts all units into one domain.
+    pub(crate) fn forget_domains(&self) -> Self {
+        let mut units = Units::new();
+        for (levels, count) in self.units() {
+            *units.entry(levels.clone()).or_default() += count;
+        }
+        Self { domains: vec![units] }
+    }
+
     /// Returns the levels of the whole pool; none when it has no workers.
     pub(crate) fn total(&self) -> Option<Levels> {
         sum(self.domains.iter().flatten())
--- a/crates/tables/src/tolerance.rs
+++ b/crates/tables/src/tolerance.rs
@@ -46,7 +46,7 @@
 fn bound(packer: &Packer, fail: fn(&Space) -> Vec<Space>) -> Bound {
     let mut left = BUDGET;
     let mut failures = 0;
-    let mut spaces = BTreeSet::from([packer.space().clone()]);
+    let mut spaces = BTreeSet::from([packer.space()]);
     loop {
         let next: BTreeSet<_> = spaces.iter().flat_map(fail).collect();
         if next.is_empty() {
--- /dev/null
+++ b/crates/tables/tests/packer.rs
@@ -0,0 +1,196 @@
+//! Compares the packer and the tolerance with an exhaustive search on small pools.
+
+use std::collections::BTreeMap;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use skylarkpulley_tables::{Bound, Packer, Packing, Tolerance};
+use skylarkpulley_types::{Locality, Shape};
+
+const LOCALITIES: [Locality; 4] =
+    [Locality::Worker, Locality::Rack, Locality::Domain, Locality::Pool];
+
+/// A pool of at most 7 workers with at most 5 instances.
+#[derive(Clone, Debug)]
+struct SmallPool {
+    accelerators: u32,
+    domains: Vec<Vec<u32>>,
+    instances: Vec<Shape>,
+}
+
+impl Arbitrary for SmallPool {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut up_to = |most: u32| 1 + u32::arbitrary(g) % most;
+        let accelerators = up_to(5);
+        let mut domains = Vec::new();
+        let mut left = 7;
+        for _ in 0..up_to(3) {
+            let mut racks = Vec::new();
+            for _ in 0..up_to(3) {
+                let workers = up_to(4).min(left);
+                left -= workers;
+                racks.push(workers);
+            }
+            domains.push(racks);
+        }
+        let count = up_to(5);
+        let mut shape =
+            || Shape::new(up_to(accelerators), up_to(3), LOCALITIES[up_to(4) as usize - 1]);
+        Self { accelerators, domains, instances: (0..count).map(|_| shape()).collect() }
+    }
+}
+
+/// One worker: its domain, its rack and its free accelerators.
+type Worker = (usize, usize, u32);
+
+impl SmallPool {
+    fn packer(&self) -> Packer {
+        let packer = Packer::new(self.accelerators, &self.domains);
+        self.instances.iter().fold(packer, |packer, shape| packer.with_demand(*shape, 1))
+    }
+
+    fn workers(&self) -> Vec<Worker> {
+        let mut workers = Vec::new();
+        for (domain, racks) in self.domains.iter().enumerate() {
+            for (rack, count) in racks.iter().enumerate() {
+                workers.extend((0..*count).map(|_| (domain, rack, self.accelerators)));
+            }
+        }
+        workers
+    }
+}
+
+/// Tries every set of workers for every instance.
+fn fits(workers: &mut [Worker], instances: &[Shape]) -> bool {
+    let Some((shape, rest)) = instances.split_first() else {
+        return true;
+    };
+    for set in 0..1u32 << workers.len() {
+        if set.count_ones() != shape.workers {
+            continue;
+        }
+        let members: Vec<_> = (0..workers.len()).filter(|index| set >> index & 1 == 1).collect();
+        if !holds(workers, &members, shape) {
+            continue;
+        }
+        members.iter().for_each(|index| workers[*index].2 -= shape.accelerators);
+        let found = fits(workers, rest);
+        members.iter().for_each(|index| workers[*index].2 += shape.accelerators);
+        if found {
+            return true;
+        }
+    }
+    false
+}
+
+fn holds(workers: &[Worker], members: &[usize], shape: &Shape) -> bool {
+    let (domain, rack, _) = workers[members[0]];
+    members.iter().all(|index| {
+        let (other, shelf, free) = workers[*index];
+        let near = match shape.locality {
+            Locality::Worker => members.len() == 1,
+            Locality::Rack => other == domain && shelf == rack,
+            Locality::Domain => other == domain,
+            Locality::Pool => true,
+        };
+        near && free >= shape.accelerators
+    })
+}
+
+/// Returns the most failures after which the instances always fit. `units` are the sets of
+/// workers that fail together.
+fn survives(pool: &SmallPool, units: &[Vec<usize>]) -> u32 {
+    let workers = pool.workers();
+    let mut most = units.len() as u32;
+    for failed in 0..1u32 << units.len() {
+        let size = failed.count_ones();
+        let gone = |index: usize| {
+            units
+                .iter()
+                .enumerate()
+                .any(|(unit, members)| failed >> unit & 1 == 1 && members.contains(&index))
+        };
+        let mut live: Vec<_> =
+            (0..workers.len()).filter(|index| !gone(*index)).map(|index| workers[index]).collect();
+        if size <= most && !fits(&mut live, &pool.instances) {
+            most = size - 1;
+        }
+    }
+    most
+}
+
+fn check<F: quickcheck::Testable>(seed: u64, tests: u64, property: F) {
+    let size = 64;
+    QuickCheck::new().rng(Gen::from_size_and_seed(size, seed)).tests(tests).quickcheck(property);
+}
+
+#[test]
+fn pack_as_exhaustive() {
+    fn property(pool: SmallPool) -> bool {
+        let expected = fits(&mut pool.workers(), &pool.instances);
+        pool.packer().pack() == if expected { Packing::Fits } else { Packing::DoesNotFit }
+    }
+    check(11, 2000, property as fn(SmallPool) -> bool);
+}
+
+#[test]
+fn most_instances_as_exhaustive() {
+    fn property(pool: SmallPool) -> bool {
+        let shape = pool.instances[0];
+        let most = Packer::new(pool.accelerators, &pool.domains).most_instances(shape);
+        // More than 4 instances would take the exhaustive search too long.
+        let bound = most.min(3) as usize;
+        let fit = |count: usize| fits(&mut pool.workers(), &vec![shape; count]);
+        fit(bound) && (most > 3 || !fit(bound + 1))
+    }
+    check(12, 500, property as fn(SmallPool) -> bool);
+}
+
+#[test]
+fn tolerance_as_exhaustive() {
+    fn property(pool: SmallPool) -> bool {
+        let workers = pool.workers();
+        let fit = fits(&mut pool.workers(), &pool.instances);
+        let Some(tolerance) = Tolerance::new(&pool.packer()) else {
+            return !fit;
+        };
+        let single: Vec<_> = (0..workers.len()).map(|index| vec![index]).collect();
+        let mut racks = BTreeMap::<_, Vec<_>>::new();
+        for (index, (domain, rack, _)) in workers.iter().enumerate() {
+            racks.entry((domain, rack)).or_default().push(index);
+        }
+        let racks: Vec<_> = racks.into_values().collect();
+        let exact = |units: &[_]| Bound { failures: survives(&pool, units), exact: true };
+        fit && tolerance.workers == exact(&single) && tolerance.racks == exact(&racks)
+    }
+    check(13, 150, property as fn(SmallPool) -> bool);
+}
+
+/// Guards against a search that guesses when its budget ends: nine sizes that fill three workers
+/// to the last accelerator but three.
+#[test]
+fn pack_not_proved() {
+    let sizes = [17, 18, 19, 20, 21, 22, 23, 24, 25];
+    let packer = Packer::new(64, &[vec![3]]).with_budget(0);
+    let packer = sizes
+        .iter()
+        .fold(packer, |packer, size| packer.with_demand(Shape::new(*size, 1, Locality::Pool), 1));
+    assert_eq!(packer.pack(), Packing::NotProved);
+}
+
+/// The size that the design targets, with the widest gangs and every locality.
+#[test]
+fn pack_5000_workers() {
+    let rack = || vec![3; 333];
+    let domains = [rack(), rack(), rack(), rack(), rack()];
+    let packer = Packer::new(8, &domains)
+        .with_demand(Shape::new(8, 128, Locality::Domain), 10)
+        .with_demand(Shape::new(8, 3, Locality::Rack), 600)
+        .with_demand(Shape::new(4, 2, Locality::Rack), 310)
+        .with_demand(Shape::new(2, 1, Locality::Worker), 1240);
+    assert_eq!(packer.pack(), Packing::Fits);
+    // Each of the 1,665 racks holds one of these, and 4,995 workers would suffice for all.
+    let excess = Packer::new(8, &domains)
+        .with_demand(Shape::new(8, 3, Locality::Rack), 600)
+        .with_demand(Shape::new(8, 2, Locality::Rack), 1066);
+    assert_eq!(excess.pack(), Packing::DoesNotFit);
+}
