Add the ledger of a worker's accelerators and gang leases

Cause: several entries may place work on the same worker at once, and no part of a gang may run for more than 2 s without the rest.

Change: the crate ledger with holds, commits, reservations, eviction with a checkpoint grace period, wound-wait, fencing, gang lead and member, drain and report. A lease ends 2 s after the whole gang was last known to be running, and a member counts it from a message it has sent itself, so that network delay and pauses do not extend it. A simulation with drifting clocks drives four workers through a fault table and random schedules.

--- a/crates/keys/tests/at_most_once.rs
+++ b/crates/keys/tests/table/interleavings.rs
@@ -1,10 +1,8 @@
 //! Interleavings of several agents, entries and a lossy network.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{AGENTS, Sim, key};
+use crate::sim::{AGENTS, Sim, key};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use skylarkpulley_keys::{KeyReply, RecordState};
 
--- /dev/null
+++ b/crates/keys/tests/table/main.rs
@@ -0,0 +1,4 @@
+//! Tests of key tables, alone and over several agents.
+
+mod interleavings;
+mod sim;
--- /dev/null
+++ b/crates/ledger/tests/gangs/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the ledger and of gangs over several ledgers.
+
+mod faults;
+mod interleavings;
+mod sim;
--- /dev/null
+++ b/crates/ledger/tests/gangs/sim.rs
@@ -0,0 +1,505 @@
+//! Several workers with their ledgers, proposers and a network that the test controls.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use skylarkpulley_ledger::{
+    Action, Commit, End, Hold, HoldReply, LEASE, Ledger, Member, Rank, Ready, Renew, RenewReply,
+    Reservation, Stop, WorkerEvent,
+};
+use skylarkpulley_types::AgentId;
+
+pub const WORKERS: usize = 4;
+pub const ACCELERATORS: u32 = 8;
+pub const STEP: Duration = Duration::from_millis(50);
+/// Rate drift between two clocks that the design allows, plus the resolution of the harness.
+const BOUND: Duration = Duration::from_millis(2020 + 50);
+
+#[derive(Clone, Debug)]
+pub enum Message {
+    Hold(Hold),
+    Held(String, u64, HoldReply),
+    Commit(Commit),
+    Release(String, u64),
+    Ready(Ready),
+    Renew(usize, Renew),
+    Renewed(Member, Renew, RenewReply),
+    Stop(Stop),
+}
+
+impl Message {
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hold(_) => "hold",
+            Self::Held(..) => "held",
+            Self::Commit(_) => "commit",
+            Self::Release(..) => "release",
+            Self::Ready(_) => "ready",
+            Self::Renew(..) => "renew",
+            Self::Renewed(..) => "renewed",
+            Self::Stop(_) => "stop",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Packet {
+    pub from: usize,
+    pub to: usize,
+    pub incarnation: u64,
+    pub message: Message,
+}
+
+/// What happens to the packets that a test selects.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    Pass,
+    Lose,
+    Double,
+    /// Arrives after so many steps.
+    Delay(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    epoch: u64,
+    accelerators: u32,
+    expires: Instant,
+}
+
+pub struct Worker {
+    pub member: Member,
+    pub ledger: Ledger,
+    pub up: bool,
+    pub paused: bool,
+    /// Tasks on the worker beside the agent; they outlive the agent until their leases expire.
+    tasks: BTreeMap<String, Task>,
+    /// Thousandths by which this worker's clock is fast or slow.
+    drift: i32,
+}
+
+/// A gang and its proposer's progress.
+#[derive(Clone, Debug)]
+pub struct Gang {
+    pub hold: Hold,
+    pub members: Vec<usize>,
+    pub proposer_up: bool,
+    pub cancelled: bool,
+    held: BTreeSet<usize>,
+    asked: Instant,
+    committed: bool,
+}
+
+pub struct Sim {
+    pub workers: Vec<Worker>,
+    pub gangs: BTreeMap<String, Gang>,
+    pub wire: Vec<(usize, Packet)>,
+    pub fate: Box<dyn FnMut(&Packet) -> Fate>,
+    pub ends: Vec<(String, End)>,
+    pub started: BTreeSet<String>,
+    /// Gangs in the order in which they first ran as a whole.
+    pub whole: Vec<String>,
+    pub faults: Vec<String>,
+    /// Checkpoints asked for.
+    pub checkpoints: usize,
+    origin: Instant,
+    elapsed: Duration,
+    partial: BTreeMap<(String, u64), Duration>,
+}
+
+fn member(index: usize, incarnation: u64) -> Member {
+    Member::new(AgentId::new(&format!("w{index}"), incarnation), &format!("10.0.1.{index}:7"))
+}
+
+fn index_of(member: &Member) -> usize {
+    member.agent.name[1..].parse().unwrap()
+}
+
+impl Sim {
+    pub fn new() -> Self {
+        let origin = Instant::now() + Duration::from_secs(1000);
+        let workers = (0..WORKERS).map(|index| Worker {
+            member: member(index, 1),
+            ledger: Ledger::new(member(index, 1).agent, ACCELERATORS, origin)
+                .with_clean_worker(origin),
+            up: true,
+            paused: false,
+            tasks: BTreeMap::new(),
+            // Relative to each other the clocks drift by up to 1 %.
+            drift: [0, 5, -5, 3][index % 4],
+        });
+        Self {
+            workers: workers.collect(),
+            gangs: BTreeMap::new(),
+            wire: Vec::new(),
+            fate: Box::new(|_| Fate::Pass),
+            ends: Vec::new(),
+            started: BTreeSet::new(),
+            whole: Vec::new(),
+            faults: Vec::new(),
+            checkpoints: 0,
+            origin,
+            elapsed: Duration::ZERO,
+            partial: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a gang of `accelerators` on each of `members`; the proposer starts at the next step.
+    pub fn submit(&mut self, id: &str, class: u32, accelerators: u32, members: &[usize]) {
+        let hold = Hold {
+            gang: id.to_owned(),
+            accelerators,
+            rank: Rank::new(class, 0),
+            preemptible: true,
+            ..Hold::default()
+        };
+        self.submit_hold(hold, members);
+    }
+
+    pub fn submit_hold(&mut self, hold: Hold, members: &[usize]) {
+        let gang = Gang {
+            members: members.to_vec(),
+            proposer_up: true,
+            cancelled: false,
+            held: BTreeSet::new(),
+            asked: self.origin,
+            committed: false,
+            hold: hold.clone(),
+        };
+        self.gangs.insert(hold.gang, gang);
+    }
+
+    /// Sets a reservation on `members` without a gang.
+    pub fn reserve(&mut self, instance: &str, accelerators: u32, members: &[usize]) {
+        for index in members {
+            let reserve = vec![Reservation::new(instance, 1, accelerators)];
+            let hold = Hold { reserve, ..Hold::default() };
+            let now = self.clock(*index);
+            let (reply, _) = self.workers[*index].ledger.hold(&hold, now);
+            assert_eq!(reply, HoldReply::Held);
+        }
+    }
+
+    /// Cancels a gang at its lead, as an entry does.
+    pub fn cancel(&mut self, id: &str) {
+        let Some(gang) = self.gangs.get_mut(id) else { return };
+        gang.cancelled = true;
+        let stop = Stop {
+            gang: id.to_owned(),
+            epoch: gang.hold.epoch + 1,
+            checkpoint: false,
+            grace: Duration::ZERO,
+            reason: "cancelled".to_owned(),
+        };
+        for to in gang.members.clone() {
+            self.send(to, to, Message::Stop(stop.clone()));
+        }
+    }
+
+    /// The worker's own time.
+    pub fn clock(&self, index: usize) -> Instant {
+        let drift = self.elapsed.as_micros() as i64 * i64::from(self.workers[index].drift) / 1000;
+        self.origin + Duration::from_micros((self.elapsed.as_micros() as i64 + drift) as u64)
+    }
+
+    /// The agent dies with its ledger; the worker's tasks run on until their leases expire.
+    pub fn crash(&mut self, index: usize) {
+        self.workers[index].up = false;
+        self.workers[index].paused = false;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        let now = self.clock(index);
+        let worker = &mut self.workers[index];
+        if worker.up {
+            return;
+        }
+        worker.member.agent.incarnation += 1;
+        worker.ledger = Ledger::new(worker.member.agent.clone(), ACCELERATORS, now);
+        worker.up = true;
+    }
+
+    pub fn running(&self, id: &str) -> usize {
+        self.workers.iter().filter(|worker| worker.tasks.contains_key(id)).count()
+    }
+
+    pub fn grants(&self, id: &str) -> usize {
+        let granted = |index: &usize| {
+            let worker = &self.workers[*index];
+            let report = worker.ledger.report(self.clock(*index));
+            worker.up && report.grants.iter().any(|grant| grant.gang == id)
+        };
+        (0..WORKERS).filter(granted).count()
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        for _ in 0..span.as_millis() / STEP.as_millis() {
+            self.step();
+        }
+    }
+
+    /// Passes [`STEP`] of time: ticks, proposers, deliveries, worker leases, checks.
+    pub fn step(&mut self) {
+        self.elapsed += STEP;
+        for index in 0..WORKERS {
+            self.tick(index);
+        }
+        self.propose();
+        self.deliver_due();
+        self.expire_tasks();
+        self.check();
+    }
+
+    pub fn tick(&mut self, index: usize) {
+        let now = self.clock(index);
+        let worker = &mut self.workers[index];
+        if worker.up && !worker.paused {
+            let actions = worker.ledger.tick(now);
+            self.act(index, actions);
+        }
+    }
+
+    /// The task of `id` on `index` ends by itself.
+    pub fn end_task(&mut self, index: usize, id: &str, event: WorkerEvent) {
+        let Some(task) = self.workers[index].tasks.remove(id) else { return };
+        self.report_event(index, id, task.epoch, event);
+    }
+
+    fn report_event(&mut self, index: usize, id: &str, epoch: u64, event: WorkerEvent) {
+        let now = self.clock(index);
+        let worker = &mut self.workers[index];
+        if worker.up && !worker.paused {
+            let actions = worker.ledger.worker(id, epoch, event, now);
+            self.act(index, actions);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let incarnation = self.workers[to].member.agent.incarnation;
+        self.post(Packet { from, to, incarnation, message });
+    }
+
+    fn send_member(&mut self, from: usize, to: &Member, message: Message) {
+        let incarnation = to.agent.incarnation;
+        self.post(Packet { from, to: index_of(to), incarnation, message });
+    }
+
+    fn post(&mut self, packet: Packet) {
+        match (self.fate)(&packet) {
+            Fate::Pass => self.wire.push((0, packet)),
+            Fate::Lose => {}
+            Fate::Double => {
+                self.wire.push((0, packet.clone()));
+                self.wire.push((3, packet));
+            }
+            Fate::Delay(steps) => self.wire.push((steps, packet)),
+        }
+    }
+
+    /// Delivers what is due, and what follows from it without delay.
+    fn deliver_due(&mut self) {
+        for _ in 0..1000 {
+            let due =
+                |(steps, packet): &(usize, Packet)| *steps == 0 && !self.workers[packet.to].paused;
+            let Some(position) = self.wire.iter().position(due) else {
+                self.wire.iter_mut().for_each(|(steps, _)| *steps = steps.saturating_sub(1));
+                return;
+            };
+            let (_, packet) = self.wire.remove(position);
+            self.deliver(packet);
+        }
+        self.faults.push("messages never end".to_owned());
+    }
+
+    pub fn deliver(&mut self, packet: Packet) {
+        let Packet { from, to, incarnation, message } = packet;
+        if let Message::Held(gang, epoch, reply) = message {
+            return self.on_held(from, &gang, epoch, reply);
+        }
+        let now = self.clock(to);
+        let worker = &mut self.workers[to];
+        if !worker.up || worker.member.agent.incarnation != incarnation {
+            return;
+        }
+        let actions = match message {
+            Message::Hold(hold) => {
+                let (reply, actions) = worker.ledger.hold(&hold, now);
+                self.send(to, to, Message::Held(hold.gang, hold.epoch, reply));
+                actions
+            }
+            Message::Commit(commit) => worker.ledger.commit(&commit, now).1,
+            Message::Release(gang, epoch) => worker.ledger.release(&gang, epoch, now).1,
+            Message::Ready(ready) => worker.ledger.ready(&ready, now).1,
+            Message::Renew(lead, renew) => {
+                let (reply, actions) = worker.ledger.renew(&renew, now);
+                let member = worker.member.clone();
+                self.act(to, actions);
+                return self.send(to, lead, Message::Renewed(member, renew, reply));
+            }
+            Message::Renewed(member, renew, reply) => {
+                worker.ledger.renewed(&member, &renew, reply, now)
+            }
+            Message::Stop(stop) => worker.ledger.stop(&stop, now).1,
+            Message::Held(..) => Vec::new(),
+        };
+        self.act(to, actions);
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::SendReady { to, ready } => {
+                    self.send_member(index, &to, Message::Ready(ready));
+                }
+                Action::SendRenew { to, renew } => {
+                    self.send_member(index, &to, Message::Renew(index, renew));
+                }
+                Action::SendStop { to, stop } => self.send_member(index, &to, Message::Stop(stop)),
+                Action::Start { gang, epoch, lease, .. } => self.start(index, gang, epoch, lease),
+                Action::Extend { gang, epoch, lease } => {
+                    let expires = self.clock(index) + lease;
+                    let task = self.workers[index].tasks.get_mut(&gang);
+                    if let Some(task) = task.filter(|task| task.epoch == epoch) {
+                        task.expires = expires;
+                    }
+                }
+                Action::Checkpoint { .. } => self.checkpoints += 1,
+                Action::Throttle { .. } => {}
+                Action::Kill { gang, epoch } => {
+                    self.workers[index].tasks.retain(|id, task| *id != gang || task.epoch != epoch);
+                    self.report_event(index, &gang, epoch, WorkerEvent::Stopped);
+                }
+                Action::Ended { gang, end, .. } => self.ends.push((gang, end)),
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, gang: String, epoch: u64, lease: Duration) {
+        self.started.insert(gang.clone());
+        let expires = self.clock(index) + lease;
+        let accelerators = self.gangs.get(&gang).map_or(0, |gang| gang.hold.accelerators);
+        let task = Task { epoch, accelerators, expires };
+        self.workers[index].tasks.insert(gang.clone(), task);
+        self.report_event(index, &gang, epoch, WorkerEvent::Started);
+    }
+
+    /// Workers stop tasks whose lease has run out, with or without an agent.
+    fn expire_tasks(&mut self) {
+        for index in 0..WORKERS {
+            let now = self.clock(index);
+            let tasks = &self.workers[index].tasks;
+            let late = tasks.iter().filter(|(_, task)| task.expires <= now);
+            for id in late.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+                self.end_task(index, &id, WorkerEvent::Stopped);
+            }
+        }
+    }
+
+    /// Proposers hold, commit, and start over after a refusal or silence.
+    fn propose(&mut self) {
+        let now = self.origin + self.elapsed;
+        for id in self.gangs.keys().cloned().collect::<Vec<_>>() {
+            let gang = self.gangs.get_mut(&id).unwrap();
+            if !gang.proposer_up || gang.committed || gang.cancelled {
+                continue;
+            }
+            let silent = now.saturating_duration_since(gang.asked);
+            if silent < Duration::from_millis(250) {
+                continue;
+            }
+            gang.hold.epoch = gang.hold.epoch.max(1);
+            gang.asked = now;
+            let (hold, members) = (gang.hold.clone(), gang.members.clone());
+            for to in members {
+                self.send(to, to, Message::Hold(hold.clone()));
+            }
+        }
+    }
+
+    fn on_held(&mut self, from: usize, id: &str, epoch: u64, reply: HoldReply) {
+        let Some(gang) = self.gangs.get_mut(id) else { return };
+        if gang.hold.epoch != epoch || gang.committed || !gang.proposer_up || gang.cancelled {
+            return;
+        }
+        let (gang_id, members) = (id.to_owned(), gang.members.clone());
+        match reply {
+            HoldReply::Held => {
+                gang.held.insert(from);
+            }
+            HoldReply::Pending => {
+                gang.held.remove(&from);
+            }
+            HoldReply::Refused(_) => {
+                gang.held.clear();
+                gang.hold.epoch += 1;
+                for to in members {
+                    self.send(to, to, Message::Release(gang_id.clone(), epoch));
+                }
+                return;
+            }
+        }
+        if gang.held.len() < members.len() {
+            return;
+        }
+        gang.committed = true;
+        let named = members.iter().map(|index| self.workers[*index].member.clone());
+        let task: Arc<[u8]> = Arc::new([]);
+        let commit = Commit { gang: gang_id, epoch, members: named.collect(), task };
+        for to in members {
+            self.send(to, to, Message::Commit(commit.clone()));
+        }
+    }
+
+    /// Lets the proposer of an ended gang try again, as an entry does after [`Action::Ended`].
+    pub fn retry(&mut self, id: &str) {
+        if let Some(gang) = self.gangs.get_mut(id).filter(|gang| gang.committed) {
+            gang.committed = false;
+            gang.held.clear();
+            gang.hold.epoch += 1;
+        }
+    }
+
+    /// Checks the invariants.
+    pub fn check(&mut self) {
+        for index in 0..WORKERS {
+            self.check_worker(index);
+        }
+        let mut alive = BTreeMap::<(String, u64), usize>::new();
+        for worker in &self.workers {
+            for (id, task) in &worker.tasks {
+                *alive.entry((id.clone(), task.epoch)).or_default() += 1;
+            }
+        }
+        self.partial.retain(|key, _| alive.contains_key(key));
+        for ((id, epoch), count) in alive {
+            if count == self.gangs[&id].members.len() {
+                self.partial.remove(&(id.clone(), epoch));
+                if !self.whole.contains(&id) {
+                    self.whole.push(id);
+                }
+                continue;
+            }
+            let since = *self.partial.entry((id.clone(), epoch)).or_insert(self.elapsed);
+            if self.elapsed - since > BOUND {
+                let span = self.elapsed - since;
+                self.faults.push(format!("part of {id} ran alone for {span:?}, lease {LEASE:?}"));
+            }
+        }
+    }
+
+    fn check_worker(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        let in_use: u32 = worker.tasks.values().map(|task| task.accelerators).sum();
+        let report = worker.ledger.report(self.clock(index));
+        let granted: u32 = report.grants.iter().map(|grant| grant.accelerators).sum();
+        let reserved: u32 = report.reservations.iter().map(|r| r.accelerators).sum();
+        let firm = report.grants.iter().filter(|g| g.instance.is_some() || !g.preemptible);
+        let firm: u32 = firm.map(|grant| grant.accelerators).sum();
+        if in_use > ACCELERATORS || granted > ACCELERATORS || reserved + firm > ACCELERATORS {
+            self.faults.push(format!(
+                "worker {index}: {in_use} in use, {granted} granted, {reserved} reserved, {firm} firm"
+            ));
+        }
+    }
+}
