Let a test worker end its tasks slowly

Cause: every stop took effect at once in the simulation, so that accelerators freed before the worker's confirmation went unnoticed.

Change: one simulated worker ignores the first stop of every task.

--- a/crates/ledger/tests/gangs/interleavings.rs
+++ b/crates/ledger/tests/gangs/interleavings.rs
@@ -53,6 +53,7 @@
     let mut sim = Sim::new();
     sim.reserve("pair/0", 4, &[0, 1]);
     sim.reserve("pair/1", 4, &[0, 1]);
+    sim.workers[1].slow = true;
     for step in steps {
         apply(&mut sim, *step);
         if !sim.faults.is_empty() {
--- a/crates/ledger/tests/gangs/sim.rs
+++ b/crates/ledger/tests/gangs/sim.rs
@@ -75,6 +75,9 @@
     pub paused: bool,
     /// Tasks on the worker beside the agent; they outlive the agent until their leases expire.
     tasks: BTreeMap<String, Task>,
+    /// Ignores the first stop of every task, as a worker does whose task needs time to end.
+    pub slow: bool,
+    deaf: BTreeSet<(String, u64)>,
     /// Thousandths by which this worker's clock is fast or slow.
     drift: i32,
 }
@@ -126,6 +129,8 @@
             up: true,
             paused: false,
             tasks: BTreeMap::new(),
+            slow: false,
+            deaf: BTreeSet::new(),
             // Relative to each other the clocks drift by up to 1 %.
             drift: [0, 5, -5, 3][index % 4],
         });
@@ -367,7 +372,11 @@
                 Action::Checkpoint { .. } => self.checkpoints += 1,
                 Action::Throttle { .. } => {}
                 Action::Kill { gang, epoch } => {
-                    self.workers[index].tasks.retain(|id, task| *id != gang || task.epoch != epoch);
+                    let worker = &mut self.workers[index];
+                    if worker.slow && worker.deaf.insert((gang.clone(), epoch)) {
+                        continue;
+                    }
+                    worker.tasks.retain(|id, task| *id != gang || task.epoch != epoch);
                     self.report_event(index, &gang, epoch, WorkerEvent::Stopped);
                 }
                 Action::Ended { gang, end, .. } => self.ends.push((gang, end)),
