--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -28,5 +28,6 @@
 pub use pool::{Domain, Guarantee, Pool, PoolKind, Team};
 pub use route::Route;
 pub use row::Row;
+pub use size::{format_size, parse_size};
 pub use tables::Tables;
 pub use tolerance::{Bound, Tolerance};
--- a/crates/tables/src/size.rs
+++ b/crates/tables/src/size.rs
@@ -2,8 +2,8 @@
 const UNITS: [(&str, u64); 5] =
     [("TiB", 1 << 40), ("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
 
-/// Parses a size such as `64KiB` into bytes.
-pub(crate) fn parse_size(text: &str) -> Option<u64> {
+/// Parses a size such as `64KiB` into bytes; none when it is not a number with a unit.
+pub fn parse_size(text: &str) -> Option<u64> {
     let (number, factor) = UNITS
         .iter()
         .find_map(|(unit, factor)| text.strip_suffix(unit).map(|number| (number, factor)))?;
@@ -15,7 +15,7 @@
 }
 
 /// Writes a size in the largest unit that divides it.
-pub(crate) fn format_size(bytes: u64) -> String {
+pub fn format_size(bytes: u64) -> String {
     let (unit, factor) =
         UNITS.into_iter().find(|(_, factor)| bytes.is_multiple_of(*factor)).unwrap_or(("B", 1));
     if bytes == 0 { "0B".to_owned() } else { format!("{}{unit}", bytes / factor) }
