Add the placement core

Cause: jobs of many accelerators need a decision core that keeps guarantees reclaimable while their capacity is lent out.

Change: the crate placement: reservations planned as shapes, claims that evict borrowed work, gangs held as a whole, ordering by class and dominant share with backfill and a reserved start, corrected estimates, quarantine, excess memory, refusals with a remedy, takeover from reports.

Conclusion: a first version with the interface that the entry process needs.

--- /dev/null
+++ b/crates/placement/src/placer.rs
@@ -0,0 +1,677 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use skylarkpulley_tables::Pool;
+use skylarkpulley_types::Shape;
+
+use crate::estimates::Estimates;
+use crate::free_index::FreeIndex;
+use crate::instance::Instance;
+use crate::job::{After, Answer, Job, State};
+use crate::rng::Rng;
+use crate::worker::{Grant, Worker};
+use crate::{Action, Event, GangEnd, GangMember, HoldResult, JobSpec, PreemptMode};
+
+mod admission;
+mod choice;
+mod claims;
+mod health;
+mod queue;
+mod reports;
+mod reservations;
+mod snapshot;
+
+/// Time for a checkpoint before a task is stopped.
+const GRACE: Duration = Duration::from_secs(2);
+/// A hold that is neither granted nor pending after this time counts as unanswered.
+const HOLD_LIMIT: Duration = Duration::from_secs(1);
+/// A pending hold waits for the grace period and the stop of the evicted task.
+const PENDING_LIMIT: Duration = Duration::from_millis(2600);
+/// Committed members that do not start are released by their agents after 2 s.
+const START_LIMIT: Duration = Duration::from_millis(2500);
+/// Grace period, gang lease and one report.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+/// Agents report every second; a new placer waits until each has reported at least once.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// A report that was under way when a decision was made arrives within this time.
+const REPORT_LAG: Duration = Duration::from_millis(2500);
+/// Timers handled in one decision.
+const TIMERS: usize = 256;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Timer {
+    Hold(usize, u64),
+    Retry(usize, u64),
+    Stop(usize, u64),
+    Excess(usize, u64),
+    Probe(usize),
+    ProbeEnd(usize, u32),
+    Avoid(usize),
+    Look,
+    Plan,
+}
+
+#[derive(Clone, Debug)]
+struct Rack {
+    domain: usize,
+    workers: BTreeSet<usize>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Use {
+    accelerators: u64,
+    cores: u64,
+    memory: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Refused {
+    at: Instant,
+    spec: JobSpec,
+    reason: String,
+}
+
+/// The reserved start of the first job that waits for room.
+#[derive(Clone, Debug)]
+struct Shadow {
+    job: usize,
+    start: Instant,
+    made: Instant,
+    /// Per worker of the set, the accelerators that stay free next to the job.
+    spare: BTreeMap<usize, u32>,
+    /// Preemptions were sent to make room.
+    moving: bool,
+}
+
+/// Decides for one pool. Feed it with [`Placer::handle`], then carry out what [`Placer::decide`]
+/// returns; call `decide` again no later than [`Placer::next_wake`].
+#[derive(Debug)]
+pub struct Placer {
+    pool: Pool,
+    now: Instant,
+    settle_until: Instant,
+    settled: bool,
+    rng: Rng,
+    out: Vec<Action>,
+    workers: Vec<Worker>,
+    spare_workers: Vec<usize>,
+    by_name: HashMap<String, usize>,
+    quarantined: BTreeSet<usize>,
+    racks: Vec<Rack>,
+    rack_names: Vec<(String, String)>,
+    domains: Vec<String>,
+    /// Unused accelerators of usable workers.
+    free: FreeIndex,
+    /// Unused accelerators that no reservation covers.
+    open: FreeIndex,
+    jobs: Vec<Option<Job>>,
+    spare_jobs: Vec<usize>,
+    by_id: HashMap<String, usize>,
+    /// Waiting jobs by class and team, in order of their keys.
+    queues: BTreeMap<(u8, String), BTreeSet<(i64, usize)>>,
+    /// Waiting jobs that claim a guarantee.
+    claims: BTreeSet<(i64, usize)>,
+    /// Jobs queued since the last full pass.
+    fresh: Vec<usize>,
+    /// Room became available since the last full pass.
+    changed: bool,
+    /// Demands that found no room since room last became available.
+    failed: HashSet<queue::Demand>,
+    shadow: Option<Shadow>,
+    instances: Vec<Instance>,
+    plan: bool,
+    plan_at: Instant,
+    epoch: u64,
+    uses: HashMap<String, Use>,
+    estimates: Estimates,
+    timers: BTreeSet<(Instant, Timer)>,
+    /// Gangs that ended recently, which older reports may still list.
+    ended: HashMap<String, (u64, Instant)>,
+    ended_order: VecDeque<(Instant, String)>,
+    refused: VecDeque<Refused>,
+    origin: Instant,
+}
+
+impl Placer {
+    /// Returns a placer for `pool`. It makes no decision until every described worker has reported,
+    /// or 1.5 s have passed, so that it does not grant what another entry granted before.
+    pub fn new(pool: &Pool, now: Instant) -> Self {
+        let mut placer = Self {
+            pool: pool.clone(),
+            now,
+            settle_until: now + SETTLE,
+            settled: false,
+            rng: Rng::new(0),
+            out: Vec::new(),
+            workers: Vec::new(),
+            spare_workers: Vec::new(),
+            by_name: HashMap::new(),
+            quarantined: BTreeSet::new(),
+            racks: Vec::new(),
+            rack_names: Vec::new(),
+            domains: Vec::new(),
+            free: FreeIndex::default(),
+            open: FreeIndex::default(),
+            jobs: Vec::new(),
+            spare_jobs: Vec::new(),
+            by_id: HashMap::new(),
+            queues: BTreeMap::new(),
+            claims: BTreeSet::new(),
+            fresh: Vec::new(),
+            changed: false,
+            failed: HashSet::new(),
+            shadow: None,
+            instances: Vec::new(),
+            plan: true,
+            plan_at: now,
+            epoch: 0,
+            uses: HashMap::new(),
+            estimates: Estimates::default(),
+            timers: BTreeSet::new(),
+            ended: HashMap::new(),
+            ended_order: VecDeque::new(),
+            refused: VecDeque::new(),
+            origin: now,
+        };
+        placer.rebuild_instances();
+        placer
+    }
+
+    /// Uses `seed` for the jitter of retries; differs between entries.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.rng = Rng::new(seed);
+        self
+    }
+
+    /// Takes over an edited pool. Waiting jobs that can never run any more are refused; refused jobs
+    /// that would fit now are reported.
+    pub fn apply_pool(&mut self, pool: &Pool) {
+        if self.pool == *pool {
+            return;
+        }
+        self.pool = pool.clone();
+        self.rebuild_instances();
+        self.review_refused();
+        self.review_waiting();
+        self.freed();
+    }
+
+    /// Takes one event into account. Its consequences are returned by the next `decide`.
+    pub fn handle(&mut self, event: Event, now: Instant) {
+        self.now = self.now.max(now);
+        match event {
+            Event::WorkerJoined { agent, domain, rack, accelerators } => {
+                self.join(agent, &domain, &rack, accelerators)
+            }
+            Event::WorkerLost { agent } => {
+                if let Some(worker) = self.worker_of(&agent) {
+                    self.lose(worker, "worker lost");
+                }
+            }
+            Event::WorkerReport { agent, report } => {
+                if let Some(worker) = self.worker_of(&agent) {
+                    self.take_report(worker, &report);
+                }
+            }
+            Event::Submit(spec) => self.submit(spec),
+            Event::Cancel { job } => self.cancel(&job),
+            Event::Hold { job, epoch, worker, result } => {
+                if let Some(ix) = self.gang(&job, epoch) {
+                    self.take_answer(ix, &worker, result);
+                }
+            }
+            Event::GangStarted { job, epoch } => {
+                if let Some(ix) = self.gang(&job, epoch) {
+                    self.start(ix);
+                }
+            }
+            Event::Checkpointed { job, epoch, progress } => {
+                if let Some(ix) = self.gang(&job, epoch) {
+                    let job = self.job_mut(ix);
+                    job.progress = job.progress.max(progress);
+                }
+            }
+            Event::GangEnded { job, epoch, end } => {
+                if let Some(ix) = self.gang(&job, epoch) {
+                    self.end(ix, &end);
+                }
+            }
+            Event::Drain { worker, on } => self.drain(&worker, on),
+        }
+    }
+
+    /// Decides on everything that is due, with bounded work, and returns what to do in order.
+    pub fn decide(&mut self, now: Instant) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if !self.settled {
+            let reported = self.workers.iter().filter(|worker| worker.alive && worker.reported);
+            let all = reported.count() >= self.pool.worker_count() as usize;
+            if !all && self.now < self.settle_until {
+                return Vec::new();
+            }
+            self.settled = true;
+            self.settle_reservations();
+            self.freed();
+        }
+        self.fire_timers();
+        self.plan_reservations();
+        self.place_waiting();
+        self.forget_ended();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns when `decide` has something to do without a further event.
+    pub fn next_wake(&self) -> Option<Instant> {
+        if !self.settled {
+            return Some(self.settle_until);
+        }
+        if self.changed || self.plan || !self.fresh.is_empty() || !self.out.is_empty() {
+            return Some(self.now);
+        }
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    fn fire_timers(&mut self) {
+        for _ in 0..TIMERS {
+            let Some((at, timer)) = self.timers.first().copied() else { return };
+            if at > self.now {
+                return;
+            }
+            self.timers.pop_first();
+            match timer {
+                Timer::Hold(job, epoch) if self.is_at(job, epoch) => self.hold_expired(job),
+                Timer::Retry(job, epoch) if self.is_at(job, epoch) => self.requeue_due(job),
+                Timer::Stop(job, epoch) if self.is_at(job, epoch) => {
+                    if matches!(self.job(job).state, State::Stopping(_)) {
+                        self.end(job, &GangEnd::LeaseLapsed);
+                    }
+                }
+                Timer::Excess(job, epoch) if self.is_at(job, epoch) => self.check_excess(job),
+                Timer::Probe(worker) => self.probe_due(worker),
+                Timer::ProbeEnd(worker, probes) => self.probe_passed(worker, probes),
+                Timer::Avoid(worker) => {
+                    self.refresh(worker);
+                    self.freed();
+                }
+                Timer::Look => self.changed = true,
+                Timer::Plan => self.plan = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn set_timer(&mut self, after: Duration, timer: Timer) {
+        self.timers.insert((self.now + after, timer));
+    }
+
+    fn job(&self, ix: usize) -> &Job {
+        self.jobs[ix].as_ref().expect("job index is live")
+    }
+
+    fn job_mut(&mut self, ix: usize) -> &mut Job {
+        self.jobs[ix].as_mut().expect("job index is live")
+    }
+
+    fn is_at(&self, ix: usize, epoch: u64) -> bool {
+        self.jobs.get(ix).is_some_and(|job| job.as_ref().is_some_and(|job| job.epoch == epoch))
+    }
+
+    /// Returns the job whose current try has this epoch.
+    fn gang(&self, id: &str, epoch: u64) -> Option<usize> {
+        let ix = *self.by_id.get(id)?;
+        let job = self.job(ix);
+        (job.epoch == epoch && !job.is_waiting()).then_some(ix)
+    }
+
+    fn add_job(&mut self, job: Job) -> usize {
+        let id = job.spec.id.clone();
+        let ix = self.spare_jobs.pop().unwrap_or(self.jobs.len());
+        if ix == self.jobs.len() {
+            self.jobs.push(None);
+        }
+        self.jobs[ix] = Some(job);
+        self.by_id.insert(id, ix);
+        ix
+    }
+
+    fn remove_job(&mut self, ix: usize) {
+        self.dequeue(ix);
+        let Some(job) = self.jobs[ix].take() else { return };
+        self.by_id.remove(&job.spec.id);
+        self.spare_jobs.push(ix);
+        if self.shadow.as_ref().is_some_and(|shadow| shadow.job == ix) {
+            self.shadow = None;
+            self.freed();
+        }
+    }
+
+    /// Recomputes what a worker offers.
+    fn refresh(&mut self, ix: usize) {
+        let worker = &self.workers[ix];
+        if worker.alive && worker.quarantine.is_some() {
+            self.quarantined.insert(ix);
+        } else {
+            self.quarantined.remove(&ix);
+        }
+        let usable = worker.is_usable() && !worker.is_avoided(self.now);
+        let free = worker.free();
+        self.free.set(ix, worker.rack, usable.then_some(free));
+        self.open.set(ix, worker.rack, usable.then_some(free.min(worker.uncovered())));
+    }
+
+    /// Notes that room may have become available.
+    fn freed(&mut self) {
+        self.changed = true;
+        self.failed.clear();
+    }
+
+    fn avoid(&mut self, worker: usize, period: Duration) {
+        self.workers[worker].avoid = Some(self.now + period);
+        self.set_timer(period, Timer::Avoid(worker));
+        self.refresh(worker);
+    }
+
+    fn account(&mut self, ix: usize, add: bool) {
+        let job = self.jobs[ix].as_ref().expect("job index is live");
+        let members = job.members.len() as u64;
+        let delta = [job.total(), u64::from(job.spec.cores) * members, job.memory * members];
+        let entry = self.uses.entry(job.spec.team.clone()).or_default();
+        let fields = [&mut entry.accelerators, &mut entry.cores, &mut entry.memory];
+        for (field, delta) in fields.into_iter().zip(delta) {
+            *field = if add { *field + delta } else { field.saturating_sub(delta) };
+        }
+    }
+
+    /// Records a decided gang and asks for its holds.
+    fn place(
+        &mut self,
+        ix: usize,
+        workers: &[usize],
+        instance: Option<usize>,
+        firm: bool,
+        victims: &[usize],
+        reason: String,
+    ) {
+        self.dequeue(ix);
+        self.epoch = self.epoch.max(self.job(ix).epoch) + 1;
+        let epoch = self.epoch;
+        let now = self.now;
+        let accelerators = self.job(ix).spec.shape.accelerators;
+        let mut members = Vec::new();
+        for worker in workers {
+            let on = |grant: &&Grant| victims.contains(&grant.job) || grant.evicting;
+            let evicted = self.workers[*worker].grants.iter().filter(on);
+            let evict = evicted.map(|grant| self.job(grant.job).spec.id.clone()).collect();
+            let agent = self.workers[*worker].agent.clone();
+            members.push(GangMember { worker: agent, accelerators, evict });
+        }
+        if !victims.is_empty() {
+            let cause = format!("makes room for {}", self.job(ix).spec.id);
+            for victim in victims {
+                self.preempt(*victim, &cause, After::Requeue);
+            }
+        }
+        let job = self.job_mut(ix);
+        job.state = State::Holding { answers: vec![Answer::None; workers.len()] };
+        job.epoch = epoch;
+        job.started = now;
+        job.instance = instance;
+        job.firm = firm;
+        job.wait.clear();
+        job.members = workers.iter().map(|worker| (*worker, accelerators)).collect();
+        let (cores, memory) = (job.spec.cores, job.memory);
+        let id = job.spec.id.clone();
+        for worker in workers {
+            let grant = Grant {
+                job: ix,
+                accelerators,
+                cores,
+                memory,
+                firm,
+                evicting: false,
+                covered: false,
+            };
+            self.workers[*worker].grants.push(grant);
+            self.refresh(*worker);
+        }
+        self.account(ix, true);
+        if self.shadow.as_ref().is_some_and(|shadow| shadow.job == ix) {
+            self.shadow = None;
+            self.freed();
+        }
+        self.set_timer(HOLD_LIMIT, Timer::Hold(ix, epoch));
+        let instance = instance.map(|instance| self.instances[instance].name.clone());
+        self.out.push(Action::Place { job: id, epoch, members, instance, reason });
+    }
+
+    fn agents(&self, ix: usize) -> Vec<skylarkpulley_types::AgentId> {
+        let members = self.job(ix).members.iter();
+        members.map(|(worker, _)| self.workers[*worker].agent.clone()).collect()
+    }
+
+    fn take_answer(&mut self, ix: usize, agent: &skylarkpulley_types::AgentId, result: HoldResult) {
+        let Some(worker) = self.worker_of(agent) else { return };
+        let position = self.job(ix).members.iter().position(|member| member.0 == worker);
+        let Some(position) = position else { return };
+        let State::Holding { answers } = &mut self.job_mut(ix).state else { return };
+        match result {
+            HoldResult::Held => answers[position] = Answer::Held,
+            HoldResult::Pending if answers[position] == Answer::None => {
+                answers[position] = Answer::Pending
+            }
+            HoldResult::Pending => {}
+            HoldResult::Refused { reason, seen } => {
+                self.epoch = self.epoch.max(seen);
+                let reason = format!("hold refused by {agent}: {reason}");
+                return self.retry(ix, &reason);
+            }
+            HoldResult::NoAnswer => {
+                // Long enough to choose other workers twice within the start bound.
+                self.avoid(worker, Duration::from_secs(5));
+                return self.retry(ix, &format!("hold not answered by {agent}"));
+            }
+        }
+        let State::Holding { answers } = &self.job(ix).state else { return };
+        if answers.iter().all(|answer| *answer == Answer::Held) {
+            self.job_mut(ix).state = State::Committing;
+            let epoch = self.job(ix).epoch;
+            self.set_timer(START_LIMIT, Timer::Hold(ix, epoch));
+        }
+    }
+
+    fn hold_expired(&mut self, ix: usize) {
+        let job = self.job(ix);
+        let epoch = job.epoch;
+        let waited = self.now - job.started;
+        match &job.state {
+            State::Holding { answers } => {
+                let silent = answers.iter().position(|answer| *answer == Answer::None);
+                if let Some(position) = silent {
+                    let worker = job.members[position].0;
+                    let reason = format!("hold not answered by {}", self.workers[worker].agent);
+                    self.avoid(worker, Duration::from_secs(5));
+                    return self.retry(ix, &reason);
+                }
+                if waited >= PENDING_LIMIT {
+                    let slow = answers.iter().position(|answer| *answer == Answer::Pending);
+                    if let Some(position) = slow {
+                        let worker = self.job(ix).members[position].0;
+                        self.avoid(worker, Duration::from_secs(5));
+                    }
+                    return self.retry(ix, "evictions did not finish in time");
+                }
+                self.set_timer(PENDING_LIMIT - waited, Timer::Hold(ix, epoch));
+            }
+            // The timer of the holding phase may fire first; the one of this phase is later.
+            State::Committing if waited >= START_LIMIT => {
+                let due = self.timers.iter().any(|(_, timer)| *timer == Timer::Hold(ix, epoch));
+                if !due {
+                    self.retry(ix, "committed gang did not start in time");
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives up the current try and queues the job again after a jittered backoff.
+    fn retry(&mut self, ix: usize, reason: &str) {
+        let members = self.agents(ix);
+        let job = self.job_mut(ix);
+        job.tries += 1;
+        // Claims have to start within a bound and conflict rarely.
+        let base = if job.spec.claim.is_some() { 20 } else { 50 << job.tries.min(6) };
+        let (id, epoch) = (job.spec.id.clone(), job.epoch);
+        let reason = reason.to_owned();
+        self.out.push(Action::Release { job: id, epoch, members, reason: reason.clone() });
+        let backoff = Duration::from_millis(base / 2 + self.rng.below(base));
+        self.release(ix);
+        self.requeue(ix, backoff, &reason);
+    }
+
+    fn start(&mut self, ix: usize) {
+        let now = self.now;
+        let job = self.job_mut(ix);
+        if matches!(job.state, State::Running | State::Stopping(_) | State::Waiting) {
+            return;
+        }
+        job.state = State::Running;
+        job.started = now;
+        job.tries = 0;
+        let members = job.members.clone();
+        self.probe_started(ix, &members);
+    }
+
+    /// Takes the grants of a gang off the books.
+    fn release(&mut self, ix: usize) {
+        self.account(ix, false);
+        let members = std::mem::take(&mut self.job_mut(ix).members);
+        for (worker, _) in &members {
+            self.workers[*worker].grants.retain(|grant| grant.job != ix);
+        }
+        self.unclaim(ix);
+        for (worker, _) in &members {
+            self.refresh(*worker);
+        }
+        let job = self.job_mut(ix);
+        job.state = State::Waiting;
+        job.firm = false;
+        job.excess = None;
+        let (id, epoch) = (job.spec.id.clone(), job.epoch);
+        self.ended.insert(id.clone(), (epoch, self.now));
+        self.ended_order.push_back((self.now, id));
+        self.freed();
+    }
+
+    fn forget_ended(&mut self) {
+        let limit = Duration::from_secs(60);
+        while let Some((at, id)) = self.ended_order.front() {
+            if self.now - *at < limit {
+                return;
+            }
+            if self.ended.get(id).is_some_and(|(_, last)| last == at) {
+                self.ended.remove(id);
+            }
+            self.ended_order.pop_front();
+        }
+    }
+
+    fn end(&mut self, ix: usize, end: &GangEnd) {
+        let now = self.now;
+        let stopping = match self.job(ix).state {
+            State::Stopping(after) => Some(after),
+            _ => None,
+        };
+        let ran = now.saturating_duration_since(self.job(ix).started);
+        let was_running = self.job(ix).is_running() || stopping.is_some();
+        let members = self.job(ix).members.clone();
+        self.release(ix);
+        match end {
+            GangEnd::Finished => {
+                let job = self.job(ix);
+                let actual = ran + job.progress;
+                if was_running && !job.stub {
+                    let (team, kind) = (job.spec.team.clone(), job.spec.kind.clone());
+                    self.estimates.observe(&team, &kind, job.spec.run_time, actual);
+                }
+                self.probe_ended(ix, &members, true);
+                self.remove_job(ix);
+            }
+            _ if stopping == Some(After::Remove) => {
+                self.probe_ended(ix, &members, true);
+                self.remove_job(ix)
+            }
+            GangEnd::Failed { worker } => self.task_failed(ix, worker, &members),
+            GangEnd::LeaseLapsed | GangEnd::Stopped => {
+                self.probe_ended(ix, &members, true);
+                let backoff = Duration::from_millis(self.rng.below(100));
+                self.requeue(ix, backoff, "gang stopped; continues from its checkpoint");
+            }
+        }
+    }
+
+    /// Stops a gang. A try that has not started is released instead.
+    fn preempt(&mut self, ix: usize, reason: &str, after: After) {
+        let members = self.agents(ix);
+        let now = self.now;
+        let job = self.job_mut(ix);
+        let (id, epoch) = (job.spec.id.clone(), job.epoch);
+        let mode = match (after, job.spec.preemption) {
+            (After::Requeue, crate::Preemption::Checkpoint) => {
+                PreemptMode::Checkpoint { grace: GRACE }
+            }
+            _ => PreemptMode::Stop,
+        };
+        match job.state {
+            State::Waiting => return,
+            State::Stopping(before) => {
+                if before != After::Remove {
+                    job.state = State::Stopping(after);
+                }
+                return;
+            }
+            State::Holding { .. } | State::Committing => {
+                let reason = reason.to_owned();
+                self.out.push(Action::Release { job: id, epoch, members, reason });
+                self.release(ix);
+                match after {
+                    After::Remove => self.remove_job(ix),
+                    After::Requeue => self.requeue(ix, Duration::from_millis(50), "preempted"),
+                }
+                return;
+            }
+            State::Running => {}
+        }
+        job.state = State::Stopping(after);
+        if after == After::Requeue {
+            job.preempted.retain(|at| now.saturating_duration_since(*at) < queue::HOUR);
+            job.preempted.push(now);
+        }
+        let members_ix = job.members.clone();
+        for (worker, _) in members_ix {
+            for grant in &mut self.workers[worker].grants {
+                grant.evicting |= grant.job == ix;
+            }
+        }
+        self.set_timer(STOP_LIMIT, Timer::Stop(ix, epoch));
+        self.out.push(Action::Preempt { job: id, epoch, members, mode, reason: reason.to_owned() });
+    }
+
+    fn cancel(&mut self, id: &str) {
+        self.refused.retain(|refused| refused.spec.id != id);
+        let Some(ix) = self.by_id.get(id).copied() else { return };
+        if self.job(ix).is_waiting() {
+            return self.remove_job(ix);
+        }
+        self.preempt(ix, "cancelled", After::Remove);
+    }
+
+    /// Returns the largest waiting shape, or the largest guarantee when no job waits.
+    fn largest_shape(&self) -> Option<Shape> {
+        let waiting = self.jobs.iter().flatten().filter(|job| job.is_waiting());
+        let largest = waiting.map(|job| job.spec.shape).max_by_key(Shape::total);
+        largest.or_else(|| {
+            let shapes = self.instances.iter().map(|instance| instance.shape);
+            shapes.max_by_key(Shape::total)
+        })
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/sequences.rs
@@ -0,0 +1,132 @@
+//! Random event sequences with failures; the invariants are checked after every event.
+
+mod world;
+
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use skylarkpulley_placement::{Event, GangEnd, HoldResult, JobSpec, Preemption, WorkerReport};
+use skylarkpulley_types::Locality;
+use world::{World, pool, shape, with_guarantee};
+
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    kind: u8,
+    a: u8,
+    b: u8,
+    c: u8,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut byte = || u8::arbitrary(g);
+        Self { kind: byte(), a: byte(), b: byte(), c: byte() }
+    }
+}
+
+fn locality(value: u8) -> Locality {
+    [Locality::Rack, Locality::Domain, Locality::Pool, Locality::Pool][value as usize % 4]
+}
+
+fn submit(world: &mut World, step: Step, number: usize) {
+    let team = if step.a & 1 == 0 { "a" } else { "b" };
+    let workers = 1 + u32::from(step.b % 3);
+    let mut spec = JobSpec::new(
+        &format!("j{number}"),
+        team,
+        shape(1 + u32::from(step.a / 2 % 4), workers, locality(step.b / 3)),
+    );
+    spec.run_time = Duration::from_secs(1 + u64::from(step.c));
+    spec.class = step.c % 4;
+    spec.cores = u32::from(step.b % 8) * spec.shape.accelerators;
+    spec.preemption = match step.c / 4 % 4 {
+        0 => Preemption::Never,
+        1 => Preemption::Stop,
+        _ => Preemption::Checkpoint,
+    };
+    if (step.c / 16).is_multiple_of(3) {
+        spec.claim = Some(if team == "a" { "wide" } else { "small" }.to_owned());
+    }
+    world.submit(spec);
+}
+
+fn step(world: &mut World, step: Step, number: usize) {
+    let jobs: Vec<String> = world.placer.status().jobs.into_iter().map(|job| job.id).collect();
+    let job = jobs.get(step.a as usize % jobs.len().max(1)).cloned();
+    let held = job.as_ref().and_then(|job| {
+        let members = world.status(job).members;
+        let ix = step.b as usize % members.len().max(1);
+        members.get(ix).map(|(agent, _)| agent.clone())
+    });
+    let worker = step.b as usize % world.agents.len();
+    let name = world.agents[worker].0.name.clone();
+    match (step.kind % 20, job, held) {
+        (0..=5, _, _) => submit(world, step, number),
+        (6..=8, Some(job), Some(_)) if world.state(&job) == "holding" => {
+            world.run(&job);
+        }
+        (6..=9, Some(job), Some(agent)) if world.state(&job) == "holding" => {
+            let refused = HoldResult::Refused { reason: "full".to_owned(), seen: 0 };
+            let all = [HoldResult::Held, HoldResult::Pending, refused, HoldResult::NoAnswer];
+            world.answer(&job, &agent, all[step.c as usize % 4].clone());
+        }
+        (6..=11, Some(job), Some(agent)) => {
+            let failed = GangEnd::Failed { worker: agent };
+            let all = [GangEnd::Finished, GangEnd::LeaseLapsed, GangEnd::Stopped, failed];
+            world.end(&job, all[step.c as usize % 4].clone());
+        }
+        (12, Some(job), _) => {
+            world.send(Event::Cancel { job });
+        }
+        (13, _, _) => {
+            if world.held.contains_key(&world.agents[worker].0) {
+                world.lose(worker);
+            } else {
+                world.join(worker);
+            }
+        }
+        (14, _, _) if !world.held.contains_key(&world.agents[worker].0) => {
+            world.join(worker);
+        }
+        (15, _, _) => {
+            world.send(Event::Drain { worker: name, on: step.c.is_multiple_of(3) });
+        }
+        (16, _, _) => {
+            let agent = world.agents[worker].0.clone();
+            let grants = world.held.get(&agent).cloned().unwrap_or_default();
+            let report = WorkerReport { grants, reservations: Vec::new() };
+            world.send(Event::WorkerReport { agent, report });
+        }
+        (17, _, _) => {
+            world.advance(Duration::from_secs(u64::from(step.c) * 2));
+        }
+        _ => {
+            world.advance(Duration::from_millis(u64::from(step.c) * 20));
+        }
+    }
+}
+
+fn small_pool(objective: f64) -> skylarkpulley_tables::Pool {
+    let mut pool = pool(4, &[&[2, 1], &[2]]);
+    pool.objective = objective;
+    let pool = with_guarantee(pool, "wide", "a", shape(3, 2, Locality::Rack), 1);
+    with_guarantee(pool, "small", "b", shape(2, 1, Locality::Worker), 2)
+}
+
+/// Guards against any sequence of submissions, answers, failures, drains and late reports that
+/// grants an accelerator twice, splits a gang or gives a reservation away.
+#[test]
+fn placer_random_sequences() {
+    fn holds(steps: Vec<Step>, objective: u8) -> bool {
+        let mut world = World::new(small_pool(f64::from(objective % 11) / 10.0));
+        for (number, one) in steps.into_iter().enumerate() {
+            step(&mut world, one, number);
+        }
+        true
+    }
+    // A fixed seed: the same sequences on every run.
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 0x5eed))
+        .tests(150)
+        .quickcheck(holds as fn(Vec<Step>, u8) -> bool);
+}
