Add the store client and the stand-ins

Cause: the processes need a table service, an upstream and a worker to run against.

Change: Store trait, HttpStore, MemoryStore with fault injection; stand-ins for table service, upstream, worker and load; contract tests.

--- /dev/null
+++ b/crates/standins/src/error.rs
@@ -0,0 +1,27 @@
+use std::io;
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+
+/// Why a stand-in could not be started.
+#[derive(Debug, Display, Error)]
+pub enum StandinError {
+    /// The address could not be bound.
+    #[display("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A setting has a value that is not allowed.
+    #[display("invalid {name} {value:?}: {detail}")]
+    Setting {
+        /// Name of the setting.
+        name: &'static str,
+        /// The value.
+        value: String,
+        /// What is allowed.
+        detail: String,
+    },
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder while the crate is being set up.
+//! Stand-ins for what the platform provides, for tests and the `demo` command only: the table
+//! service, an upstream and a worker, each with fault injection and counters, and a load
+//! generator.
+
+mod connections;
+mod error;
+mod load;
+mod running;
+mod table_service;
+mod upstream;
+mod worker;
+
+pub use connections::Connections;
+pub use error::StandinError;
+pub use load::{LoadReport, LoadSettings, run_load};
+pub use running::Running;
+pub use table_service::TableService;
+pub use upstream::{Upstream, UpstreamFault, UpstreamSettings};
+pub use worker::{TaskState, TaskView, Usage, Worker, WorkerFault, WorkerSettings};
--- /dev/null
+++ b/crates/standins/tests/standins.rs
@@ -0,0 +1,265 @@
+//! Tests of the stand-ins: what they count has to be right, because other tests rely on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use skylarkpulley_standins::{
+    LoadSettings, TaskState, Upstream, UpstreamFault, UpstreamSettings, Worker, WorkerFault,
+    WorkerSettings, run_load,
+};
+use skylarkpulley_types::ManualClock;
+
+fn loopback() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+async fn upstream(service_ms: u64) -> Upstream {
+    let settings = UpstreamSettings::new(loopback(), Duration::from_millis(service_ms));
+    Upstream::start(settings).await.unwrap()
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0)
+        .retry(reqwest::retry::never())
+        .build()
+        .unwrap()
+}
+
+async fn send(upstream: &Upstream, key: &str) -> Result<(u16, String), reqwest::Error> {
+    let url = format!("{}/settle", upstream.server().url());
+    let answer = client().post(url).header("Idempotency-Key", key).body("body").send().await?;
+    Ok((answer.status().as_u16(), answer.text().await?))
+}
+
+/// Guards against an oracle that misses executions whose answer was broken.
+#[tokio::test]
+async fn upstream_counts_executions() {
+    let upstream = upstream(0).await;
+    let faults = [
+        (None, Some(200)),
+        (Some(UpstreamFault::Error), Some(500)),
+        (Some(UpstreamFault::Slow(Duration::from_millis(5))), Some(200)),
+        (Some(UpstreamFault::Truncated), None),
+        (Some(UpstreamFault::Close), None),
+    ];
+    for (at, (fault, status)) in faults.into_iter().enumerate() {
+        fault.into_iter().for_each(|fault| upstream.inject(fault));
+        let answer = send(&upstream, "k").await;
+        assert_eq!(answer.as_ref().ok().map(|answer| answer.0), status, "{fault:?}: {answer:?}");
+        assert_eq!(upstream.executions("k"), at as u64 + 1, "{fault:?}");
+    }
+    assert_eq!(upstream.executions("other"), 0);
+    assert_eq!(send(&upstream, "k").await.unwrap().1, "POST /settle k 6\nbody");
+}
+
+/// Guards against a frozen upstream that answers, and against a request that stays active after
+/// its caller has gone.
+#[tokio::test]
+async fn upstream_frozen() {
+    let upstream = upstream(0).await;
+    upstream.set_fault(Some(UpstreamFault::Freeze));
+    let mut call = Box::pin(send(&upstream, "k"));
+    while upstream.active() == 0 {
+        tokio::select! {
+            answer = &mut call => panic!("{answer:?}"),
+            () = tokio::task::yield_now() => {}
+        }
+    }
+    drop(call);
+    while upstream.active() > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(upstream.executions("k"), 1);
+}
+
+/// Guards against a request that is interrupted by a graceful stop, and against a stop that is not
+/// announced.
+#[tokio::test]
+async fn upstream_stop_announces() {
+    let agent = upstream(0).await;
+    let settings = UpstreamSettings::new(loopback(), Duration::from_millis(100))
+        .with_agent(&agent.server().url(), 7);
+    let mut upstream = Upstream::start(settings).await.unwrap();
+    while agent.runs() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let url = format!("{}/x", upstream.server().url());
+    let call = tokio::spawn(async move { client().post(url).send().await.unwrap().status() });
+    while upstream.active() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let announced = agent.runs();
+    upstream.stop().await;
+    assert_eq!(call.await.unwrap(), 200);
+    assert!(agent.runs() > announced);
+}
+
+/// Guards against counters of connections that miss concurrent ones or never fall.
+#[tokio::test]
+async fn upstream_counts_connections() {
+    let upstream = upstream(50).await;
+    let calls = (0..4).map(|_| send(&upstream, "k"));
+    futures::future::join_all(calls).await;
+    let connections = upstream.server().connections();
+    assert_eq!(connections.accepted(), 4);
+    assert!((1..=4).contains(&connections.most()));
+    assert_eq!(upstream.most_active(), connections.most());
+    while connections.open() > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A worker on a manual clock.
+struct Bench {
+    clock: ManualClock,
+    worker: Worker,
+}
+
+impl Bench {
+    async fn new(accelerators: u32) -> Self {
+        let clock = ManualClock::new();
+        let settings = WorkerSettings::new(loopback(), accelerators)
+            .with_checkpoint(Duration::ZERO)
+            .with_actual(200, 150);
+        let worker = Worker::start_with_clock(settings, Arc::new(clock.clone())).await.unwrap();
+        Self { clock, worker }
+    }
+
+    async fn post(&self, path: &str, body: Value) -> (u16, Value) {
+        let url = format!("{}/{path}", self.worker.url());
+        let answer = client().post(url).json(&body).send().await.unwrap();
+        (answer.status().as_u16(), answer.json().await.unwrap())
+    }
+
+    async fn start(&self, id: &str, epoch: u64, accelerators: u32) -> u16 {
+        let task = json!({
+            "id": id, "epoch": epoch, "lease_ms": 2000, "accelerators": accelerators,
+            "run_ms": 5000, "memory": 100,
+        });
+        self.post("tasks", task).await.0
+    }
+
+    fn state(&self, id: &str) -> TaskState {
+        self.worker.tasks().into_iter().find(|task| task.id == id).unwrap().state
+    }
+}
+
+/// Guards against tasks that outlive their lease or finish by the declared run time.
+#[tokio::test]
+async fn worker_lease_and_run_time() {
+    let bench = Bench::new(8).await;
+    assert_eq!(bench.start("a", 1, 4).await, 200);
+    assert_eq!(bench.start("b", 1, 4).await, 200);
+    for _ in 0..7 {
+        bench.clock.advance(Duration::from_millis(1500));
+        let (status, view) =
+            bench.post("tasks/a/renew", json!({"epoch": 1, "lease_ms": 2000})).await;
+        assert_eq!(status, 200, "{view}");
+    }
+    // 10.5 s have passed: twice the declared 5 s are over.
+    assert_eq!(bench.state("a"), TaskState::Finished);
+    assert_eq!(bench.state("b"), TaskState::Lapsed);
+    assert_eq!((bench.worker.overlaps(), bench.worker.most_accelerators()), (0, 8));
+}
+
+/// Guards against a paused holder that commands a task after a newer one has.
+#[tokio::test]
+async fn worker_epochs() {
+    let bench = Bench::new(8).await;
+    assert_eq!(bench.start("a", 3, 4).await, 200);
+    assert_eq!(bench.start("a", 3, 4).await, 200);
+    assert_eq!(bench.worker.starts(), 1);
+    assert_eq!(bench.start("a", 2, 4).await, 409);
+    for verb in ["renew", "checkpoint", "throttle", "stop"] {
+        let path = format!("tasks/a/{verb}");
+        assert_eq!(bench.post(&path, json!({"epoch": 2})).await.0, 409, "{verb}");
+    }
+    assert_eq!(bench.state("a"), TaskState::Running);
+    assert_eq!(bench.post("tasks/a/stop", json!({"epoch": 4})).await.0, 200);
+    assert_eq!(bench.post("tasks/a/renew", json!({"epoch": 3})).await.0, 409);
+    assert_eq!(bench.post("tasks/z/stop", json!({"epoch": 4})).await.0, 404);
+    assert_eq!(bench.state("a"), TaskState::Stopped);
+}
+
+/// Guards against an oracle that does not see overlapping use of accelerators.
+#[tokio::test]
+async fn worker_counts_overlap() {
+    let bench = Bench::new(8).await;
+    bench.start("a", 1, 6).await;
+    bench.start("b", 1, 2).await;
+    assert_eq!(bench.worker.overlaps(), 0);
+    bench.start("c", 1, 1).await;
+    assert_eq!((bench.worker.overlaps(), bench.worker.most_accelerators()), (1, 9));
+}
+
+/// Guards against checkpoints that save progress made after they began, throttling without effect
+/// and usage without lag.
+#[tokio::test]
+async fn worker_checkpoint_throttle_usage() {
+    let bench = Bench::new(8).await;
+    bench.start("a", 1, 4).await;
+    bench.clock.advance(Duration::from_millis(1000));
+    let (_, saved) = bench.post("tasks/a/checkpoint", json!({"epoch": 1})).await;
+    assert_eq!((&saved["checkpoint_ms"], &saved["memory"]), (&json!(1000), &json!(150)));
+    bench.post("tasks/a/throttle", json!({"epoch": 1, "percent": 50})).await;
+    let usage = || async {
+        let url = format!("{}/usage", bench.worker.url());
+        client().get(url).send().await.unwrap().json::<Value>().await.unwrap()
+    };
+    assert_eq!(usage().await["tasks"][0]["progress_ms"], 1000);
+    bench.clock.advance(Duration::from_millis(800));
+    let lagging = usage().await;
+    assert_eq!(
+        (&lagging["tasks"][0]["progress_ms"], &lagging["age_ms"]),
+        (&json!(1000), &json!(800))
+    );
+    bench.clock.advance(Duration::from_millis(100));
+    assert_eq!(bench.worker.tasks()[0].progress_ms, 1450);
+}
+
+/// Guards against a faulty worker that runs tasks or answers.
+#[tokio::test]
+async fn worker_faults() {
+    let bench = Bench::new(8).await;
+    bench.worker.set_fault(Some(WorkerFault::FailTasks));
+    bench.start("a", 1, 4).await;
+    assert_eq!(bench.state("a"), TaskState::Failed);
+    bench.worker.set_fault(Some(WorkerFault::Silent));
+    let url = format!("{}/usage", bench.worker.url());
+    let call = client().get(url).timeout(Duration::from_millis(50)).send().await;
+    assert!(call.unwrap_err().is_timeout());
+}
+
+/// Guards against a load report that loses requests or takes broken answers for complete ones.
+#[tokio::test]
+async fn load_accounts_for_all() {
+    let upstream = upstream(0).await;
+    upstream.set_mix(7, vec![(UpstreamFault::Truncated, 100), (UpstreamFault::Error, 100)]);
+    let url = format!("{}/x", upstream.server().url());
+    let settings = LoadSettings::new(&[&url], 2000.0, 300).with_keys("k");
+    let report = run_load(&settings).await.unwrap();
+    let answered: u64 = report.outcomes.values().sum();
+    let broken: u64 = report.errors.values().sum();
+    assert_eq!((report.sent + report.skipped, answered + broken), (300, report.sent), "{report}");
+    assert_eq!(report.mismatched, 0);
+    assert!(report.errors["broken"] > 0 && report.statuses[&500] > 0, "{report}");
+    assert!(upstream.executions_by_key().values().all(|count| *count == 1));
+}
+
+/// Guards against load on other machines.
+#[tokio::test]
+async fn load_refuses_settings() {
+    let cases = [
+        LoadSettings::new(&["http://192.0.2.1/x"], 1.0, 1),
+        LoadSettings::new(&["http://127.0.0.1/x"], 0.0, 1),
+        LoadSettings::new(&["http://127.0.0.1/x"], 1.0, 0),
+        LoadSettings::new(&[], 1.0, 1),
+        LoadSettings::new(&["http://127.0.0.1/x"], 1.0, 1).with_open(0),
+    ];
+    for settings in cases {
+        assert!(run_load(&settings).await.is_err(), "{settings:?}");
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder while the crate is being set up.
+//! Client of the platform's table service: the [`Store`] interface, an HTTP client that never
+//! repeats a write on its own, and an in-memory store with fault injection for tests.
+//!
+//! The protocol and the rules for lost answers are in `docs/store.md`.
+
+mod error;
+mod fault;
+mod http_store;
+mod memory_store;
+mod resolve;
+mod row;
+mod row_table;
+mod store;
+pub mod wire;
+mod write_class;
+
+pub use error::StoreError;
+pub use fault::{Fault, Faults, Operation};
+pub use http_store::{HttpSettings, HttpStore};
+pub use memory_store::MemoryStore;
+pub use resolve::{Resolution, put_resolved, resolve_put};
+pub use row::Row;
+pub use row_table::RowTable;
+pub use store::Store;
+pub use write_class::WriteClass;
