--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,252 @@
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use skylarkpulley_proto::v1::agent_server::AgentServer;
+use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret, v1};
+use skylarkpulley_store::{HttpSettings, HttpStore, Store};
+use skylarkpulley_tables::PoolKind;
+use skylarkpulley_telemetry::{Decisions, Event, Metrics};
+use skylarkpulley_types::{AgentId, Clock};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+
+use crate::announce_server::serve_announcements;
+use crate::entry_session::{SessionContext, hello};
+use crate::gangs_task::Gangs;
+use crate::keys_task::Keys;
+use crate::runner::Runner;
+use crate::service::AgentService;
+use crate::sessions::run_sessions;
+use crate::state_task::{StateParts, run_state};
+use crate::{Settings, StartError};
+
+/// Decisions that are kept for `explain`; at about 200 bytes each, 1 MB.
+const DECISION_LIMIT: usize = 5_000;
+
+/// After the entries were told that this agent leaves, time for its key ranges to be handed over.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(4);
+
+/// A running agent.
+pub struct Agent {
+    clock: Arc<dyn Clock>,
+    control: SocketAddr,
+    decisions: Arc<Decisions>,
+    drain_timeout: Duration,
+    id: AgentId,
+    leaving: watch::Sender<bool>,
+    local: Option<SocketAddr>,
+    gangs: Option<Gangs>,
+    keys: Keys,
+    runner: Option<Runner>,
+    stop_server: Option<oneshot::Sender<()>>,
+    tasks: JoinSet<()>,
+}
+
+impl Agent {
+    /// Opens the listeners and starts all tasks.
+    ///
+    /// # Errors
+    /// [`StartError`] names the listener or setting that cannot be used.
+    pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Self, StartError> {
+        let secret = Secret::new(&settings.secret).map_err(StartError::secret)?;
+        let id = AgentId::new(&settings.name, new_incarnation());
+        let metrics = match settings.metrics {
+            Some(address) => Metrics::with_address("agent", address)
+                .map_err(|source| StartError::Metrics { address, source })?,
+            None => Metrics::new(),
+        };
+        let listener = bind(settings.control).await?;
+        let control = listener.local_addr().unwrap_or(settings.control);
+        let store = open_store(&settings)?;
+        let decisions = Arc::new(Decisions::new(DECISION_LIMIT));
+        let clients = Arc::new(AgentClients::new(secret.clone()));
+        let keys = Keys::new(&id, Arc::clone(&clients), store, Arc::clone(&clock));
+        let mut agent = Self {
+            clock: Arc::clone(&clock),
+            control,
+            decisions: Arc::clone(&decisions),
+            drain_timeout: settings.drain_timeout,
+            gangs: None,
+            id: id.clone(),
+            keys,
+            leaving: watch::Sender::new(false),
+            local: None,
+            runner: None,
+            stop_server: None,
+            tasks: JoinSet::new(),
+        };
+        match settings.kind {
+            PoolKind::Upstream => agent.start_runner(&settings, metrics).await?,
+            PoolKind::Worker => agent.start_gangs(&settings, clients),
+        }
+        agent.start_server(listener, secret.clone());
+        agent.start_sessions(&settings, secret);
+        let text = format!("{} agent {id} control {control}", settings.pool);
+        decisions.record(clock.now(), Event::ProcessStarted, &settings.name, &text);
+        Ok(agent)
+    }
+
+    /// Returns the identity of this run.
+    pub fn id(&self) -> &AgentId {
+        &self.id
+    }
+
+    /// Returns the address of the control listener.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Returns the address where the upstream announces itself; `None` beside a worker.
+    pub fn local(&self) -> Option<SocketAddr> {
+        self.local
+    }
+
+    /// Takes no new work, finishes what runs, hands key ranges over and stops.
+    pub async fn shut_down(mut self) {
+        let name = self.id.name.clone();
+        let now = self.clock.now();
+        self.decisions.record(now, Event::ShutdownStarted, &name, "signal");
+        self.leaving.send_replace(true);
+        let drained = async {
+            if let Some(runner) = &self.runner {
+                runner.drain().await;
+            }
+            if let Some(gangs) = &self.gangs {
+                gangs.drain().await;
+            }
+        };
+        let _ = tokio::time::timeout(self.drain_timeout, drained).await;
+        self.hand_over().await;
+        if let Some(stop) = self.stop_server.take() {
+            let _ = stop.send(());
+        }
+        self.decisions.record(self.clock.now(), Event::ShutdownDone, &name, "all work ended");
+        self.tasks.shutdown().await;
+    }
+
+    /// Stops at once, as a crash would.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+    }
+
+    async fn hand_over(&self) {
+        let mut notes = self.keys.notes();
+        let handed_over = async {
+            while !notes.borrow_and_update().is_empty() {
+                if notes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(HANDOVER_LIMIT, handed_over).await;
+    }
+
+    async fn start_runner(
+        &mut self,
+        settings: &Settings,
+        metrics: Metrics,
+    ) -> Result<(), StartError> {
+        let local = bind(settings.local).await?;
+        self.local = local.local_addr().ok();
+        let runner = Runner::new(self.id.incarnation, Arc::clone(&self.clock), metrics);
+        self.runner = Some(runner.clone());
+        self.tasks.spawn(async move {
+            if let Err(error) = serve_announcements(local, runner).await {
+                tracing::error!(%error, "the announcement listener failed");
+            }
+        });
+        Ok(())
+    }
+
+    fn start_gangs(&mut self, settings: &Settings, clients: Arc<AgentClients>) {
+        let gangs = Gangs::new(
+            &self.id,
+            settings.worker,
+            clients,
+            Arc::clone(&self.clock),
+            Arc::clone(&self.decisions),
+        );
+        self.gangs = Some(gangs);
+    }
+
+    fn start_server(&mut self, listener: TcpListener, secret: Secret) {
+        let service = AgentService {
+            agent: self.id.clone(),
+            clock: Arc::clone(&self.clock),
+            decisions: Arc::clone(&self.decisions),
+            gangs: self.gangs.clone(),
+            keys: self.keys.clone(),
+            runner: self.runner.clone(),
+        };
+        let server = AgentServer::new(service)
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT);
+        let (stop, stopped) = oneshot::channel::<()>();
+        self.stop_server = Some(stop);
+        let router = Server::builder()
+            .http2_keepalive_interval(Some(Duration::from_secs(1)))
+            .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
+            .tcp_nodelay(true)
+            .add_service(InterceptedService::new(server, secret.verifier()));
+        self.tasks.spawn(async move {
+            let incoming = TcpListenerStream::new(listener);
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            if let Err(error) = router.serve_with_incoming_shutdown(incoming, stopped).await {
+                tracing::error!(%error, "the control listener failed");
+            }
+        });
+    }
+
+    fn start_sessions(&mut self, settings: &Settings, secret: Secret) {
+        let (inbound, messages) = mpsc::channel(64);
+        let (learned, addresses) = mpsc::channel::<BTreeSet<SocketAddr>>(16);
+        let report = watch::Sender::new(v1::Report::default());
+        let context = SessionContext {
+            clock: Arc::clone(&self.clock),
+            decisions: Arc::clone(&self.decisions),
+            origin: self.clock.now(),
+            hello: hello(settings, self.id.incarnation, self.control),
+            inbound,
+            leaving: self.leaving.subscribe(),
+            learned,
+            report: report.subscribe(),
+            secret,
+        };
+        let parts = StateParts {
+            clock: Arc::clone(&self.clock),
+            decisions: Arc::clone(&self.decisions),
+            gangs: self.gangs.clone(),
+            keys: self.keys.clone(),
+            pool: settings.pool.clone(),
+            runner: self.runner.clone(),
+        };
+        self.tasks.spawn(run_state(parts, messages, report));
+        self.tasks.spawn(run_sessions(settings.entries.clone(), context, addresses));
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
+}
+
+fn open_store(settings: &Settings) -> Result<Option<Arc<dyn Store>>, StartError> {
+    let Some(url) = &settings.store else { return Ok(None) };
+    let store = HttpStore::new(url, HttpSettings::default())
+        .map_err(|error| StartError::Store { url: url.clone(), detail: error.to_string() })?;
+    Ok(Some(Arc::new(store)))
+}
+
+/// Microseconds since 1970: higher than that of any earlier run on the same VM, as long as the VM's
+/// clock is not set back by more than the time between two starts.
+fn new_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/agent/src/entry_session.rs
+++ b/crates/agent/src/entry_session.rs
@@ -36,6 +36,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Addresses of entries, as learned from acknowledgements.
     pub learned: mpsc::Sender<BTreeSet<SocketAddr>>,
+    /// Start of the time that reports carry.
+    pub origin: std::time::Instant,
     /// The state that reports carry.
     pub report: watch::Receiver<v1::Report>,
     /// Shared secret.
@@ -87,9 +89,9 @@
     tokio::pin!(silence);
     loop {
         let message = tokio::select! {
-            _ = tick.tick() => next_report(&mut report, &mut sequence),
+            _ = tick.tick() => next_report(context, &mut report, &mut sequence),
             changed = report.changed() => match changed {
-                Ok(()) => next_report(&mut report, &mut sequence),
+                Ok(()) => next_report(context, &mut report, &mut sequence),
                 Err(_) => return SessionEnd::Stopped,
             },
             Ok(()) = leaving.changed() => {
@@ -140,12 +142,15 @@
 }
 
 fn next_report(
+    context: &SessionContext,
     report: &mut watch::Receiver<v1::Report>,
     sequence: &mut u64,
 ) -> v1::agent_message::Body {
     *sequence += 1;
     let current = report.borrow_and_update().clone();
-    v1::agent_message::Body::Report(v1::Report { sequence: *sequence, ..current })
+    let age = context.clock.now().saturating_duration_since(context.origin);
+    let sent_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    v1::agent_message::Body::Report(v1::Report { sequence: *sequence, sent_ms, ..current })
 }
 
 async fn take_in(context: &SessionContext, message: v1::EntryMessage) -> Result<(), String> {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,18 +1,25 @@
 //! The process beside one upstream or worker. It alone grants the upstream's slots or the worker's
 //! accelerators, and holds idempotency-key records for the ranges that are assigned to it.
 
+mod agent;
 mod announce_server;
 mod attempts;
 mod entry_session;
+mod error;
+mod gang_convert;
+mod gangs_task;
 mod http_run;
+mod key_convert;
+mod keys_task;
 mod runner;
+mod service;
 mod sessions;
 mod settings;
+mod state_task;
 mod upstream;
+mod worker_client;
 
-pub use announce_server::serve_announcements;
-pub use entry_session::{SessionContext, hello};
-pub use runner::{Limits, Runner};
-pub use sessions::run_sessions;
+pub use agent::Agent;
+pub use error::StartError;
 pub use settings::Settings;
 pub use upstream::{AnnouncedState, Announcement, Upstream};
--- /dev/null
+++ b/crates/agent/src/state_task.rs
@@ -0,0 +1,183 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylarkpulley_keys::RangeMap;
+use skylarkpulley_proto::v1;
+use skylarkpulley_tables::Row;
+use skylarkpulley_telemetry::{Decisions, Event};
+use skylarkpulley_types::{Clock, Digest};
+use tokio::sync::{mpsc, watch};
+
+use crate::gangs_task::Gangs;
+use crate::keys_task::Keys;
+use crate::runner::{Limits, Runner};
+
+/// Time between two refreshes of figures that change all the time.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Everything that entries' messages change and that reports show.
+pub struct StateParts {
+    /// Time source.
+    pub clock: Arc<dyn Clock>,
+    /// Record of decisions.
+    pub decisions: Arc<Decisions>,
+    /// The worker's accelerators; only beside a worker.
+    pub gangs: Option<Gangs>,
+    /// Key records.
+    pub keys: Keys,
+    /// Name of the pool of this agent.
+    pub pool: String,
+    /// The upstream's slots; only beside an upstream.
+    pub runner: Option<Runner>,
+}
+
+/// Puts configuration and key ranges in force and keeps the report up to date, until the entries'
+/// channel closes.
+pub async fn run_state(
+    parts: StateParts,
+    mut messages: mpsc::Receiver<v1::EntryMessage>,
+    report: watch::Sender<v1::Report>,
+) {
+    let mut state =
+        State { digest: 0, parts, range_version: 0, report, rows: BTreeMap::new(), version: 0 };
+    let mut upstream = state.parts.runner.as_ref().map(Runner::state);
+    let mut worker = state.parts.gangs.as_ref().map(Gangs::state);
+    let mut tick = tokio::time::interval(REFRESH_INTERVAL);
+    let mut notes = state.parts.keys.notes();
+    loop {
+        tokio::select! {
+            message = messages.recv() => match message {
+                Some(message) => state.take_in(message).await,
+                None => return,
+            },
+            Ok(()) = changed(&mut upstream) => {}
+            Ok(()) = changed(&mut worker) => {}
+            Ok(()) = notes.changed() => {}
+            // Run times and memory change without a notification.
+            _ = tick.tick() => {}
+        }
+        let upstream = upstream.as_mut().map(|state| *state.borrow_and_update());
+        let worker = worker.as_mut().map(|state| state.borrow_and_update().clone());
+        let ranges = notes.borrow_and_update().clone();
+        state.publish(upstream, worker, ranges);
+    }
+}
+
+async fn changed<T>(
+    receiver: &mut Option<watch::Receiver<T>>,
+) -> Result<(), watch::error::RecvError> {
+    match receiver {
+        Some(receiver) => receiver.changed().await,
+        None => std::future::pending().await,
+    }
+}
+
+struct State {
+    digest: u64,
+    parts: StateParts,
+    range_version: u64,
+    report: watch::Sender<v1::Report>,
+    rows: BTreeMap<String, String>,
+    version: u64,
+}
+
+impl State {
+    async fn take_in(&mut self, message: v1::EntryMessage) {
+        match message.body {
+            Some(v1::entry_message::Body::Config(config)) => self.take_config(config).await,
+            Some(v1::entry_message::Body::Ranges(ranges)) => self.take_ranges(ranges).await,
+            Some(v1::entry_message::Body::Ack(_)) | None => {}
+        }
+    }
+
+    async fn take_config(&mut self, config: v1::Config) {
+        if config.to <= self.version {
+            return;
+        }
+        // Reports show the old version, so that the entry sends everything.
+        if config.from != 0 && config.from != self.version {
+            return;
+        }
+        let mut rows = if config.from == 0 { BTreeMap::new() } else { self.rows.clone() };
+        for key in &config.removed {
+            rows.remove(key);
+        }
+        rows.extend(config.rows.into_iter().map(|row| (row.key, row.text)));
+        let parts: Vec<&[u8]> =
+            rows.iter().flat_map(|(key, text)| [key.as_bytes(), text.as_bytes()]).collect();
+        if Digest::of(&parts).0 != config.digest {
+            self.record(Event::ConfigResent, "the digest differs; everything is asked for");
+            self.version = 0;
+            return;
+        }
+        self.rows = rows;
+        self.digest = config.digest;
+        self.version = config.to;
+        self.record(Event::ConfigApplied, &format!("version {}", self.version));
+        self.put_in_force().await;
+    }
+
+    async fn put_in_force(&self) {
+        let key = format!("pool/{}", self.parts.pool);
+        let row = self.rows.get(&key).map(|text| Row::parse(&key, text));
+        let Some(Ok(Row::Pool(pool))) = row else { return };
+        if let Some(runner) = &self.parts.runner {
+            let limits = Limits { slots: pool.slots, connections: pool.connections };
+            runner.set_limits(limits).await;
+        }
+        if let Some(gangs) = &self.parts.gangs {
+            gangs.set_accelerators(pool.accelerators).await;
+        }
+    }
+
+    async fn take_ranges(&mut self, ranges: v1::KeyRanges) {
+        if ranges.version <= self.range_version {
+            return;
+        }
+        let Ok(map) = serde_json::from_slice::<RangeMap>(&ranges.map) else { return };
+        self.range_version = ranges.version;
+        self.parts.keys.apply_map(map).await;
+    }
+
+    fn publish(
+        &self,
+        upstream: Option<v1::UpstreamState>,
+        worker: Option<v1::WorkerState>,
+        ranges: Vec<v1::RangeNote>,
+    ) {
+        let report = v1::Report {
+            sequence: 0,
+            config_version: self.version,
+            config_digest: self.digest,
+            range_version: self.range_version,
+            upstream,
+            worker,
+            sent_ms: 0,
+            ranges,
+        };
+        self.report.send_if_modified(|current| {
+            let changed = is_changed(current, &report);
+            *current = report;
+            changed
+        });
+    }
+
+    fn record(&self, event: Event, detail: &str) {
+        self.parts.decisions.record(self.parts.clock.now(), event, "tables", detail);
+    }
+}
+
+/// Reports whether entries need to know at once; the rest goes with the next regular report.
+fn is_changed(old: &v1::Report, new: &v1::Report) -> bool {
+    let serving = |report: &v1::Report| report.upstream.map(|state| state.serving);
+    let worker = match (&old.worker, &new.worker) {
+        (Some(old), Some(new)) => crate::gangs_task::is_changed(old, new),
+        (old, new) => old.is_some() != new.is_some(),
+    };
+    worker
+        || serving(old) != serving(new)
+        || old.config_version != new.config_version
+        || old.range_version != new.range_version
+        || old.ranges != new.ranges
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/caller_reply.rs
@@ -0,0 +1,91 @@
+use poem::Response;
+use poem::http::{HeaderName, HeaderValue, StatusCode};
+use serde::Serialize;
+use skylarkpulley_proto::v1;
+use skylarkpulley_types::Outcome;
+
+/// Header with the outcome of a request.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("skylarkpulley-outcome");
+
+/// Header with the id under which `explain` knows a request.
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("skylarkpulley-request");
+
+/// What a caller receives; see docs/wire.md.
+#[derive(Clone, Debug)]
+pub struct CallerReply {
+    /// Status code.
+    pub status: StatusCode,
+    /// What is proved about the request.
+    pub outcome: Outcome,
+    /// Why, for an outcome other than `Answered`.
+    pub reason: String,
+    /// The upstream's whole answer, for the outcome `Answered`.
+    pub response: Option<v1::Response>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    outcome: Outcome,
+    reason: &'a str,
+    request: &'a str,
+}
+
+impl CallerReply {
+    /// Returns the reply that passes on an upstream's answer.
+    pub fn answered(response: v1::Response) -> Self {
+        let status = u16::try_from(response.status).ok();
+        let status = status.and_then(|code| StatusCode::from_u16(code).ok());
+        match status {
+            Some(status) => Self {
+                status,
+                outcome: Outcome::Answered,
+                reason: String::new(),
+                response: Some(response),
+            },
+            None => Self::unknown(StatusCode::BAD_GATEWAY, "the answer has no valid status"),
+        }
+    }
+
+    /// Returns the reply to a request that was proved not to have run.
+    pub fn not_run(status: StatusCode, reason: &str) -> Self {
+        Self { status, outcome: Outcome::NotRun, reason: reason.to_owned(), response: None }
+    }
+
+    /// Returns the reply to a request that may or may not have run.
+    pub fn unknown(status: StatusCode, reason: &str) -> Self {
+        Self { status, outcome: Outcome::Unknown, reason: reason.to_owned(), response: None }
+    }
+
+    /// Renders the reply as HTTP for the request called `id`.
+    pub fn into_response(self, id: &str) -> Response {
+        let mut response = match self.response {
+            Some(answer) => render_answer(self.status, answer),
+            None => render_refusal(self.status, self.outcome, &self.reason, id),
+        };
+        let headers = response.headers_mut();
+        // An upstream that is itself behind skylarkpulley may have set these.
+        if let Ok(value) = HeaderValue::from_str(&self.outcome.to_string()) {
+            headers.insert(OUTCOME_HEADER, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(id) {
+            headers.insert(REQUEST_HEADER, value);
+        }
+        response
+    }
+}
+
+fn render_answer(status: StatusCode, answer: v1::Response) -> Response {
+    let mut response = Response::builder().status(status).body(answer.body);
+    for header in &answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&header.value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn render_refusal(status: StatusCode, outcome: Outcome, reason: &str, id: &str) -> Response {
+    let body = serde_json::to_vec(&Body { outcome, reason, request: id }).unwrap_or_default();
+    Response::builder().status(status).content_type("application/json").body(body)
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::{Endpoint, Request, Response};
+use skylarkpulley_tables::PoolKind;
+
+use crate::caller_reply::CallerReply;
+use crate::caller_request::CallerRequest;
+use crate::hub::Hub;
+use crate::jobs::Jobs;
+use crate::request_task::RequestTask;
+use crate::router_task::{CancelOnDrop, Router};
+
+/// Answers callers over HTTP.
+pub struct Callers {
+    /// Shared state of the entry.
+    pub hub: Arc<Hub>,
+    /// Prefix of request ids, unique to this run of the process.
+    pub prefix: String,
+    /// Jobs for pools of workers.
+    pub jobs: Jobs,
+    /// Queues and choice of upstreams.
+    pub router: Router,
+    /// Requests held at once.
+    pub open_limit: usize,
+    /// Time in which a caller must have sent the whole request.
+    pub read_timeout: Duration,
+    /// Requests held now.
+    pub open: Arc<AtomicUsize>,
+    /// Number of the next request.
+    pub sequence: AtomicU64,
+}
+
+/// Counts one open request for as long as it lives.
+struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    fn new(open: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        let before = open.fetch_add(1, Ordering::AcqRel);
+        let guard = Self(Arc::clone(open));
+        (before < limit).then_some(guard)
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Endpoint for Callers {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let number = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{}-{number}", self.prefix);
+        Ok(self.serve(&id, number, request).await.into_response(&id))
+    }
+}
+
+impl Callers {
+    async fn serve(&self, id: &str, number: u64, request: Request) -> CallerReply {
+        let start = self.hub.clock.now();
+        let Some(open) = OpenRequest::new(&self.open, self.open_limit) else {
+            let text = "the entry holds as many requests as it may";
+            return CallerReply::not_run(StatusCode::SERVICE_UNAVAILABLE, text);
+        };
+        let Some(tables) = self.hub.config.borrow().tables() else {
+            let text = "the entry has no configuration yet";
+            return CallerReply::not_run(StatusCode::SERVICE_UNAVAILABLE, text);
+        };
+        let request = match CallerRequest::read(request, &tables, self.read_timeout).await {
+            Ok(request) => request,
+            Err(reply) => return reply,
+        };
+        if request.kind == PoolKind::Worker {
+            return self.jobs.submit_request(id, &request).await;
+        }
+        let task = RequestTask {
+            hub: Arc::clone(&self.hub),
+            router: self.router.clone(),
+            id: id.to_owned(),
+            number,
+            start,
+            request,
+        };
+        // The task goes on when the caller closes its connection; the guard takes the request out
+        // of the queue if it still waits there.
+        let cancel = CancelOnDrop::new(&self.router, number);
+        let reply = tokio::spawn(async move {
+            let _open = open;
+            task.run().await
+        })
+        .await;
+        cancel.disarm();
+        reply.unwrap_or_else(|_| {
+            CallerReply::unknown(StatusCode::INTERNAL_SERVER_ERROR, "the request's task failed")
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control_service.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+
+use skylarkpulley_proto::v1::entry_server::Entry;
+use skylarkpulley_proto::{MIN_PROTOCOL, PROTOCOL, v1};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::hub::Hub;
+use crate::jobs::Jobs;
+use crate::session_service::{SessionStream, accept_session};
+
+/// The control interface of an entry, for agents and other entries.
+pub struct ControlService {
+    hub: Arc<Hub>,
+    jobs: Jobs,
+}
+
+impl ControlService {
+    /// Returns the interface over the shared state of the entry.
+    pub fn new(hub: Arc<Hub>, jobs: Jobs) -> Self {
+        Self { hub, jobs }
+    }
+}
+
+#[tonic::async_trait]
+impl Entry for ControlService {
+    type SessionStream = SessionStream;
+
+    async fn session(
+        &self,
+        request: Request<Streaming<v1::AgentMessage>>,
+    ) -> Result<Response<SessionStream>, Status> {
+        let stream = accept_session(Arc::clone(&self.hub), request.into_inner()).await?;
+        Ok(Response::new(stream))
+    }
+
+    async fn peer(
+        &self,
+        request: Request<v1::PeerMessage>,
+    ) -> Result<Response<v1::PeerReply>, Status> {
+        let message = request.into_inner();
+        if message.protocol < MIN_PROTOCOL {
+            let text = format!("protocol {} of the peer is too old", message.protocol);
+            return Err(Status::failed_precondition(text));
+        }
+        self.jobs.merge(message.jobs);
+        self.hub.note_entry(&message.control);
+        let entries = self.hub.entry_addresses();
+        let ranges = self.hub.ranges.borrow().clone();
+        Ok(Response::new(v1::PeerReply {
+            protocol: PROTOCOL,
+            name: self.hub.name.clone(),
+            config_version: self.hub.config.borrow().version(),
+            config: self.hub.config.borrow().message_from(message.config_version),
+            ranges: ranges.message().filter(|ranges| ranges.version > message.range_version),
+            entries,
+            jobs: Vec::new(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,241 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use skylarkpulley_proto::v1::entry_server::EntryServer;
+use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret};
+use skylarkpulley_store::{HttpSettings, HttpStore, Store};
+use skylarkpulley_telemetry::{Event, Metrics};
+use skylarkpulley_types::Clock;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::interceptor::InterceptedService;
+
+use crate::admin_server::{Admin, serve_admin};
+use crate::callers::Callers;
+use crate::config_task::ConfigTask;
+use crate::control_service::ControlService;
+use crate::hub::Hub;
+use crate::jobs::Jobs;
+use crate::peers::Peers;
+use crate::ranges_task::RangesTask;
+use crate::router_task::Router;
+use crate::status::StatusTask;
+use crate::{Settings, StartError};
+
+/// After readiness is withdrawn, time for the platform's balancer to stop sending new connections.
+const BALANCER_DELAY: Duration = Duration::from_millis(500);
+
+/// A running entry.
+pub struct Entry {
+    admin: SocketAddr,
+    callers: SocketAddr,
+    control: SocketAddr,
+    drain_timeout: Duration,
+    hub: Arc<Hub>,
+    open: Arc<AtomicUsize>,
+    ready: Arc<AtomicBool>,
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+struct Listeners {
+    admin: TcpListener,
+    callers: TcpListener,
+    control: TcpListener,
+}
+
+impl Entry {
+    /// Opens the listeners and starts all tasks.
+    ///
+    /// # Errors
+    /// [`StartError`] names the listener or setting that cannot be used.
+    pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Self, StartError> {
+        let secret =
+            Secret::new(&settings.secret).map_err(|source| StartError::Secret { source })?;
+        let metrics = match settings.metrics {
+            Some(address) => Metrics::with_address("entry", address)
+                .map_err(|source| StartError::Metrics { address, source })?,
+            None => Metrics::new(),
+        };
+        let store = HttpStore::new(&settings.store, HttpSettings::default()).map_err(|error| {
+            StartError::Store { url: settings.store.clone(), detail: error.to_string() }
+        })?;
+        let store: Arc<dyn Store> = Arc::new(store);
+        let listeners = Listeners {
+            admin: bind(settings.admin).await?,
+            callers: bind(settings.callers).await?,
+            control: bind(settings.control).await?,
+        };
+        Ok(Self::assemble(settings, clock, secret, metrics, store, listeners))
+    }
+
+    fn assemble(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        secret: Secret,
+        metrics: Metrics,
+        store: Arc<dyn Store>,
+        listeners: Listeners,
+    ) -> Self {
+        let (to_router, for_router) = mpsc::unbounded_channel();
+        let (to_ranges, for_ranges) = mpsc::unbounded_channel();
+        let (to_jobs, for_jobs) = mpsc::unbounded_channel();
+        let (to_status, for_status) = mpsc::unbounded_channel();
+        let seed = new_incarnation();
+        let (to_peers, for_peers) = mpsc::unbounded_channel();
+        let hub = Arc::new(Hub::new(
+            &settings.name,
+            seed,
+            AgentClients::new(secret.clone()),
+            Arc::clone(&clock),
+            metrics,
+            vec![to_router, to_ranges, to_jobs, to_status],
+            to_peers,
+        ));
+        let address = |listener: &TcpListener, set| listener.local_addr().unwrap_or(set);
+        let mut entry = Self {
+            admin: address(&listeners.admin, settings.admin),
+            callers: address(&listeners.callers, settings.callers),
+            control: address(&listeners.control, settings.control),
+            drain_timeout: settings.drain_timeout,
+            hub: Arc::clone(&hub),
+            open: Arc::new(AtomicUsize::new(0)),
+            ready: Arc::new(AtomicBool::new(true)),
+            stop: watch::Sender::new(false),
+            tasks: JoinSet::new(),
+        };
+        let router = Router::new(&hub, for_router, seed);
+        let config = ConfigTask::new(&hub, Arc::clone(&store));
+        let jobs = Jobs::new(&hub, Arc::clone(&store), for_jobs, seed);
+        let status = StatusTask::new(&hub, router.clone(), jobs.clone(), for_status);
+        entry.tasks.spawn(RangesTask::new(Arc::clone(&hub), store).work(for_ranges));
+        let peers = Peers::new(
+            Arc::clone(&hub),
+            config.clone(),
+            jobs.clone(),
+            entry.control,
+            settings.peers.clone(),
+            secret.clone(),
+        );
+        entry.tasks.spawn(peers.work(for_peers));
+        entry.serve_control(listeners.control, secret, jobs.clone());
+        entry.serve_callers(listeners.callers, &settings, router, jobs.clone(), seed);
+        let admin =
+            Admin { config, hub: Arc::clone(&hub), jobs, ready: Arc::clone(&entry.ready), status };
+        entry.tasks.spawn(serve_admin(listeners.admin, admin));
+        let text =
+            format!("callers {} admin {} control {}", entry.callers, entry.admin, entry.control);
+        hub.decisions.record(clock.now(), Event::ProcessStarted, &settings.name, &text);
+        entry
+    }
+
+    /// Returns the address where callers send requests.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address of the operators' interface.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Returns the address of the control listener.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Withdraws readiness, finishes open requests and stops.
+    pub async fn shut_down(mut self) {
+        let hub = Arc::clone(&self.hub);
+        let record = |event, text: &str| {
+            hub.decisions.record(hub.clock.now(), event, &hub.name, text);
+        };
+        record(Event::ShutdownStarted, "signal");
+        self.ready.store(false, Ordering::Release);
+        tokio::time::sleep(BALANCER_DELAY).await;
+        self.stop.send_replace(true);
+        let drained = async {
+            while self.open.load(Ordering::Acquire) > 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let finished = tokio::time::timeout(self.drain_timeout, drained).await.is_ok();
+        // The last answers are still being written to their connections.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let text = if finished { "all requests ended" } else { "some requests did not end" };
+        record(Event::ShutdownDone, text);
+        self.tasks.shutdown().await;
+    }
+
+    /// Stops at once, as a crash would.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+    }
+
+    fn serve_control(&mut self, listener: TcpListener, secret: Secret, jobs: Jobs) {
+        let service = ControlService::new(Arc::clone(&self.hub), jobs);
+        let server = EntryServer::new(service)
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT);
+        let router = tonic::transport::Server::builder()
+            .http2_keepalive_interval(Some(Duration::from_secs(1)))
+            .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
+            .tcp_nodelay(true)
+            .add_service(InterceptedService::new(server, secret.verifier()));
+        self.tasks.spawn(async move {
+            let incoming = TcpListenerStream::new(listener);
+            if let Err(error) = router.serve_with_incoming(incoming).await {
+                tracing::error!(%error, "the control listener failed");
+            }
+        });
+    }
+
+    fn serve_callers(
+        &mut self,
+        listener: TcpListener,
+        settings: &Settings,
+        router: Router,
+        jobs: Jobs,
+        incarnation: u64,
+    ) {
+        let callers = Callers {
+            hub: Arc::clone(&self.hub),
+            jobs,
+            open: Arc::clone(&self.open),
+            open_limit: settings.open_limit,
+            prefix: format!("{}-{incarnation:x}", settings.name),
+            read_timeout: settings.read_timeout,
+            router,
+            sequence: AtomicU64::new(1),
+        };
+        let mut stop = self.stop.subscribe();
+        let timeout = self.drain_timeout;
+        self.tasks.spawn(async move {
+            let Ok(acceptor) = TcpAcceptor::from_tokio(listener) else { return };
+            let stopped = async move {
+                let _ = stop.wait_for(|stop| *stop).await;
+            };
+            let server = Server::new_with_acceptor(acceptor);
+            let served = server.run_with_graceful_shutdown(callers, stopped, Some(timeout)).await;
+            if let Err(error) = served {
+                tracing::error!(%error, "the callers' listener failed");
+            }
+        });
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
+}
+
+/// Microseconds since 1970; makes request ids and job ids of different runs differ.
+fn new_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,39 @@
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+use skylarkpulley_proto::SecretError;
+
+/// Why an entry cannot start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// A listener cannot be opened.
+    #[display("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[display("cannot send metrics to {address}: {source}")]
+    Metrics {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The shared secret is not usable.
+    #[display("secret: {source}")]
+    Secret {
+        /// The cause.
+        source: SecretError,
+    },
+    /// The store's address is not usable.
+    #[display("store {url}: {detail}")]
+    Store {
+        /// The address from the settings.
+        url: String,
+        /// The cause.
+        detail: String,
+    },
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder while the crate is being set up.
+//! The process that accepts callers' requests and jobs, orders and routes them, proposes
+//! placements, and distributes the configuration.
+
+mod admin_server;
+mod attempt;
+mod caller_reply;
+mod caller_request;
+mod callers;
+mod config_state;
+mod config_task;
+mod control_service;
+mod dispatch;
+mod entry;
+mod error;
+mod gang_calls;
+mod hub;
+mod job_book;
+mod job_record;
+mod jobs;
+mod key_client;
+mod peers;
+mod placement_task;
+mod pool_placer;
+mod range_view;
+mod ranges_task;
+mod request_task;
+mod router_task;
+mod session_service;
+mod settings;
+mod status;
+
+pub use entry::Entry;
+pub use error::StartError;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/placement_task.rs
@@ -0,0 +1,477 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use skylarkpulley_admin::{JobState, SubmitRequest};
+use skylarkpulley_placement::{
+    Action, Event as PlacementEvent, Placer, ReportedGrant, ReportedReservation, WorkerReport,
+};
+use skylarkpulley_proto::v1;
+use skylarkpulley_store::{Store, StoreError, WriteClass};
+use skylarkpulley_tables::{Pool, PoolKind, Tables};
+use skylarkpulley_telemetry::Event;
+use skylarkpulley_types::{AgentId, rank_nodes};
+use tokio::sync::{Notify, mpsc, watch};
+
+use crate::hub::{Hub, MemberEvent, agent_id};
+use crate::job_book::JobBook;
+use crate::job_record::JobRecord;
+use crate::jobs::{Command, Recorded, Submitted};
+use crate::pool_placer::PoolPlacer;
+
+/// Longest time between two looks at the placers.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Job rows written in one tick; bounds the load on the store.
+const SAVES_PER_TICK: usize = 5;
+
+/// Ids kept of jobs that were stored lately, for submitters that wait.
+const STORED_LIMIT: usize = 256;
+
+/// After a takeover, jobs that another entry had started are given this long to show up in reports:
+/// a silent session (2.5 s) and a report (1 s).
+const TAKEOVER_WAIT: Duration = Duration::from_millis(3500);
+
+/// A worker as its sessions show it.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerInfo {
+    pub hello: v1::Hello,
+    pub session: u64,
+    pub state: Option<v1::WorkerState>,
+}
+
+/// Owns the jobs that this entry knows and the placers of the pools that it is preferred for.
+pub(crate) struct PlacementTask {
+    book: JobBook,
+    changed: Arc<Notify>,
+    commands: mpsc::UnboundedSender<Command>,
+    drained: BTreeSet<String>,
+    hub: Arc<Hub>,
+    loaded: bool,
+    pools: BTreeMap<String, PoolPlacer>,
+    recorded: watch::Sender<Recorded>,
+    saving: BTreeSet<String>,
+    seed: u64,
+    store: Arc<dyn Store>,
+    workers: BTreeMap<AgentId, WorkerInfo>,
+}
+
+impl PlacementTask {
+    pub fn new(
+        hub: Arc<Hub>,
+        store: Arc<dyn Store>,
+        commands: mpsc::UnboundedSender<Command>,
+        recorded: watch::Sender<Recorded>,
+        changed: Arc<Notify>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            book: JobBook::new(),
+            changed,
+            commands,
+            drained: BTreeSet::new(),
+            hub,
+            loaded: false,
+            pools: BTreeMap::new(),
+            recorded,
+            saving: BTreeSet::new(),
+            seed,
+            store,
+            workers: BTreeMap::new(),
+        }
+    }
+
+    pub async fn work(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Command>,
+        mut members: mpsc::UnboundedReceiver<MemberEvent>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        self.load();
+        loop {
+            tokio::select! {
+                command = inbox.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                Some(event) = members.recv() => self.member(event),
+                _ = tick.tick() => self.review(),
+            }
+            let changes = self.book.changes();
+            self.decide();
+            if self.book.changes() != changes {
+                self.changed.notify_one();
+            }
+        }
+    }
+
+    /// Reads the jobs of earlier entries from the store. Without the store they come from peers.
+    fn load(&self) {
+        let store = Arc::clone(&self.store);
+        let commands = self.commands.clone();
+        tokio::spawn(async move {
+            loop {
+                if let Ok(rows) = store.list("jobs/").await {
+                    let copies = rows.into_iter().map(|(_, row)| v1::JobCopy {
+                        value: row.value.to_vec(),
+                        ..v1::JobCopy::default()
+                    });
+                    let _ = commands.send(Command::Merge(copies.collect()));
+                    return;
+                }
+                tokio::time::sleep(Duration::from_secs(2)).await;
+            }
+        });
+    }
+
+    fn handle(&mut self, command: Command) {
+        let now = self.hub.clock.now();
+        match command {
+            Command::Cancel(id, reply) => {
+                self.cancel(&id, now);
+                let _ = reply.send(self.view(&id, now));
+            }
+            Command::Copies(change, reply) => {
+                let _ = reply.send(self.book.copies_after(change, now));
+            }
+            Command::Drain(worker, reply) => drop(reply.send(self.drain(&worker, now))),
+            Command::Get(id, reply) => drop(reply.send(self.view(&id, now))),
+            Command::Held { pool, job, epoch, worker, result } => {
+                if let Some(placer) = self.pools.get_mut(&pool) {
+                    placer.held(&job, epoch, &worker, result, now);
+                }
+            }
+            Command::Merge(copies) => self.merge(&copies, now),
+            Command::Saved { id, revision, version } => self.saved(&id, revision, version),
+            Command::Status(reply) => {
+                let status = |(name, pool): (&String, &PoolPlacer)| (name.clone(), pool.status());
+                let _ = reply.send(self.pools.iter().map(status).collect());
+            }
+            Command::Submit { id, request, reply } => {
+                let _ = reply.send(self.submit(&id, request, now));
+            }
+        }
+    }
+
+    fn view(&self, id: &str, now: Instant) -> Option<skylarkpulley_admin::JobView> {
+        let held = self.book.get(id)?;
+        Some(held.record.to_view(now.saturating_duration_since(held.received)))
+    }
+
+    fn submit(&mut self, id: &str, request: SubmitRequest, now: Instant) -> Submitted {
+        if self.book.get(id).is_some() {
+            return Submitted::Repeated;
+        }
+        let Some(tables) = self.hub.config.borrow().tables() else {
+            return Submitted::Unknown("the entry has no configuration yet".to_owned());
+        };
+        let (record, pool) = match check_job(id, request, &tables) {
+            Ok(checked) => checked,
+            Err(reason) => return Submitted::Unknown(reason),
+        };
+        if let Some((reason, needed)) = impossible(&record, pool, now) {
+            let detail = format!("{reason}; {needed}");
+            self.hub.decisions.record(now, Event::JobRefused, id, &detail);
+            return Submitted::Refused { reason, needed };
+        }
+        let detail = format!("team {} shape {}", record.request.team, record.request.shape);
+        self.hub.decisions.record(now, Event::JobSubmitted, id, &detail);
+        self.book.submit(record, now);
+        Submitted::Queued { change: self.book.changes() }
+    }
+
+    fn cancel(&mut self, id: &str, now: Instant) {
+        let Some(held) = self.book.get(id) else { return };
+        if held.record.is_ended() {
+            return;
+        }
+        let pool = held.record.pool.clone();
+        self.book.edit(id, now, |record| {
+            record.state = JobState::Cancelled;
+            record.detail = "cancelled by the submitter".to_owned();
+        });
+        self.hub.decisions.record(now, Event::JobEnded, id, "cancelled by the submitter");
+        if let Some(placer) = self.pools.get_mut(&pool) {
+            placer.cancel(id, now);
+        }
+    }
+
+    fn drain(&mut self, worker: &str, now: Instant) -> Option<u32> {
+        let (_, info) = self.workers.iter().find(|(agent, _)| agent.name == worker)?;
+        let grants = info.state.as_ref().map_or(0, |state| state.grants.len());
+        self.drained.insert(worker.to_owned());
+        for placer in self.pools.values_mut() {
+            let event = PlacementEvent::Drain { worker: worker.to_owned(), on: true };
+            placer.handle(event, now);
+        }
+        u32::try_from(grants).ok()
+    }
+
+    fn merge(&mut self, copies: &[v1::JobCopy], now: Instant) {
+        for record in copies.iter().filter_map(JobRecord::from_copy) {
+            let cancelled = record.state == JobState::Cancelled;
+            let (id, pool) = (record.id.clone(), record.pool.clone());
+            if self.book.merge(record, now)
+                && cancelled
+                && let Some(placer) = self.pools.get_mut(&pool)
+            {
+                placer.cancel(&id, now);
+            }
+        }
+        self.loaded = true;
+    }
+
+    fn saved(&mut self, id: &str, revision: u64, version: Option<u64>) {
+        self.saving.remove(id);
+        let Some(version) = version else { return };
+        self.book.saved(id, revision, version);
+        self.recorded.send_modify(|recorded| {
+            recorded.stored.push(id.to_owned());
+            if recorded.stored.len() > STORED_LIMIT {
+                recorded.stored.remove(0);
+            }
+        });
+    }
+
+    fn member(&mut self, event: MemberEvent) {
+        if event.hello().kind() != v1::PoolKind::Worker {
+            return;
+        }
+        let now = self.hub.clock.now();
+        let agent = agent_id(event.hello());
+        match event {
+            MemberEvent::Joined { session, hello } => self.join(agent, session, hello, now),
+            MemberEvent::Leaving { hello } => {
+                let event = PlacementEvent::Drain { worker: agent.name, on: true };
+                self.tell(&hello.pool, event, now);
+            }
+            MemberEvent::Left { session, hello, silent } => {
+                self.leave(&agent, session, &hello, silent, now);
+            }
+            MemberEvent::Report { hello, report } => {
+                let Some(state) = report.worker else { return };
+                self.report(&agent, &hello, state, now);
+            }
+        }
+    }
+
+    fn join(&mut self, agent: AgentId, session: u64, hello: v1::Hello, now: Instant) {
+        if self.workers.keys().any(|known| known.supersedes(&agent)) {
+            return;
+        }
+        let older: Vec<AgentId> =
+            self.workers.keys().filter(|known| agent.supersedes(known)).cloned().collect();
+        for known in older {
+            self.workers.remove(&known);
+            self.tell(&hello.pool, PlacementEvent::WorkerLost { agent: known }, now);
+        }
+        self.hub.decisions.record(now, Event::AgentJoined, &agent.name, &agent.to_string());
+        let state = self.workers.get(&agent).and_then(|info| info.state.clone());
+        self.workers.insert(agent, WorkerInfo { hello, session, state });
+    }
+
+    fn leave(
+        &mut self,
+        agent: &AgentId,
+        session: u64,
+        hello: &v1::Hello,
+        silent: bool,
+        now: Instant,
+    ) {
+        if self.workers.get(agent).is_none_or(|info| info.session != session) {
+            return;
+        }
+        self.workers.remove(agent);
+        let detail = if silent { "silent" } else { "session closed" };
+        self.hub.decisions.record(now, Event::AgentSilent, &agent.name, detail);
+        self.tell(&hello.pool, PlacementEvent::WorkerLost { agent: agent.clone() }, now);
+    }
+
+    fn report(&mut self, agent: &AgentId, hello: &v1::Hello, state: v1::WorkerState, now: Instant) {
+        let Some(info) = self.workers.get_mut(agent) else { return };
+        let first = info.state.is_none();
+        info.state = Some(state.clone());
+        let drained = self.drained.contains(&agent.name);
+        let Some(placer) = self.pools.get_mut(&hello.pool) else { return };
+        if first {
+            placer.handle(joined(agent, hello, &state), now);
+            if drained {
+                let event = PlacementEvent::Drain { worker: agent.name.clone(), on: true };
+                placer.handle(event, now);
+            }
+        }
+        placer.report(agent, &state, now);
+    }
+
+    fn tell(&mut self, pool: &str, event: PlacementEvent, now: Instant) {
+        if let Some(placer) = self.pools.get_mut(pool) {
+            placer.handle(event, now);
+        }
+    }
+
+    /// Takes over pools that this entry has become preferred for and gives up the others.
+    fn review(&mut self) {
+        let now = self.hub.clock.now();
+        let tables = self.hub.config.borrow().tables();
+        let Some(tables) = tables else { return };
+        let entries = self.hub.entries.borrow().clone();
+        let names: Vec<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
+        let mine = |pool: &&Pool| {
+            pool.kind == PoolKind::Worker
+                && rank_nodes(&pool.name, &names).first() == Some(&self.hub.name.as_str())
+        };
+        let wanted: BTreeMap<&str, &Pool> =
+            tables.pools.iter().filter(mine).map(|pool| (pool.name.as_str(), pool)).collect();
+        self.pools.retain(|name, _| wanted.contains_key(name.as_str()));
+        for (name, pool) in wanted {
+            match self.pools.get_mut(name) {
+                Some(placer) => placer.apply_pool(pool),
+                None => self.take_over(pool, now),
+            }
+        }
+        self.save();
+        self.forget(now);
+    }
+
+    fn take_over(&mut self, pool: &Pool, now: Instant) {
+        let mut placer =
+            PoolPlacer::new(pool, Arc::clone(&self.hub), self.commands.clone(), self.seed, now);
+        for (agent, info) in &self.workers {
+            if info.hello.pool == pool.name
+                && let Some(state) = &info.state
+            {
+                placer.handle(joined(agent, &info.hello, state), now);
+                placer.report(agent, state, now);
+            }
+        }
+        for worker in &self.drained {
+            placer.handle(PlacementEvent::Drain { worker: worker.clone(), on: true }, now);
+        }
+        self.pools.insert(pool.name.clone(), placer);
+    }
+
+    fn decide(&mut self) {
+        let now = self.hub.clock.now();
+        let controls: BTreeMap<AgentId, String> = self
+            .workers
+            .iter()
+            .map(|(agent, info)| (agent.clone(), info.hello.control.clone()))
+            .collect();
+        for (name, placer) in &mut self.pools {
+            let settled = now.saturating_duration_since(placer.since()) >= TAKEOVER_WAIT;
+            for held in self.book.iter().filter(|held| held.record.pool == *name) {
+                // A job that another entry had begun to start may still run.
+                let begun = held.record.state != JobState::Queued;
+                if !held.record.is_ended() && (settled || !begun) {
+                    let age = now.saturating_duration_since(held.received);
+                    placer.submit(&held.record, age, now);
+                }
+            }
+            placer.decide(&mut self.book, &controls, now);
+        }
+    }
+
+    fn save(&mut self) {
+        let now = self.hub.clock.now();
+        for held in self.book.unsaved(SAVES_PER_TICK + self.saving.len()) {
+            let id = held.record.id.clone();
+            if self.saving.len() >= SAVES_PER_TICK || !self.saving.insert(id.clone()) {
+                continue;
+            }
+            let copy = held.record.to_copy(now.saturating_duration_since(held.received));
+            let store = Arc::clone(&self.store);
+            let commands = self.commands.clone();
+            tokio::spawn(async move {
+                let key = format!("jobs/{id}");
+                let value = copy.value.into();
+                let put = store.put(&key, held.version, value, WriteClass::Jobs).await;
+                let (version, revision) = match put {
+                    Ok(version) => (Some(version), copy.revision),
+                    // Another entry wrote the row; the next try uses its version.
+                    Err(StoreError::Conflict { found, .. }) => (Some(found), 0),
+                    Err(_) => (None, 0),
+                };
+                let _ = commands.send(Command::Saved { id, revision, version });
+            });
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        for (id, version) in self.book.expire(now) {
+            if version == 0 {
+                continue;
+            }
+            let store = Arc::clone(&self.store);
+            tokio::spawn(async move {
+                // A row that stays is deleted by the next entry that loads and expires it.
+                let _ = store.delete(&format!("jobs/{id}"), version, WriteClass::Jobs).await;
+            });
+        }
+    }
+}
+
+fn joined(agent: &AgentId, hello: &v1::Hello, state: &v1::WorkerState) -> PlacementEvent {
+    PlacementEvent::WorkerJoined {
+        agent: agent.clone(),
+        domain: hello.domain.clone(),
+        rack: hello.rack.clone(),
+        accelerators: state.accelerators,
+    }
+}
+
+/// Converts the state in a worker's report for the placement core.
+pub(crate) fn to_report(state: &v1::WorkerState) -> WorkerReport {
+    let grant = |grant: &v1::Grant| ReportedGrant {
+        job: grant.gang.clone(),
+        epoch: grant.epoch,
+        accelerators: grant.accelerators,
+        instance: (!grant.instance.is_empty()).then(|| grant.instance.clone()),
+        preemptible: grant.preemptible,
+        running: grant.running,
+        run_time: Duration::from_millis(grant.running_ms),
+        memory_mib: grant.memory_used_mib,
+    };
+    let reservation = |reservation: &v1::Reservation| ReportedReservation {
+        instance: reservation.instance.clone(),
+        epoch: reservation.epoch,
+        accelerators: reservation.accelerators,
+    };
+    WorkerReport {
+        grants: state.grants.iter().map(grant).collect(),
+        reservations: state.reservations.iter().map(reservation).collect(),
+    }
+}
+
+fn check_job<'a>(
+    id: &str,
+    request: SubmitRequest,
+    tables: &'a Tables,
+) -> Result<(JobRecord, &'a Pool), String> {
+    let route = tables
+        .routes
+        .iter()
+        .find(|route| route.name == request.route)
+        .ok_or_else(|| format!("the route \"{}\" does not exist", request.route))?;
+    let pool = tables
+        .pool(&route.pool)
+        .ok_or_else(|| format!("the pool \"{}\" does not exist", route.pool))?;
+    if pool.kind != PoolKind::Worker {
+        return Err(format!("the pool \"{}\" has no workers", pool.name));
+    }
+    if pool.team(&request.team).is_none() {
+        let team = &request.team;
+        return Err(format!("the team \"{team}\" does not use the pool \"{}\"", pool.name));
+    }
+    Ok((JobRecord::new(id, &pool.name, route.priority, request), pool))
+}
+
+/// Returns why the job can never run on the pool, and what would make it fit.
+fn impossible(record: &JobRecord, pool: &Pool, now: Instant) -> Option<(String, String)> {
+    let mut placer = Placer::new(pool, now);
+    placer.handle(PlacementEvent::Submit(record.to_spec(Duration::ZERO)), now);
+    placer.decide(now).into_iter().find_map(|action| match action {
+        Action::Refuse { reason, remedy, .. } => Some((reason, remedy)),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/session_service.rs
@@ -0,0 +1,164 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylarkpulley_proto::{MIN_PROTOCOL, PROTOCOL, v1};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Status, Streaming};
+
+use crate::hub::{Hub, MemberEvent};
+
+/// A session without a message for this long is given up and its agent gets no new work.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Messages that may wait for an agent that reads slowly.
+const OUTBOUND_LIMIT: usize = 64;
+
+/// Outbound half of a session.
+pub type SessionStream = ReceiverStream<Result<v1::EntryMessage, Status>>;
+
+/// Accepts a session: reads its first message and serves it in a task of its own.
+///
+/// # Errors
+/// `InvalidArgument` when the first message is not a valid `Hello`, `FailedPrecondition` when the
+/// agent's protocol is too old.
+pub async fn accept_session(
+    hub: Arc<Hub>,
+    mut inbound: Streaming<v1::AgentMessage>,
+) -> Result<SessionStream, Status> {
+    let first = tokio::time::timeout(SILENCE_LIMIT, inbound.message())
+        .await
+        .map_err(|_| Status::deadline_exceeded("no first message in time"))??;
+    let Some(v1::agent_message::Body::Hello(hello)) = first.and_then(|message| message.body) else {
+        return Err(Status::invalid_argument("the first message of a session must be Hello"));
+    };
+    if hello.protocol < MIN_PROTOCOL {
+        let text = format!("protocol {} of the agent is too old", hello.protocol);
+        return Err(Status::failed_precondition(text));
+    }
+    if hello.agent.is_none() {
+        return Err(Status::invalid_argument("Hello names no agent"));
+    }
+    let (outbound, stream) = mpsc::channel(OUTBOUND_LIMIT);
+    tokio::spawn(SessionTask::new(hub, hello, outbound).serve(inbound));
+    Ok(ReceiverStream::new(stream))
+}
+
+struct SessionTask {
+    acked_config: u64,
+    acked_ranges: u64,
+    hello: v1::Hello,
+    hub: Arc<Hub>,
+    outbound: mpsc::Sender<Result<v1::EntryMessage, Status>>,
+    session: u64,
+}
+
+impl SessionTask {
+    fn new(
+        hub: Arc<Hub>,
+        hello: v1::Hello,
+        outbound: mpsc::Sender<Result<v1::EntryMessage, Status>>,
+    ) -> Self {
+        let session = hub.next_session();
+        Self { acked_config: 0, acked_ranges: 0, hello, hub, outbound, session }
+    }
+
+    async fn serve(mut self, mut inbound: Streaming<v1::AgentMessage>) {
+        self.hub.notify(MemberEvent::Joined { session: self.session, hello: self.hello.clone() });
+        let mut config = self.hub.config.subscribe();
+        let mut ranges = self.hub.ranges.subscribe();
+        let silence = tokio::time::sleep(SILENCE_LIMIT);
+        tokio::pin!(silence);
+        self.send_config();
+        self.send_ranges();
+        let silent = loop {
+            tokio::select! {
+                received = inbound.message() => match received {
+                    Ok(Some(message)) => {
+                        silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_LIMIT);
+                        self.take_in(message);
+                    }
+                    Ok(None) | Err(_) => break false,
+                },
+                changed = config.changed() => match changed {
+                    Ok(()) => self.send_config(),
+                    Err(_) => break false,
+                },
+                changed = ranges.changed() => match changed {
+                    Ok(()) => self.send_ranges(),
+                    Err(_) => break false,
+                },
+                () = &mut silence => break true,
+                () = self.outbound.closed() => break false,
+            }
+        };
+        self.hub.notify(MemberEvent::Left {
+            session: self.session,
+            hello: self.hello.clone(),
+            silent,
+        });
+    }
+
+    fn take_in(&mut self, message: v1::AgentMessage) {
+        match message.body {
+            Some(v1::agent_message::Body::Report(report)) => self.take_report(report),
+            Some(v1::agent_message::Body::Leaving(_)) => {
+                self.hub.notify(MemberEvent::Leaving { hello: self.hello.clone() });
+            }
+            // A second Hello or a message of a newer protocol changes nothing.
+            Some(v1::agent_message::Body::Hello(_)) | None => {}
+        }
+    }
+
+    fn take_report(&mut self, report: v1::Report) {
+        let behind_config = {
+            let current = self.hub.config.borrow();
+            let differs = report.config_version == current.version()
+                && report.config_digest != current.digest();
+            report.config_version < current.version() || differs
+        };
+        let lost_config = behind_config && report.config_version < self.acked_config;
+        self.acked_config = report.config_version;
+        self.acked_ranges = report.range_version;
+        if lost_config || (behind_config && report.sequence.is_multiple_of(2)) {
+            self.send_config();
+        }
+        if report.range_version < self.hub.ranges.borrow().version()
+            && report.sequence.is_multiple_of(2)
+        {
+            self.send_ranges();
+        }
+        let ack = v1::Ack {
+            sequence: report.sequence,
+            entries: self.hub.entry_addresses(),
+            protocol: PROTOCOL,
+            config_version: self.hub.config.borrow().version(),
+            range_version: self.hub.ranges.borrow().version(),
+        };
+        self.send(v1::entry_message::Body::Ack(ack));
+        self.hub.notify(MemberEvent::Report { hello: self.hello.clone(), report });
+    }
+
+    fn send_config(&self) {
+        let message = self.hub.config.borrow().message_from(self.acked_config);
+        if let Some(message) = message {
+            self.send(v1::entry_message::Body::Config(message));
+        }
+    }
+
+    fn send_ranges(&self) {
+        // Only agents of upstreams hold key records.
+        if self.hello.kind() != v1::PoolKind::Upstream {
+            return;
+        }
+        let message = self.hub.ranges.borrow().message();
+        if let Some(message) = message.filter(|message| message.version > self.acked_ranges) {
+            self.send(v1::entry_message::Body::Ranges(message));
+        }
+    }
+
+    /// Drops the message when the agent does not read: its reports show what it lacks.
+    fn send(&self, body: v1::entry_message::Body) {
+        let _ = self.outbound.try_send(Ok(v1::EntryMessage { body: Some(body) }));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,84 @@
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use skylarkpulley_proto::Secret;
+use skylarkpulley_telemetry::{LogFormat, SettingsError, load_settings};
+
+/// Settings of one entry, read from TOML.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the entry, unique among entries.
+    pub name: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Address where callers send requests.
+    pub callers: SocketAddr,
+    /// Address of the operators' interface.
+    pub admin: SocketAddr,
+    /// Address of the control listener, reached by agents and other entries.
+    pub control: SocketAddr,
+    /// Control addresses of other entries to start from.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Shared secret of the processes, at least 16 characters.
+    pub secret: String,
+    /// Base URL of the platform's table service.
+    pub store: String,
+    /// Requests that the entry holds at once, waiting or running; more are refused.
+    #[serde(default = "default_open_limit")]
+    pub open_limit: usize,
+    /// Time in which a caller must have sent the whole request.
+    #[serde(default = "default_read_timeout", with = "humantime_serde")]
+    pub read_timeout: Duration,
+    /// Longest time that a graceful shutdown waits for open requests.
+    #[serde(default = "default_drain", with = "humantime_serde")]
+    pub drain_timeout: Duration,
+    /// Where metrics are sent, in the statsd format over UDP.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Format of log lines.
+    #[serde(default)]
+    pub log_format: LogFormat,
+    /// Filter of log lines.
+    #[serde(default = "default_filter")]
+    pub log_filter: String,
+}
+
+fn default_open_limit() -> usize {
+    10_000
+}
+
+fn default_read_timeout() -> Duration {
+    Duration::from_secs(5)
+}
+
+fn default_drain() -> Duration {
+    Duration::from_secs(30)
+}
+
+impl Settings {
+    /// Reads settings from the TOML file at `path` and checks them.
+    ///
+    /// # Errors
+    /// [`SettingsError`] names the file, the field and what is allowed.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let settings: Self = load_settings(path)?;
+        let fault = |field: &str, problem: &str| SettingsError::Value {
+            path: path.display().to_string(),
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        };
+        if settings.name.is_empty() {
+            return Err(fault("name", "must not be empty"));
+        }
+        Secret::new(&settings.secret).map_err(|error| fault("secret", &error.to_string()))?;
+        Ok(settings)
+    }
+}
+
+fn default_filter() -> String {
+    "info".to_owned()
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod report;
 mod reservation;
+mod resize;
 mod worker_event;
 
 use std::time::Duration;
