End calls of the stand-ins when the caller is gone

Cause: the test of a frozen upstream hung. The HTTP server polls a connection once more after it has failed, so the handler of a request whose caller has closed the connection is never dropped.

Change: the counted connection notices the end of the stream itself; handlers that never answer wait for that.

Conclusion: a handler in this server that must end with its caller needs such a signal.

--- a/crates/standins/src/connections.rs
+++ b/crates/standins/src/connections.rs
@@ -11,6 +11,7 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Counts the connections of a server and breaks them on request. Clones share their state.
 #[derive(Clone, Debug, Default)]
@@ -22,7 +23,14 @@
 struct Counts {
     accepted: u64,
     most: usize,
-    open: BTreeMap<SocketAddr, std::net::TcpStream>,
+    open: BTreeMap<SocketAddr, Peer>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    /// Dropped when the peer closes the connection.
+    gone: watch::Sender<()>,
+    socket: std::net::TcpStream,
 }
 
 impl Connections {
@@ -44,22 +52,31 @@
     /// Closes the connection from `remote` without an answer.
     pub(crate) fn cut(&self, remote: &RemoteAddr) {
         let Addr::SocketAddr(peer) = remote.0 else { return };
-        self.with(|counts| counts.open.get(&peer).map(|socket| socket.shutdown(Shutdown::Both)));
+        self.with(|counts| counts.open.get(&peer).map(|peer| peer.socket.shutdown(Shutdown::Both)));
     }
 
     /// Closes all connections.
     pub(crate) fn cut_all(&self) {
         self.with(|counts| {
-            for socket in counts.open.values() {
-                socket.shutdown(Shutdown::Both).ok();
+            for peer in counts.open.values() {
+                peer.socket.shutdown(Shutdown::Both).ok();
             }
         });
     }
 
+    /// Waits until the peer has closed the connection from `remote`. The HTTP server does not drop
+    /// the handler of a request whose caller is gone.
+    pub(crate) async fn gone(&self, remote: &RemoteAddr) {
+        let Addr::SocketAddr(peer) = remote.0 else { return };
+        let watched = self.with(|counts| counts.open.get(&peer).map(|peer| peer.gone.subscribe()));
+        let Some(mut watched) = watched else { return };
+        while watched.changed().await.is_ok() {}
+    }
+
     fn opened(&self, peer: SocketAddr, socket: std::net::TcpStream) {
         self.with(|counts| {
             counts.accepted += 1;
-            counts.open.insert(peer, socket);
+            counts.open.insert(peer, Peer { gone: watch::Sender::new(()), socket });
             counts.most = counts.most.max(counts.open.len());
         });
     }
@@ -104,21 +121,31 @@
         let socket = stream.into_std()?;
         self.connections.opened(peer, socket.try_clone()?);
         let stream = TcpStream::from_std(socket)?;
-        let io = CountedStream { connections: self.connections.clone(), peer, stream };
+        let connections = self.connections.clone();
+        let io = CountedStream { connections, open: true, peer, stream };
         Ok((io, LocalAddr(self.address.into()), RemoteAddr(peer.into()), Scheme::HTTP))
     }
 }
 
-/// A connection that is counted until it is dropped.
+/// A connection that is counted until the peer closes it or it is dropped.
 pub(crate) struct CountedStream {
     connections: Connections,
+    open: bool,
     peer: SocketAddr,
     stream: TcpStream,
 }
 
+impl CountedStream {
+    fn close(&mut self) {
+        if std::mem::replace(&mut self.open, false) {
+            self.connections.closed(self.peer);
+        }
+    }
+}
+
 impl Drop for CountedStream {
     fn drop(&mut self) {
-        self.connections.closed(self.peer);
+        self.close();
     }
 }
 
@@ -128,7 +155,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let (room, filled) = (buf.remaining(), buf.filled().len());
+        let read = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if read.is_err() || (room > 0 && buf.filled().len() == filled) {
+            self.close();
+        }
+        Poll::Ready(read)
     }
 }
 
--- a/crates/standins/src/table_service.rs
+++ b/crates/standins/src/table_service.rs
@@ -103,7 +103,10 @@
         let fault = self.faults.take(operation);
         match fault {
             Some(Fault::Outage) => return text(StatusCode::SERVICE_UNAVAILABLE, "outage"),
-            Some(Fault::Hang) => return std::future::pending().await,
+            Some(Fault::Hang) => {
+                self.connections.gone(&remote).await;
+                return text(StatusCode::INTERNAL_SERVER_ERROR, "hang");
+            }
             Some(Fault::LostRequest) => {
                 self.connections.cut(&remote);
                 return text(StatusCode::INTERNAL_SERVER_ERROR, "lost");
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -223,7 +223,10 @@
         match fault {
             Some(UpstreamFault::Error) => return failure(),
             Some(UpstreamFault::Flap(phase)) if self.is_down(phase) => return failure(),
-            Some(UpstreamFault::Freeze) => return std::future::pending().await,
+            Some(UpstreamFault::Freeze) => {
+                self.connections.gone(&remote).await;
+                return failure();
+            }
             Some(UpstreamFault::Slow(extra)) => tokio::time::sleep(service + extra).await,
             _ => tokio::time::sleep(service).await,
         }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -140,6 +140,7 @@
 
 struct State {
     clock: Arc<dyn Clock>,
+    connections: Connections,
     fault: Mutex<Option<WorkerFault>>,
     settings: WorkerSettings,
     tasks: Mutex<Tasks>,
@@ -164,13 +165,20 @@
     ) -> Result<Self, StandinError> {
         let tasks = Mutex::new(Tasks::new(&settings));
         let address = settings.address;
-        let state = Arc::new(State { clock, fault: Mutex::default(), settings, tasks });
+        let connections = Connections::default();
+        let state = Arc::new(State {
+            clock,
+            connections: connections.clone(),
+            fault: Mutex::default(),
+            settings,
+            tasks,
+        });
         let served = Arc::clone(&state);
         let endpoint = make(move |request| {
             let state = Arc::clone(&served);
             async move { Ok::<_, poem::Error>(state.serve(request).await) }
         });
-        let running = Running::start(address, Connections::default(), endpoint).await?;
+        let running = Running::start(address, connections, endpoint).await?;
         Ok(Self { running, state })
     }
 
@@ -224,7 +232,8 @@
     async fn serve(&self, mut request: Request) -> Response {
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         if fault == Some(WorkerFault::Silent) {
-            return std::future::pending().await;
+            self.connections.gone(request.remote_addr()).await;
+            return refuse(StatusCode::INTERNAL_SERVER_ERROR, "silent");
         }
         let Ok(body) = request.take_body().into_bytes().await else {
             return refuse(StatusCode::BAD_REQUEST, "body was cut off");
--- a/crates/standins/tests/standins.rs
+++ b/crates/standins/tests/standins.rs
@@ -65,12 +65,12 @@
     while upstream.active() == 0 {
         tokio::select! {
             answer = &mut call => panic!("{answer:?}"),
-            () = tokio::task::yield_now() => {}
+            () = tokio::time::sleep(Duration::from_millis(1)) => {}
         }
     }
     drop(call);
     while upstream.active() > 0 {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
     }
     assert_eq!(upstream.executions("k"), 1);
 }
@@ -84,12 +84,12 @@
         .with_agent(&agent.server().url(), 7);
     let mut upstream = Upstream::start(settings).await.unwrap();
     while agent.runs() == 0 {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
     }
     let url = format!("{}/x", upstream.server().url());
     let call = tokio::spawn(async move { client().post(url).send().await.unwrap().status() });
     while upstream.active() == 0 {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
     }
     let announced = agent.runs();
     upstream.stop().await;
@@ -108,7 +108,7 @@
     assert!((1..=4).contains(&connections.most()));
     assert_eq!(upstream.most_active(), connections.most());
     while connections.open() > 0 {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
     }
 }
 
--- a/crates/store/src/write_class.rs
+++ b/crates/store/src/write_class.rs
@@ -33,9 +33,4 @@
             Self::EntryRows => 2,
         }
     }
-
-    #[allow(dead_code)]
-    pub(crate) fn index(self) -> usize {
-        self as usize
-    }
 }
