Add the versioned configuration document

Cause: entries and agents need one document that never reverts, and a rule for who sends which delta.

--- /dev/null
+++ b/crates/config/src/delta.rs
@@ -0,0 +1,55 @@
+use std::sync::Arc;
+
+use skylarkpulley_types::Digest;
+
+use crate::{Document, Rows};
+
+/// What leads from version `from` of a document to version `to`; the whole document when `from`
+/// is 0.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Delta {
+    /// Version that the delta starts from, 0 for the whole document.
+    pub from: u64,
+    /// Version that it leads to.
+    pub to: u64,
+    /// New and changed rows, sorted by key.
+    pub rows: Vec<(String, Arc<str>)>,
+    /// Keys of removed rows, sorted.
+    pub removed: Vec<String>,
+    /// Digest of the document at version `to`.
+    pub digest: Digest,
+}
+
+impl Delta {
+    /// Returns the whole `document`.
+    pub fn full(document: &Document) -> Self {
+        Self {
+            from: 0,
+            to: document.version(),
+            rows: document.rows().iter().map(|(key, text)| (key.clone(), text.clone())).collect(),
+            removed: Vec::new(),
+            digest: document.digest(),
+        }
+    }
+
+    /// Reports whether the delta carries the whole document.
+    pub fn is_full(&self) -> bool {
+        self.from == 0
+    }
+
+    /// Returns the length of keys and texts in bytes.
+    pub fn size(&self) -> usize {
+        let rows: usize = self.rows.iter().map(|(key, text)| key.len() + text.len()).sum();
+        rows + self.removed.iter().map(String::len).sum::<usize>()
+    }
+
+    /// Returns the rows that the delta makes of `rows`.
+    pub(crate) fn apply(&self, rows: &Rows) -> Rows {
+        let mut next = if self.is_full() { Rows::new() } else { rows.clone() };
+        for key in &self.removed {
+            next.remove(key);
+        }
+        next.extend(self.rows.iter().cloned());
+        next
+    }
+}
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,45 @@
+use skylarkpulley_types::Digest;
+
+use crate::Rows;
+
+/// The whole configuration at one version. Version 0 is the empty document of a process that has
+/// not received any.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Document {
+    digest: Digest,
+    rows: Rows,
+    version: u64,
+}
+
+impl Document {
+    /// Returns the document that has `rows` at `version`.
+    pub fn new(version: u64, rows: Rows) -> Self {
+        Self { digest: digest(&rows), rows, version }
+    }
+
+    /// Returns the digest over all rows. The version is not part of it.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns the rows, sorted by key.
+    pub fn rows(&self) -> &Rows {
+        &self.rows
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+impl Default for Document {
+    fn default() -> Self {
+        Self::new(0, Rows::new())
+    }
+}
+
+fn digest(rows: &Rows) -> Digest {
+    let parts = rows.iter().flat_map(|(key, text)| [key.as_bytes(), text.as_bytes()]);
+    Digest::of(&parts.collect::<Vec<_>>())
+}
