Limit writes by class and open a circuit while the store is down

Cause: a burst of job rows must not delay an edit, and the return of the store must not be met by all processes at once.

Change: WriteLimiter shares one token bucket between the classes by weight with bounded queues and waits; Circuit (up, slow, down) probes with jitter and lets few calls through at first; GuardedStore puts both in front of a store. docs/store.md describes the protocol. A stopping upstream waits until its agent has heard that it leaves.

--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -16,6 +16,10 @@
 /// Interval of announcements.
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 
+/// Time that an agent has to hear that the upstream leaves. An agent that has not answered four
+/// announcements by then has let them expire.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+
 /// A fault of an upstream. Whatever the fault, a request counts as executed once its body has been
 /// read, because a caller cannot prove otherwise.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -66,6 +70,7 @@
 #[derive(Debug)]
 pub struct Upstream {
     announcer: Option<tokio::task::JoinHandle<()>>,
+    heard: watch::Receiver<bool>,
     leaving: watch::Sender<bool>,
     running: Running,
     state: Arc<State>,
@@ -114,12 +119,14 @@
         let connections = state.connections.clone();
         let running = Running::start(settings.address, connections, endpoint).await?;
         let (leaving, watched) = watch::channel(false);
+        let (hears, heard) = watch::channel(false);
         let address = running.address();
         let announcer = settings.agent.map(|agent| {
             let state = Arc::clone(&state);
-            tokio::spawn(announce(agent, address, settings.incarnation, state, watched))
+            let news = Announcement { address, agent, incarnation: settings.incarnation };
+            tokio::spawn(announce(news, state, watched, hears))
         });
-        Ok(Self { announcer, leaving, running, state })
+        Ok(Self { announcer, heard, leaving, running, state })
     }
 
     /// Returns the server: address, connections, stop.
@@ -175,9 +182,14 @@
         self.leaving.send_replace(true);
     }
 
-    /// Announces `leaving`, serves the open requests and stops.
+    /// Announces `leaving` until the agent has heard it once, at most 2 s, serves the open requests
+    /// and stops.
     pub async fn stop(&mut self) {
         self.leave();
+        if self.announcer.is_some() {
+            let heard = self.heard.wait_for(|heard| *heard);
+            tokio::time::timeout(LEAVE_LIMIT, heard).await.ok();
+        }
         self.running.stop().await;
         self.end_announcements();
     }
@@ -316,13 +328,18 @@
     Response::builder().header("Content-Length", length).body(Body::from_bytes_stream(parts))
 }
 
-/// Announces the upstream until the task is ended; at once when it starts to leave.
-async fn announce(
-    agent: String,
+struct Announcement {
     address: SocketAddr,
+    agent: String,
     incarnation: u64,
+}
+
+/// Announces the upstream until the task is ended; at once when it starts to leave.
+async fn announce(
+    news: Announcement,
     state: Arc<State>,
     mut leaving: watch::Receiver<bool>,
+    hears: watch::Sender<bool>,
 ) {
     let client = reqwest::Client::builder()
         .no_proxy()
@@ -330,6 +347,7 @@
         .timeout(ANNOUNCE_EVERY)
         .build();
     let Ok(client) = client else { return };
+    let Announcement { address, agent, incarnation } = news;
     let mut ticks = tokio::time::interval(ANNOUNCE_EVERY);
     loop {
         tokio::select! {
@@ -339,11 +357,17 @@
         if state.is_silent() {
             continue;
         }
-        let word = if *leaving.borrow_and_update() { "leaving" } else { "serving" };
-        let news = json!({ "address": address, "state": word, "incarnation": incarnation });
-        let sent = client.post(format!("{agent}/announce")).json(&news).send().await;
-        if let Err(error) = sent {
-            tracing::debug!(%agent, %error, "announcement failed");
+        let leaves = *leaving.borrow_and_update();
+        let word = if leaves { "leaving" } else { "serving" };
+        let body = json!({ "address": address, "state": word, "incarnation": incarnation });
+        match client.post(format!("{agent}/announce")).json(&body).send().await {
+            Ok(answer) => {
+                hears.send_if_modified(|heard| {
+                    *heard = leaves && answer.status().is_success();
+                    *heard
+                });
+            }
+            Err(error) => tracing::debug!(%agent, %error, "announcement failed"),
         }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,10 +1,13 @@
 //! Client of the platform's table service: the [`Store`] interface, an HTTP client that never
-//! repeats a write on its own, and an in-memory store with fault injection for tests.
+//! repeats a write on its own, a write limiter and a circuit breaker in front of it, and an
+//! in-memory store with fault injection for tests.
 //!
 //! The protocol and the rules for lost answers are in `docs/store.md`.
 
+mod circuit;
 mod error;
 mod fault;
+mod guarded_store;
 mod http_store;
 mod memory_store;
 mod resolve;
@@ -13,9 +16,12 @@
 mod store;
 pub mod wire;
 mod write_class;
+mod write_limiter;
 
+pub use circuit::{CallEnd, Circuit, CircuitSettings, CircuitState, Permit};
 pub use error::StoreError;
 pub use fault::{Fault, Faults, Operation};
+pub use guarded_store::GuardedStore;
 pub use http_store::{HttpSettings, HttpStore};
 pub use memory_store::MemoryStore;
 pub use resolve::{Resolution, put_resolved, resolve_put};
@@ -23,3 +29,4 @@
 pub use row_table::RowTable;
 pub use store::Store;
 pub use write_class::WriteClass;
+pub use write_limiter::{LimiterSettings, Polled, QueueFull, WriteLimiter};
--- a/crates/store/src/write_class.rs
+++ b/crates/store/src/write_class.rs
@@ -33,4 +33,8 @@
             Self::EntryRows => 2,
         }
     }
+
+    pub(crate) fn index(self) -> usize {
+        self as usize
+    }
 }
