Report the lateness of the load generator separately

Cause: the timer rounds up to milliseconds, and latency counted from the planned start added that to every answer: p50 4.62 ms for a service of 2 ms.

Change: latency counts from the actual start; the lateness of starts is a figure of its own. A service time of 0 no longer goes through the timer.

--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -137,10 +137,14 @@
     pub mismatched: u64,
     /// Complete answers per second, over the whole run.
     pub throughput: f64,
-    /// Time from the planned start to the end of a complete answer, in milliseconds.
+    /// Median time from the start of a request to the end of its complete answer, in milliseconds.
     pub p50_ms: f64,
     /// 99th percentile of the same.
     pub p99_ms: f64,
+    /// 99th percentile of the time by which requests started after their planned time, in
+    /// milliseconds. The timer alone accounts for up to 2 ms; more means that the generator could
+    /// not keep the rate.
+    pub late_p99_ms: f64,
     /// Length of the run in seconds.
     pub seconds: f64,
 }
@@ -150,6 +154,7 @@
         write!(
             f,
             "{} sent, {} skipped in {:.2} s; {:.0}/s; p50 {:.2} ms, p99 {:.2} ms; \
+             starts late by {:.2} ms (p99); \
              outcomes {:?}; statuses {:?}; errors {:?}; {} mismatched",
             self.sent,
             self.skipped,
@@ -157,6 +162,7 @@
             self.throughput,
             self.p50_ms,
             self.p99_ms,
+            self.late_p99_ms,
             self.outcomes,
             self.statuses,
             self.errors,
@@ -167,6 +173,7 @@
 
 /// How one request ended.
 struct Ending {
+    late: Duration,
     latency: Duration,
     result: Result<Answer, &'static str>,
 }
@@ -231,12 +238,13 @@
 impl Sender {
     async fn send(&self, number: u64, due: Instant) -> Ending {
         let body = Bytes::from(self.settings.body.replace("{n}", &number.to_string()));
+        let start = Instant::now();
         let result = self.exchange(number, body).await.map_err(|error| match error {
             error if error.is_timeout() => "timeout",
             error if error.is_connect() => "connect",
             _ => "broken",
         });
-        Ending { latency: due.elapsed(), result }
+        Ending { late: start.saturating_duration_since(due), latency: start.elapsed(), result }
     }
 
     async fn exchange(&self, number: u64, body: Bytes) -> Result<Answer, reqwest::Error> {
@@ -260,6 +268,7 @@
 
 #[derive(Default)]
 struct Tally {
+    late: Vec<Duration>,
     latencies: Vec<Duration>,
     report: LoadReport,
 }
@@ -271,6 +280,7 @@
             *report.errors.entry("broken".to_owned()).or_default() += 1;
             return;
         };
+        self.late.push(ending.late);
         match ending.result {
             Ok(answer) => {
                 let outcome = answer.outcome.unwrap_or_else(|| "none".to_owned());
@@ -284,19 +294,22 @@
     }
 
     fn finish(mut self, elapsed: Duration) -> LoadReport {
-        self.latencies.sort_unstable();
-        let rank = |share: f64| -> f64 {
-            let last = self.latencies.len().saturating_sub(1);
-            let at = (last as f64 * share).round() as usize;
-            self.latencies.get(at).map_or(0.0, |latency| latency.as_secs_f64() * 1e3)
-        };
         let seconds = elapsed.as_secs_f64();
         LoadReport {
-            p50_ms: rank(0.5),
-            p99_ms: rank(0.99),
+            p50_ms: rank_ms(&mut self.latencies, 0.5),
+            p99_ms: rank_ms(&mut self.latencies, 0.99),
+            late_p99_ms: rank_ms(&mut self.late, 0.99),
             seconds,
             throughput: self.latencies.len() as f64 / seconds.max(f64::MIN_POSITIVE),
             ..self.report
         }
     }
 }
+
+/// Sorts `times` and returns the one at `share` of their number, in milliseconds.
+fn rank_ms(times: &mut [Duration], share: f64) -> f64 {
+    times.sort_unstable();
+    let last = times.len().saturating_sub(1);
+    let at = (last as f64 * share).round() as usize;
+    times.get(at).map_or(0.0, |time| time.as_secs_f64() * 1e3)
+}
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -48,7 +48,8 @@
     pub agent: Option<String>,
     /// Number of this start; higher is newer.
     pub incarnation: u64,
-    /// Service time of a request without a `Service-Ms` header.
+    /// Service time of a request without a `Service-Ms` header. The timer adds up to 1 ms to any
+    /// time but 0.
     pub service: Duration,
 }
 
@@ -240,6 +241,8 @@
                 return failure();
             }
             Some(UpstreamFault::Slow(extra)) => tokio::time::sleep(service + extra).await,
+            // The timer would round 0 up to the next millisecond.
+            _ if service.is_zero() => {}
             _ => tokio::time::sleep(service).await,
         }
         if fault == Some(UpstreamFault::Close) {
