--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -27,6 +27,11 @@
         &self.rows
     }
 
+    /// Returns the length of keys and texts in bytes.
+    pub fn size(&self) -> usize {
+        self.rows.iter().map(|(key, text)| key.len() + text.len()).sum()
+    }
+
     /// Returns the version.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -6,24 +6,24 @@
     /// A text is not TOML, or the store row lacks a field.
     #[display("{name}: {detail}")]
     Malformed {
-        /// `routes`, `pools` or `tables`.
+        /// `routes`, `pools`, `tables` or `rows`.
         name: &'static str,
         /// Cause, with its position.
         detail: String,
     },
-    /// An element of a table has no name.
-    #[display("{kind} {position} has no name")]
+    /// An element of a table has no name, or one with a slash.
+    #[display("{kind} {position} has no name without a slash")]
     NoName {
-        /// `route` or `pool`.
-        kind: &'static str,
+        /// `route`, `pool`, or the list within a pool.
+        kind: String,
         /// Position in the file, from 1.
         position: usize,
     },
     /// Two elements of a table have the same name.
     #[display("{kind} {name:?} occurs twice")]
     Duplicate {
-        /// `route` or `pool`.
-        kind: &'static str,
+        /// `route`, `pool`, or the list within a pool.
+        kind: String,
         /// The name.
         name: String,
     },
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,5 +20,5 @@
 pub use error::ConfigError;
 pub use history::History;
 pub use replica::{Applied, Replica};
-pub use rows::{Rows, split_rows};
+pub use rows::{Rows, join_rows, split_rows};
 pub use tables_row::TablesRow;
