Run the store contract behind limiter and circuit as well

Cause: the contract did not cover GuardedStore, ordinary calls had a time-out of 300 ms that a busy machine can exceed, and one count of connections depended on the order of events.

Change: third subject; only calls that are never answered in time have a short time-out; the connection test holds its calls open until all are counted; a test of concurrent edits under lost answers and requests; GuardedStore::states for logs.

Conclusion: no result depends on the speed of the machine below 1 s a call.

--- a/crates/standins/tests/standins.rs
+++ b/crates/standins/tests/standins.rs
@@ -97,19 +97,25 @@
     assert!(agent.runs() > announced);
 }
 
-/// Guards against counters of connections that miss concurrent ones or never fall.
+/// Guards against counters that miss concurrent requests or connections, or never fall.
 #[tokio::test]
-async fn upstream_counts_connections() {
-    let upstream = upstream(50).await;
-    let calls = (0..4).map(|_| send(&upstream, "k"));
-    futures::future::join_all(calls).await;
+async fn upstream_counts_concurrency() {
+    let upstream = upstream(0).await;
+    upstream.set_fault(Some(UpstreamFault::Freeze));
+    let mut calls = Box::pin(futures::future::join_all((0..4).map(|_| send(&upstream, "k"))));
+    while upstream.active() < 4 {
+        tokio::select! {
+            answers = &mut calls => panic!("{answers:?}"),
+            () = tokio::time::sleep(Duration::from_millis(1)) => {}
+        }
+    }
     let connections = upstream.server().connections();
-    assert_eq!(connections.accepted(), 4);
-    assert!((1..=4).contains(&connections.most()));
-    assert_eq!(upstream.most_active(), connections.most());
-    while connections.open() > 0 {
+    assert_eq!((connections.accepted(), connections.open(), connections.most()), (4, 4, 4));
+    drop(calls);
+    while connections.open() > 0 || upstream.active() > 0 {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    assert_eq!((upstream.most_active(), upstream.runs()), (4, 4));
 }
 
 /// A worker on a manual clock.
--- a/crates/store/src/guarded_store.rs
+++ b/crates/store/src/guarded_store.rs
@@ -4,7 +4,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use skylarkpulley_types::Clock;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     CallEnd, Circuit, CircuitSettings, CircuitState, LimiterSettings, Permit, Row, Store,
@@ -16,10 +16,11 @@
 
 /// A store behind a write limiter and a circuit breaker. Neither sends a call twice.
 pub struct GuardedStore {
-    circuit: Arc<Mutex<Circuit>>,
+    circuit: Mutex<Circuit>,
     clock: Arc<dyn Clock>,
     inner: Arc<dyn Store>,
     limiter: mpsc::Sender<Request>,
+    states: watch::Sender<CircuitState>,
 }
 
 /// A write that asks to be sent; answered with the reason of a refusal.
@@ -49,8 +50,9 @@
         let (sender, requests) = mpsc::channel(REQUESTS);
         let limiter = WriteLimiter::new(now, limiter);
         tokio::spawn(run_limiter(limiter, Arc::clone(&clock), requests));
-        let circuit = Arc::new(Mutex::new(Circuit::new(now, circuit, seed)));
-        Self { circuit, clock, inner, limiter: sender }
+        let circuit = Mutex::new(Circuit::new(now, circuit, seed));
+        let states = watch::Sender::new(CircuitState::Up);
+        Self { circuit, clock, inner, limiter: sender, states }
     }
 
     /// Returns the health of the store as seen by this process.
@@ -58,6 +60,11 @@
         lock(&self.circuit).state()
     }
 
+    /// Returns a receiver of the health of the store, for logs and metrics.
+    pub fn states(&self) -> watch::Receiver<CircuitState> {
+        self.states.subscribe()
+    }
+
     async fn call<T>(
         &self,
         key: &str,
@@ -66,12 +73,7 @@
     ) -> Result<T, StoreError> {
         let permit = lock(&self.circuit).admit(self.clock.now(), urgent);
         let permit = permit.map_err(|retry_in| suspended(key, retry_in))?;
-        let mut open = OpenCall {
-            circuit: &self.circuit,
-            clock: &*self.clock,
-            end: CallEnd::Abandoned,
-            permit: Some(permit),
-        };
+        let mut open = OpenCall { end: CallEnd::Abandoned, permit: Some(permit), store: self };
         let answer = call.await;
         open.end = match &answer {
             Err(error) if error.is_outage() => CallEnd::Failed,
@@ -96,17 +98,18 @@
 
 /// Hands the permit back, also when the caller drops the call.
 struct OpenCall<'a> {
-    circuit: &'a Mutex<Circuit>,
-    clock: &'a dyn Clock,
     end: CallEnd,
     permit: Option<Permit>,
+    store: &'a GuardedStore,
 }
 
 impl Drop for OpenCall<'_> {
     fn drop(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            lock(self.circuit).record(self.clock.now(), permit, self.end);
-        }
+        let Some(permit) = self.permit.take() else { return };
+        let mut circuit = lock(&self.store.circuit);
+        circuit.record(self.store.clock.now(), permit, self.end);
+        let state = circuit.state();
+        self.store.states.send_if_modified(|known| std::mem::replace(known, state) != state);
     }
 }
 
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -1,5 +1,5 @@
-//! Contract of the table service, as one table of cases that runs against the in-memory store and
-//! against the HTTP client with the stand-in service.
+//! Contract of the table service, as one table of cases that runs against the in-memory store, the
+//! same behind limiter and circuit, and the HTTP client with the stand-in service.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,40 +7,61 @@
 use bytes::Bytes;
 use skylarkpulley_standins::TableService;
 use skylarkpulley_store::{
-    Fault, Faults, HttpSettings, HttpStore, MemoryStore, Operation, Resolution, Store, StoreError,
-    WriteClass, put_resolved, resolve_put,
+    CircuitSettings, Fault, Faults, GuardedStore, HttpSettings, HttpStore, LimiterSettings,
+    MemoryStore, Operation, Resolution, Store, StoreError, WriteClass, put_resolved, resolve_put,
 };
+use skylarkpulley_types::SystemClock;
 
 const CLASS: WriteClass = WriteClass::Jobs;
 
-/// Time-out of both implementations for the cases that wait for it.
-const TIMEOUT: Duration = Duration::from_millis(300);
+/// Time-out for the calls that are never answered in time. All other calls have 15 s, so that a
+/// busy machine does not change the result.
+const HASTY: Duration = Duration::from_secs(1);
 
 /// One implementation under test.
 struct Subject {
     faults: Faults,
+    /// The same rows with the short time-out.
+    hasty: Arc<dyn Store>,
     name: &'static str,
     service: Option<TableService>,
     store: Arc<dyn Store>,
 }
 
+/// Puts limiter and circuit in front of `store`, with limits that the cases do not reach.
+fn guarded(store: MemoryStore) -> Arc<dyn Store> {
+    let limits = LimiterSettings { burst: 1000, ..LimiterSettings::default() };
+    let circuit = CircuitSettings { failures: u32::MAX, ..CircuitSettings::default() };
+    let clock = Arc::new(SystemClock::new());
+    Arc::new(GuardedStore::with_settings(Arc::new(store), clock, 1, limits, circuit))
+}
+
 async fn subjects() -> Vec<Subject> {
-    let memory = MemoryStore::new().with_timeout(TIMEOUT);
+    let (memory, other) = (MemoryStore::new(), MemoryStore::new());
     let service = TableService::start(([127, 0, 0, 1], 0).into()).await.unwrap();
-    let settings = HttpSettings { call: TIMEOUT, ..HttpSettings::default() };
-    let http = HttpStore::new(&service.url(), settings).unwrap();
+    let http = |call| HttpSettings { call, ..HttpSettings::default() };
+    let http = |call| HttpStore::new(&service.url(), http(call)).unwrap();
     vec![
         Subject {
             faults: memory.faults().clone(),
+            hasty: Arc::new(memory.clone().with_timeout(HASTY)),
             name: "memory",
             service: None,
             store: Arc::new(memory),
         },
+        Subject {
+            faults: other.faults().clone(),
+            hasty: guarded(other.clone().with_timeout(HASTY)),
+            name: "guarded",
+            service: None,
+            store: guarded(other),
+        },
         Subject {
             faults: service.faults().clone(),
+            hasty: Arc::new(http(HASTY)),
             name: "http",
+            store: Arc::new(http(HttpSettings::default().call)),
             service: Some(service),
-            store: Arc::new(http),
         },
     ]
 }
@@ -131,8 +152,13 @@
 /// effect, or may have, and is reported as not done.
 #[tokio::test]
 async fn store_single_fault() {
+    futures::future::join_all(subjects().await.into_iter().map(single_fault)).await;
+}
+
+async fn single_fault(subject: Subject) {
+    let Subject { name, store, hasty, faults, service } = subject;
     let slow = Fault::Slow(Duration::from_millis(20));
-    let stuck = Fault::Slow(Duration::from_secs(5));
+    let stuck = Fault::Slow(Duration::from_secs(30));
     // Fault, result of a write, whether the write took effect, result of a read.
     let table = [
         (Fault::Outage, "unavailable", false, "unavailable"),
@@ -141,29 +167,29 @@
         (Fault::LostAnswer, "lost answer", true, "unavailable"),
         (Fault::Race(text("rival")), "conflict", false, "ok"),
         (slow, "ok", true, "ok"),
-        (stuck, "lost answer", true, "timed out"),
+        (stuck.clone(), "lost answer", true, "timed out"),
         (Fault::StaleRead, "ok", true, "ok"),
     ];
-    for Subject { name, store, faults, service } in subjects().await {
-        for (at, (fault, write, effect, read)) in table.iter().enumerate() {
-            let key = format!("jobs/{at}");
-            let version = store.put(&key, 0, text("old"), CLASS).await.unwrap();
-            let calls = service.as_ref().map(|service| service.writes());
+    for (at, (fault, write, effect, read)) in table.iter().enumerate() {
+        let waits = *fault == Fault::Hang || *fault == stuck;
+        let subject = if waits { &hasty } else { &store };
+        let key = format!("jobs/{at}");
+        let version = store.put(&key, 0, text("old"), CLASS).await.unwrap();
+        let calls = service.as_ref().map(|service| service.writes());
 
-            faults.inject(Operation::Write, fault.clone());
-            let answer = store.put(&key, version, text("new"), CLASS).await;
-            let answer = answer.as_ref().map_or_else(kind, |_| "ok");
-            assert_eq!(answer, *write, "{name}: write under {fault:?}");
-            let row = store.get(&key).await.unwrap().unwrap();
-            assert_eq!(row.value == "new", *effect, "{name}: effect under {fault:?}");
-            let sent = service.as_ref().map(|service| service.writes());
-            assert_eq!(sent, calls.map(|calls| calls + 1), "{name}: resent under {fault:?}");
+        faults.inject(Operation::Write, fault.clone());
+        let answer = subject.put(&key, version, text("new"), CLASS).await;
+        let answer = answer.as_ref().map_or_else(kind, |_| "ok");
+        assert_eq!(answer, *write, "{name}: write under {fault:?}");
+        let row = store.get(&key).await.unwrap().unwrap();
+        assert_eq!(row.value == "new", *effect, "{name}: effect under {fault:?}");
+        let sent = service.as_ref().map(|service| service.writes());
+        assert_eq!(sent, calls.map(|calls| calls + 1), "{name}: resent under {fault:?}");
 
-            faults.inject(Operation::Read, fault.clone());
-            let answer = store.get(&key).await;
-            let answer = answer.as_ref().map_or_else(kind, |_| "ok");
-            assert_eq!(answer, *read, "{name}: read under {fault:?}");
-        }
+        faults.inject(Operation::Read, fault.clone());
+        let answer = subject.get(&key).await;
+        let answer = answer.as_ref().map_or_else(kind, |_| "ok");
+        assert_eq!(answer, *read, "{name}: read under {fault:?}");
     }
 }
 
@@ -230,7 +256,7 @@
         (vec![Fault::Race(text("rival"))], vec![], "conflict"),
         (vec![Fault::Outage], vec![], "unavailable"),
     ];
-    for Subject { name, store, faults, service } in subjects().await {
+    for Subject { name, store, faults, service, .. } in subjects().await {
         for (at, (writes, reads, expected)) in table.iter().enumerate() {
             let key = format!("jobs/{at}");
             let version = store.put(&key, 0, text("old"), CLASS).await.unwrap();
@@ -266,3 +292,52 @@
         assert_eq!(resolve(version + 2).await, Ok(Resolution::Applied(version + 3)), "{name}");
     }
 }
+
+/// Guards against edits that are lost or applied twice when several clients write one row while
+/// answers and requests get lost.
+#[tokio::test]
+async fn put_resolved_concurrent_edits() {
+    const WRITERS: usize = 4;
+    const EDITS: usize = 10;
+    for Subject { name, store, faults, .. } in subjects().await {
+        for at in 0..10 {
+            let fault = if at % 3 == 2 { Fault::LostRequest } else { Fault::LostAnswer };
+            faults.inject(Operation::Write, fault);
+        }
+        let writers = (0..WRITERS).map(|writer| edit_row(Arc::clone(&store), writer, EDITS));
+        let ended = futures::future::join_all(writers).await;
+        let row = store.get("tables").await.unwrap().unwrap();
+        let row = String::from_utf8(row.value.to_vec()).unwrap();
+        for (edit, end) in ended.into_iter().flatten() {
+            let times = row.split(' ').filter(|applied| *applied == edit).count();
+            let allowed = match end {
+                "ok" => 1..=1,
+                "conflict" | "unavailable" => 0..=0,
+                _ => 0..=1,
+            };
+            assert!(
+                allowed.contains(&times),
+                "{name}: {edit} ended as {end}, applied {times} times"
+            );
+        }
+    }
+}
+
+/// Appends edits to the row `tables` and returns how each ended.
+async fn edit_row(
+    store: Arc<dyn Store>,
+    writer: usize,
+    edits: usize,
+) -> Vec<(String, &'static str)> {
+    let mut ended = Vec::new();
+    for edit in 0..edits {
+        let id = format!("{writer}-{edit}");
+        let row = store.get("tables").await.unwrap();
+        let version = row.as_ref().map_or(0, |row| row.version);
+        let mut value = row.map_or_else(Vec::new, |row| row.value.to_vec());
+        value.extend(format!(" {id}").bytes());
+        let answer = put_resolved(&*store, "tables", version, value.into(), CLASS).await;
+        ended.push((id, answer.as_ref().map_or_else(kind, |_| "ok")));
+    }
+    ended
+}
--- a/crates/store/tests/guards.rs
+++ b/crates/store/tests/guards.rs
@@ -218,8 +218,13 @@
     clock.advance(SECOND);
     assert!(matches!(store.get("jobs/a").await, Err(StoreError::Unavailable { .. })));
     clock.advance(2 * SECOND);
+    let mut states = store.states();
     assert!(store.get("jobs/a").await.unwrap().is_some());
-    assert_eq!(store.state(), CircuitState::Slow);
+    assert!(states.has_changed().unwrap());
+    assert_eq!(
+        (store.state(), *states.borrow_and_update()),
+        (CircuitState::Slow, CircuitState::Slow)
+    );
 }
 
 /// Guards against a limiter task that loses a write or a token when callers give up.
