--- a/crates/store/src/write_class.rs
+++ b/crates/store/src/write_class.rs
@@ -34,7 +34,6 @@
         }
     }
 
-    #[allow(dead_code)]
     pub(crate) fn index(self) -> usize {
         self as usize
     }
