Test the ledger's rules one by one

Change: a test for each rule on a single ledger, and a fault case for a start with a member missing. The lead gives a member up after 90 % of the lease, so that the end of the gang names the silent member.

--- a/crates/ledger/src/lead.rs
+++ b/crates/ledger/src/lead.rs
@@ -84,11 +84,12 @@
         confirmed.min().flatten().map(|since| since + LEASE)
     }
 
-    /// Returns the member that has not answered for a whole lease, if any.
+    /// Returns a member that can no longer be renewed in time, if any. The limit is below the lease,
+    /// so that the lead names the member before the leases of the others run out.
     pub(crate) fn silent(&self, now: Instant) -> Option<&AgentId> {
         let silent = self.followers.iter().find(|(_, follower)| {
             let since = follower.confirmed.map(|at| now.saturating_duration_since(at));
-            since.unwrap_or(Duration::ZERO) >= LEASE
+            since.unwrap_or(Duration::ZERO) >= LEASE * 9 / 10
         });
         silent.map(|(member, _)| member)
     }
--- a/crates/ledger/tests/gangs/faults.rs
+++ b/crates/ledger/tests/gangs/faults.rs
@@ -119,6 +119,21 @@
     }
 }
 
+/// Guards against a start before every member is ready: with the commit of one member lost, no
+/// member ever starts, and all of them are free again.
+#[test]
+fn gang_waits_for_every_member() {
+    for to in 0..3 {
+        let mut sim = Sim::new();
+        strike(&mut sim, "commit", to, 1, Fate::Lose);
+        sim.submit("g", 1, 8, &[0, 1, 2]);
+        sim.run(3 * SECOND);
+        assert_sound(&sim, "commit lost");
+        assert!(sim.started.is_empty(), "commit to {to} lost");
+        assert_eq!(sim.grants("g"), 0);
+    }
+}
+
 /// Guards against members that go on after another one failed, and tells how the gang ended.
 #[test]
 fn gang_member_ends() {
--- a/crates/ledger/tests/gangs/main.rs
+++ b/crates/ledger/tests/gangs/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod interleavings;
+mod ledger;
 mod sim;
