Test the key table's rules one by one

Change: entries with old maps, messages that arrive much later, targets that still run when asked; a test for each rule on a single table.

--- a/crates/keys/tests/table/interleavings.rs
+++ b/crates/keys/tests/table/interleavings.rs
@@ -14,6 +14,10 @@
     Deliver(u8),
     Drop(u8),
     Duplicate(u8),
+    Stash(u8),
+    Late(u8),
+    Run(u8),
+    CrashOwner,
     Flush,
     Advance(u16),
     Tick(u8),
@@ -29,21 +33,25 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let (a, b) = (u8::arbitrary(g), u8::arbitrary(g));
-        match u8::arbitrary(g) % 40 {
-            0..6 => Self::Request(a, b),
-            6..8 => Self::Resend(a),
-            8..20 => Self::Deliver(a),
-            20 => Self::Drop(a),
-            21..23 => Self::Duplicate(a),
-            23..27 => Self::Flush,
-            27..29 => Self::Advance(u16::arbitrary(g) % 3000),
-            29..31 => Self::Tick(a),
-            31 => Self::Crash(a),
-            32 => Self::Restart(a),
-            33 => Self::Pause(a),
-            34 => Self::Resume(a),
-            35..38 => Self::Plan(a),
-            38 => Self::Journal,
+        match u8::arbitrary(g) % 48 {
+            0..7 => Self::Request(a, b),
+            7..9 => Self::Resend(a),
+            9..18 => Self::Deliver(a),
+            18 => Self::Drop(a),
+            19 => Self::Duplicate(a),
+            20..23 => Self::Stash(a),
+            23..26 => Self::Late(a),
+            26..31 => Self::Flush,
+            31 => Self::Advance(u16::arbitrary(g) % 3000),
+            32 => Self::Tick(a),
+            33..35 => Self::Run(a),
+            35 => Self::Crash(a),
+            36 => Self::CrashOwner,
+            37..39 => Self::Restart(a),
+            39 => Self::Pause(a),
+            40 => Self::Resume(a),
+            41..46 => Self::Plan(a),
+            46 => Self::Journal,
             _ => Self::KillEntry(a),
         }
     }
@@ -65,9 +73,28 @@
     let pick = |number: u8, len: usize| (len > 0).then(|| usize::from(number) % len);
     let agent = |number: u8| usize::from(number) % AGENTS;
     match step {
+        // Most entries have the current map; some are a version or two behind.
         Step::Request(a, b) => {
-            sim.request(&key(usize::from(a % 2)), u64::from(b == 0), agent(b));
+            let behind = usize::from(a / 4 % 8).saturating_sub(5);
+            let body = u64::from(b > 250);
+            sim.request_stale(&key(usize::from(a % 4 == 0)), body, agent(b), behind);
         }
+        Step::Stash(a) => {
+            if let Some(position) = pick(a, sim.wire.len()) {
+                sim.late.push(sim.wire[position].clone());
+            }
+        }
+        Step::Late(a) => {
+            if let Some(position) = pick(a, sim.late.len()) {
+                sim.wire.push(sim.late[position].clone());
+                sim.flush();
+            }
+        }
+        Step::Run(a) => sim.run(usize::from(a % 8), Duration::from_millis(700)),
+        Step::CrashOwner if sim.settled().is_some() => {
+            sim.owner().into_iter().for_each(|owner| sim.crash(owner));
+        }
+        Step::CrashOwner => sim.flush(),
         Step::Resend(a) => pick(a, sim.attempts()).into_iter().for_each(|n| sim.resend(n)),
         Step::KillEntry(a) => pick(a, sim.attempts()).into_iter().for_each(|n| sim.kill_entry(n)),
         Step::Deliver(a) => {
@@ -91,9 +118,13 @@
         Step::Restart(a) => sim.restart(agent(a)),
         Step::Pause(a) => sim.agents[agent(a)].paused = true,
         Step::Resume(a) => sim.agents[agent(a)].paused = false,
-        // Half of the plans see every live agent, the others miss one that lives.
+        // Half of the plans see every live agent; the others miss the owner or another one.
         Step::Plan(a) if a % 2 == 0 => sim.plan(0, sim.settled()),
-        Step::Plan(a) => sim.plan(1 << agent(a / 2), sim.settled()),
+        Step::Plan(a) if a % 4 == 1 && sim.settled().is_some() => {
+            sim.plan(1 << sim.owner().unwrap_or(0), None);
+        }
+        Step::Plan(a) if a % 4 == 1 => sim.flush(),
+        Step::Plan(a) => sim.plan(1 << agent(a / 4), sim.settled()),
         Step::Journal => sim.store_journal(),
     }
 }
--- a/crates/keys/tests/table/main.rs
+++ b/crates/keys/tests/table/main.rs
@@ -2,3 +2,4 @@
 
 mod interleavings;
 mod sim;
+mod table;
--- a/crates/keys/tests/table/sim.rs
+++ b/crates/keys/tests/table/sim.rs
@@ -61,6 +61,7 @@
 struct Sent {
     key: String,
     request: ReserveRequest,
+    owner: Option<Place>,
     /// False once the entry has died or given up; it then sends nothing more.
     live: bool,
     ran: bool,
@@ -69,6 +70,10 @@
 pub struct Sim {
     pub agents: Vec<Agent>,
     pub wire: Vec<Packet>,
+    /// Copies of messages that the network delivers much later.
+    pub late: Vec<Packet>,
+    /// Every map that was in force; entries may use old ones.
+    pub maps: Vec<RangeMap>,
     pub map: RangeMap,
     pub now: Instant,
     /// Fault on purpose: the owner is told that the witness holds a record that it never got.
@@ -78,6 +83,7 @@
     sent: Vec<Sent>,
     granted: BTreeMap<String, BTreeSet<usize>>,
     disproved: BTreeSet<usize>,
+    asked: BTreeSet<usize>,
     executed: BTreeMap<String, BTreeSet<usize>>,
     copied: BTreeSet<(String, usize)>,
     answers: BTreeMap<String, Arc<Response>>,
@@ -105,6 +111,8 @@
         let mut sim = Self {
             agents: agents.collect(),
             wire: Vec::new(),
+            late: Vec::new(),
+            maps: Vec::new(),
             map: RangeMap { version: 0, ranges: vec![Default::default(); RANGES] },
             now: Instant::now() + Duration::from_secs(1000),
             skip_witness: false,
@@ -113,6 +121,7 @@
             sent: Vec::new(),
             granted: BTreeMap::new(),
             disproved: BTreeSet::new(),
+            asked: BTreeSet::new(),
             executed: BTreeMap::new(),
             copied: BTreeSet::new(),
             answers: BTreeMap::new(),
@@ -142,6 +151,7 @@
         }
         self.ever_sealed |= next.ranges[RANGE].sealed;
         self.map = next;
+        self.maps.push(self.map.clone());
         for to in 0..AGENTS {
             self.send(to, Message::Map(self.map.clone()));
         }
@@ -184,8 +194,14 @@
 
     /// Sends a new attempt for `key` through an entry and returns its number.
     pub fn request(&mut self, key: &str, body: u64, target: usize) -> usize {
+        self.request_stale(key, body, target, 0)
+    }
+
+    /// Does the same through an entry whose map is `behind` versions old.
+    pub fn request_stale(&mut self, key: &str, body: u64, target: usize, behind: usize) -> usize {
         let number = self.sent.len();
-        let range = &self.map.ranges[RANGE];
+        let map = &self.maps[self.maps.len().saturating_sub(1 + behind)];
+        let (range, owner) = (&map.ranges[RANGE], map.ranges[RANGE].owner.clone());
         let request = ReserveRequest {
             range: RANGE,
             epoch: range.epoch,
@@ -196,16 +212,16 @@
             budget: Duration::from_secs(2),
         };
         let key = key.to_owned();
-        self.sent.push(Sent { key, request, live: true, ran: false });
+        self.sent.push(Sent { key, request, owner, live: true, ran: false });
         self.resend(number);
         number
     }
 
-    /// Repeats the reservation of attempt `number`.
+    /// Repeats the reservation of attempt `number` at the same owner.
     pub fn resend(&mut self, number: usize) {
         let Some(sent) = self.sent.get(number).filter(|sent| sent.live) else { return };
-        let (Some(owner), request) = (self.owner(), sent.request.clone()) else { return };
-        self.send(owner, Message::Reserve(number, request));
+        let (Some(owner), request) = (sent.owner.clone(), sent.request.clone()) else { return };
+        self.send_place(&owner, Message::Reserve(number, request));
     }
 
     /// The entry of attempt `number` dies: it neither runs nor completes it any more.
@@ -394,13 +410,16 @@
     }
 
     fn look_up(&mut self, to: usize, from: &Place, attempt: Attempt) {
+        let number = Self::number(&attempt.attempt);
         let known = self.agents[to].attempts.entry(attempt.attempt.clone()).or_insert(None);
         let result = match known {
+            // Every fourth attempt still runs when it is first asked for.
+            Some(_) if number % 4 == 2 && self.asked.insert(number) => LookupResult::Running,
             Some(response) => LookupResult::Answered(Arc::new(response.clone())),
             None => LookupResult::NotRun,
         };
         if result == LookupResult::NotRun {
-            self.disproved.insert(Self::number(&attempt.attempt));
+            self.disproved.insert(number);
         }
         self.send_place(from, Message::LookedUp(attempt, result));
     }
--- a/crates/ledger/tests/gangs/ledger.rs
+++ b/crates/ledger/tests/gangs/ledger.rs
@@ -169,14 +169,16 @@
 /// Guards against a small pending hold that takes what a larger one ahead of it waits for.
 #[test]
 fn pending_holds_keep_their_order() {
-    let mut bench = Bench::new().with_reservation("i", 8);
+    let mut bench = Bench::new().with_reservation("i", 4);
     bench.start_remote(&borrowed("big", 1, 5));
-    bench.commit(&borrowed("small", 1, 3), other());
-    assert_eq!(bench.hold(&claim("claim", "i", 8, &["big", "small"])), HoldReply::Pending);
-    assert!(matches!(bench.hold(&borrowed("late", 0, 3)), HoldReply::Refused(_)));
+    bench.commit(&borrowed("small", 1, 3), me());
+    assert_eq!(bench.hold(&claim("claim", "i", 4, &["big"])), HoldReply::Pending);
+    assert!(matches!(bench.hold(&borrowed("late", 0, 2)), HoldReply::Refused(_)));
+    assert_eq!(bench.hold(&borrowed("next", 0, 1)), HoldReply::Pending);
+    bench.ledger.worker("small", 1, WorkerEvent::Finished, bench.now);
     assert_eq!(bench.gangs(), ["big"]);
     bench.ledger.worker("big", 1, WorkerEvent::Finished, bench.now);
-    assert_eq!(bench.gangs(), ["claim"]);
+    assert_eq!(bench.gangs(), ["claim", "next"]);
 }
 
 /// Guards against two gangs that claim one instance, and a reservation that is not restored (L4).
