--- a/crates/keys/src/key_table.rs
+++ b/crates/keys/src/key_table.rs
@@ -191,7 +191,9 @@
         if entry.record.state != RecordState::Granted || entry.record.attempt != attempt.attempt {
             return actions;
         }
+        let forgotten = entry.age(now) >= self.limits.attempts;
         match result {
+            LookupResult::NotRun if forgotten => self.settle(attempt, None, now),
             LookupResult::Running => entry.lookups = 0,
             LookupResult::NoAnswer if entry.lookups < LOOKUP_TRIES => {}
             LookupResult::NoAnswer | LookupResult::Unknown => self.settle(attempt, None, now),
--- a/crates/keys/src/limits.rs
+++ b/crates/keys/src/limits.rs
@@ -10,11 +10,19 @@
     pub bytes: usize,
     /// Time for which a finished key is remembered.
     pub retention: Duration,
+    /// Time for which every agent remembers the attempts that it has received. What a target says
+    /// of an older attempt proves nothing, because it may have forgotten it.
+    pub attempts: Duration,
 }
 
 impl Default for Limits {
     /// 2.5 MiB per range keep an agent with the 12 ranges of an 11-agent pool near 30 MB.
     fn default() -> Self {
-        Self { records: 16_384, bytes: 2_621_440, retention: Duration::from_secs(24 * 3600) }
+        Self {
+            records: 16_384,
+            bytes: 2_621_440,
+            retention: Duration::from_secs(24 * 3600),
+            attempts: Duration::from_secs(600),
+        }
     }
 }
--- a/crates/keys/src/message.rs
+++ b/crates/keys/src/message.rs
@@ -111,7 +111,8 @@
     Running,
     /// Ended with this response.
     Answered(Arc<Response>),
-    /// Not run, and it will not run any more.
+    /// Not run, and it will not run any more. Counts only as long as the target remembers all
+    /// attempts of that age, see `Limits::attempts`.
     NotRun,
     /// The outcome cannot be known: the attempt ended without a complete response, or the target
     /// is another incarnation.
--- a/crates/keys/tests/table/table.rs
+++ b/crates/keys/tests/table/table.rs
@@ -307,6 +307,18 @@
     }
 }
 
+/// Guards against a second run after the target has forgotten the first one.
+#[test]
+fn lookup_of_forgotten_attempt_is_unknown() {
+    let mut bench = Bench::new(Limits::default());
+    let key = key(0);
+    bench.reserve(0, &key, "a");
+    bench.now += Limits::default().attempts;
+    let actions = bench.tables[0].looked_up(&attempt(&key, "a"), LookupResult::NotRun, bench.now);
+    bench.act(0, actions);
+    assert_eq!(bench.reserve(0, &key, "b"), Some(KeyReply::Unknown));
+}
+
 /// Guards against a key that stays in progress for ever when its target never answers.
 #[test]
 fn lookup_gives_up() {
--- a/crates/ledger/src/membership.rs
+++ b/crates/ledger/src/membership.rs
@@ -82,8 +82,12 @@
         match grant.stage {
             Stage::Pending { .. } => return Err(not_held),
             Stage::Held { .. } => {}
-            // A repeat of a commit that took effect.
-            _ => return Ok(()),
+            // A repeat of the commit that took effect, as opposed to one of another proposer.
+            _ if grant.lead.as_ref() == Some(lead) => return Ok(()),
+            _ => {
+                let (gang, epoch) = (commit.gang.clone(), commit.epoch);
+                return Err(Refusal::Committed { gang, epoch });
+            }
         }
         grant.stage = Stage::Committed { since: now, told: now };
         grant.lead = Some(lead.clone());
--- a/crates/ledger/tests/gangs/ledger.rs
+++ b/crates/ledger/tests/gangs/ledger.rs
@@ -305,6 +305,17 @@
     assert_eq!(bench.hold(&Hold { epoch: 7, ..borrowed("a", 1, 8) }), HoldReply::Refused(refusal));
 }
 
+/// Guards against a repeated commit that is refused, and one of a second proposer that is taken for
+/// a repeat.
+#[test]
+fn commit_repeats() {
+    let mut bench = Bench::new();
+    bench.commit(&borrowed("a", 1, 8), other());
+    assert_eq!(bench.try_commit("a", 1, other()).0, Ok(()));
+    let refusal = Refusal::Committed { gang: "a".to_owned(), epoch: 1 };
+    assert_eq!(bench.try_commit("a", 1, me()).0, Err(refusal));
+}
+
 /// Guards against a member that runs past its lease, counted from its own message and shortened by
 /// the drift allowance of 1 %, and against a renewal that revives it.
 #[test]
