Account keys with the memory that they occupy

Cause: the account of a range's bytes was 704 bytes per key while a key occupied 1,126 bytes, so that the limit did not bound the memory.

Records are boxed, finished records drop their target, and the fixed part of the account is 608 bytes.

--- a/crates/keys/src/key_table.rs
+++ b/crates/keys/src/key_table.rs
@@ -792,7 +792,7 @@
         attempt: String::new(),
         digest: Default::default(),
         state: RecordState::Released,
-        target: Place::new(AgentId::new("", 0), ""),
+        target: Place::nowhere(),
         age: Duration::ZERO,
         budget: Duration::ZERO,
     }
--- a/crates/keys/src/place.rs
+++ b/crates/keys/src/place.rs
@@ -15,4 +15,9 @@
     pub fn new(agent: AgentId, control: &str) -> Self {
         Self { agent, control: control.to_owned() }
     }
+
+    /// Returns the target of a record that is no longer in progress.
+    pub(crate) fn nowhere() -> Self {
+        Self::new(AgentId::new("", 0), "")
+    }
 }
--- a/crates/keys/src/record.rs
+++ b/crates/keys/src/record.rs
@@ -36,7 +36,7 @@
     pub digest: Digest,
     /// What is known of the attempt.
     pub state: RecordState,
-    /// The agent that the attempt is sent to.
+    /// The agent that the attempt is sent to; empty unless the record is in progress.
     pub target: Place,
     /// Time since `state` was entered.
     pub age: Duration,
@@ -45,9 +45,10 @@
 }
 
 impl KeyRecord {
-    /// Fixed part of a record's memory: the struct, map node share and allocator overhead.
+    /// Fixed part of a record's memory: the struct, its share of map nodes and of the key sets, and
+    /// the allocator's overhead.
     /// `table_memory_per_key` measures it.
-    const OVERHEAD: usize = 384;
+    const OVERHEAD: usize = 608;
 
     /// Returns the bytes that the record is accounted with.
     pub fn size(&self) -> usize {
--- a/crates/keys/src/records.rs
+++ b/crates/keys/src/records.rs
@@ -2,7 +2,7 @@
 use std::ops::Bound;
 use std::time::{Duration, Instant};
 
-use crate::{KeyRecord, RecordState};
+use crate::{KeyRecord, Place, RecordState};
 
 /// Who waits for the copy of a record.
 #[derive(Clone, Copy, Debug)]
@@ -41,18 +41,19 @@
 /// The records of one range with their size.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Records {
-    entries: BTreeMap<String, Entry>,
+    /// Boxed, because nodes of the map are a third empty.
+    entries: BTreeMap<String, Box<Entry>>,
     bytes: usize,
     changes: u64,
 }
 
 impl Records {
     pub(crate) fn get(&self, key: &str) -> Option<&Entry> {
-        self.entries.get(key)
+        self.entries.get(key).map(Box::as_ref)
     }
 
     pub(crate) fn get_mut(&mut self, key: &str) -> Option<&mut Entry> {
-        self.entries.get_mut(key)
+        self.entries.get_mut(key).map(Box::as_mut)
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -64,14 +65,14 @@
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+        self.entries.values().map(Box::as_ref)
     }
 
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
-        self.entries.values_mut()
+        self.entries.values_mut().map(Box::as_mut)
     }
 
-    pub(crate) fn after(&self, key: Option<&String>) -> Range<'_, String, Entry> {
+    pub(crate) fn after(&self, key: Option<&String>) -> Range<'_, String, Box<Entry>> {
         let start = key.map_or(Bound::Unbounded, |key| Bound::Excluded(key.clone()));
         self.entries.range((start, Bound::Unbounded))
     }
@@ -94,7 +95,7 @@
             change: self.changes,
             record,
         };
-        self.entries.insert(entry.record.key.clone(), entry);
+        self.entries.insert(entry.record.key.clone(), Box::new(entry));
     }
 
     /// Replaces the state of `key`; its age starts anew.
@@ -102,6 +103,10 @@
         let Some(entry) = self.entries.get_mut(key) else { return };
         self.bytes -= entry.record.size();
         self.changes += 1;
+        if state.is_finished() {
+            // Only an attempt in progress is looked up at its target.
+            entry.record.target = Place::nowhere();
+        }
         entry.record.state = state;
         entry.record.age = Duration::ZERO;
         entry.since = now;
@@ -114,6 +119,6 @@
     pub(crate) fn remove(&mut self, key: &str) -> Option<Entry> {
         let entry = self.entries.remove(key)?;
         self.bytes -= entry.record.size();
-        Some(entry)
+        Some(*entry)
     }
 }
