--- /dev/null
+++ b/crates/keys/benches/keyed_request.rs
@@ -0,0 +1,80 @@
+//! Cost of one keyed request at owner and witness, without the network.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use skylarkpulley_keys::{
+    Action, Attempt, KeyRange, KeyTable, Limits, Place, RANGES, RangeMap, ReserveRequest, Response,
+    range_of,
+};
+use skylarkpulley_types::{AgentId, Digest};
+
+fn place(index: usize) -> Place {
+    Place::new(AgentId::new(&format!("balance-agent-{index}"), 1), "10.20.30.40:7400")
+}
+
+fn exchange(tables: &mut [KeyTable; 2], mut actions: Vec<Action>, now: Instant) {
+    while let Some(action) = actions.pop() {
+        if let Action::Copy { copy, .. } = action {
+            let (reply, _) = tables[1].copy(&copy, now);
+            actions.extend(tables[0].copied(reply, now));
+        }
+    }
+}
+
+fn tables(now: Instant) -> [KeyTable; 2] {
+    let mut tables = [0, 1].map(|index| KeyTable::new(place(index).agent, Limits::default()));
+    let (owner, witness) = (Some(place(0)), Some(place(1)));
+    let range = KeyRange { epoch: 1, fresh: 1, owner, witness, sealed: false };
+    let map = RangeMap { version: 1, ranges: vec![range; RANGES] };
+    for index in [1, 0] {
+        let actions = tables[index].apply_map(&map, now);
+        exchange(&mut tables, actions, now);
+    }
+    tables
+}
+
+/// Reserves and answers key `number`.
+fn settle(tables: &mut [KeyTable; 2], number: usize, now: Instant) {
+    let key = format!("0192f0c1-7a2b-7cc3-8d4e-{number:012}");
+    let (range, name) = (range_of(&key), format!("entry-3/{number}"));
+    let request = ReserveRequest {
+        range,
+        epoch: 1,
+        key: key.clone(),
+        attempt: name.clone(),
+        digest: Digest(number as u64),
+        target: place(2),
+        budget: Duration::from_millis(800),
+    };
+    let actions = tables[0].reserve(1, request, now);
+    exchange(tables, actions, now);
+    let attempt = Attempt { range, key, attempt: name };
+    let response = Some(Response::new(200, &[b'x'; 120]));
+    let actions = tables[0].complete(1, &attempt, response, now);
+    exchange(tables, actions, now);
+}
+
+fn bench(c: &mut Criterion) {
+    let now = Instant::now();
+    let mut loaded = tables(now);
+    (0..100_000).for_each(|number| settle(&mut loaded, number, now));
+    c.bench_function("reserve and complete 1000 keys, 100,000 held", |b| {
+        b.iter_batched_ref(
+            || loaded.clone(),
+            |tables| (100_000..101_000).for_each(|number| settle(tables, number, now)),
+            BatchSize::LargeInput,
+        );
+    });
+    c.bench_function("tick of an owner, 100,000 held", |b| {
+        b.iter(|| black_box(loaded[0].tick(now)));
+    });
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(20);
+    targets = bench
+}
+criterion_main!(benches);
