--- a/crates/keys/tests/table/table.rs
+++ b/crates/keys/tests/table/table.rs
@@ -398,6 +398,25 @@
     assert_eq!(bench.tables[2].fence(&fence, bench.now).0.seen, 3);
 }
 
+/// Guards against more messages to the witness than the costs in docs/at-most-once.md.
+#[test]
+fn copies_per_request() {
+    let mut bench = Bench::new(Limits::default());
+    bench.copies.clear();
+    bench.reserve(0, &key(0), "a");
+    bench.complete(&key(0), "a", ok("yes"));
+    assert_eq!(bench.copies.len(), 2);
+    bench.cut = vec![1];
+    (1..51).for_each(|number| assert_eq!(bench.reserve(0, &key(number), "a"), None));
+    bench.cut.clear();
+    bench.tick(0, SECOND / 2);
+    let granted = Action::Reply { ticket: 1, reply: KeyReply::Granted };
+    assert_eq!(bench.rest.iter().filter(|action| **action == granted).count(), 50);
+    let sequences: std::collections::BTreeSet<u64> =
+        bench.copies.iter().skip(2).map(|copy| copy.sequence).collect();
+    assert_eq!(sequences.len(), 2);
+}
+
 /// Guards against finished records that never reach the journal when the store fails.
 #[test]
 fn journal_retries_failed_batches() {
