Replay event lists against the placement core and baselines

Cause: the targets for completion time and fragmentation need a measurement against FIFO first-fit, FIFO best-fit and EASY.

Change: crates/bench/src/replay with six scenarios, three baselines and the measures; an example that prints the table; a criterion bench of one decision. Jitter comes from fastrand instead of own code.

--- /dev/null
+++ b/crates/bench/benches/placement.rs
@@ -0,0 +1,164 @@
+//! Cost of one decision by size of the pool.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use skylarkpulley_placement::{Action, Event, HoldResult, JobSpec, Placer, WorkerReport};
+use skylarkpulley_tables::{Domain, Guarantee, Pool, PoolKind, Team};
+use skylarkpulley_types::{AgentId, Locality, Shape};
+
+const SIZES: [u32; 4] = [11, 100, 1000, 5000];
+
+/// `workers` workers of 8 accelerators in racks of three over five failure domains, 310 teams; each
+/// tenth worker is covered by a guarantee.
+fn pool(workers: u32) -> Pool {
+    let domains = (0..5).map(|domain| {
+        let mut left = workers / 5 + u32::from(domain < workers % 5);
+        let mut racks = Vec::new();
+        while left > 0 {
+            racks.push(left.min(3));
+            left -= left.min(3);
+        }
+        Domain { name: format!("d{domain}"), racks }
+    });
+    let teams = (0..310).map(|team| Team { name: format!("t{team}"), weight: 1 + team % 4 });
+    Pool {
+        name: "bench".to_owned(),
+        kind: PoolKind::Worker,
+        slots: 0,
+        connections: 0,
+        objective: 0.5,
+        cores: 64,
+        memory_mib: 262_144,
+        accelerators: 8,
+        domains: domains.collect(),
+        teams: teams.collect(),
+        guarantees: vec![
+            Guarantee {
+                name: "wide".to_owned(),
+                team: "t0".to_owned(),
+                shape: Shape::new(8, (workers / 20).clamp(1, 128), Locality::Pool),
+                count: 1,
+            },
+            Guarantee {
+                name: "one".to_owned(),
+                team: "t1".to_owned(),
+                shape: Shape::new(8, 1, Locality::Worker),
+                count: (workers / 20).clamp(1, 16),
+            },
+        ],
+    }
+}
+
+struct Loaded {
+    placer: Placer,
+    now: Instant,
+    number: usize,
+}
+
+impl Loaded {
+    /// Returns a placer with all workers and 3.2 running tasks per worker, 16,000 at 5,000.
+    fn new(workers: u32) -> Self {
+        let pool = pool(workers);
+        let now = Instant::now();
+        let mut placer = Placer::new(&pool, now).with_seed(1);
+        let mut number = 0;
+        for domain in &pool.domains {
+            for (rack, count) in domain.racks.iter().enumerate() {
+                for _ in 0..*count {
+                    number += 1;
+                    let agent = AgentId::new(&format!("w{number}"), 0);
+                    let (domain, rack) = (domain.name.clone(), format!("r{rack}"));
+                    let event =
+                        Event::WorkerJoined { agent: agent.clone(), domain, rack, accelerators: 8 };
+                    placer.handle(event, now);
+                    let report = WorkerReport::default();
+                    placer.handle(Event::WorkerReport { agent, report }, now);
+                }
+            }
+        }
+        let mut loaded = Self { placer, now, number: 0 };
+        for ix in 0..workers as usize * 16 / 5 {
+            loaded.number += 1;
+            let mut spec = JobSpec::new(
+                &format!("j{}", loaded.number),
+                &format!("t{}", ix % 310),
+                Shape::new(1 + ix as u32 % 3, 1, Locality::Worker),
+            );
+            spec.run_time = Duration::from_secs(3600 + ix as u64 % 7200);
+            loaded.submit(spec);
+        }
+        loaded
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        self.placer.handle(Event::Submit(spec), self.now);
+        let actions = self.placer.decide(self.now);
+        for action in &actions {
+            self.start(action);
+        }
+    }
+
+    fn start(&mut self, action: &Action) {
+        let Action::Place { job, epoch, members, .. } = action else { return };
+        let (epoch, now) = (*epoch, self.now);
+        for member in members {
+            let (job, worker) = (job.clone(), member.worker.clone());
+            let result = HoldResult::Held;
+            self.placer.handle(Event::Hold { job, epoch, worker, result }, now);
+        }
+        self.placer.handle(Event::GangStarted { job: job.clone(), epoch }, now);
+    }
+
+    /// Submits one job, decides, and cancels it again, so that the state stays the same.
+    fn decide(&mut self, shape: Shape, claim: Option<&str>) -> Duration {
+        self.number += 1;
+        let id = format!("j{}", self.number);
+        let mut spec = JobSpec::new(&id, if claim.is_some() { "t0" } else { "t2" }, shape);
+        spec.claim = claim.map(str::to_owned);
+        let start = Instant::now();
+        self.placer.handle(Event::Submit(spec), self.now);
+        black_box(self.placer.decide(self.now));
+        let taken = start.elapsed();
+        self.placer.handle(Event::Cancel { job: id }, self.now);
+        for _ in 0..4 {
+            self.placer.decide(self.now);
+        }
+        taken
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("placement");
+    group.sample_size(20).measurement_time(Duration::from_secs(2));
+    for workers in SIZES {
+        let mut loaded = Loaded::new(workers);
+        let gang = (workers / 20).clamp(1, 128);
+        let cases = [
+            ("small", Shape::new(1, 1, Locality::Worker), None),
+            ("rack", Shape::new(2, 2, Locality::Rack), None),
+            ("gang", Shape::new(1, gang.max(128.min(workers / 4)), Locality::Pool), None),
+            ("blocked", Shape::new(8, workers, Locality::Pool), None),
+        ];
+        for (name, shape, claim) in cases {
+            group.bench_function(BenchmarkId::new(name, workers), |bencher| {
+                bencher.iter_custom(|rounds| {
+                    (0..rounds).map(|_| loaded.decide(shape, claim)).sum::<Duration>()
+                });
+            });
+        }
+        // A claim changes the state for good; the loaded placer is made anew for each sample.
+        let shape = Shape::new(8, gang, Locality::Pool);
+        group.sample_size(10).bench_function(BenchmarkId::new("claim", workers), |bencher| {
+            bencher.iter_custom(|rounds| {
+                let once = |_| Loaded::new(workers).decide(shape, Some("wide"));
+                (0..rounds).map(once).sum::<Duration>()
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder while the crate is being set up.
+//! Replays of event lists and baselines for the benches.
+
+pub mod replay;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,7 +9,6 @@
 mod job;
 mod pack;
 mod placer;
-mod rng;
 mod status;
 mod worker;
 
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use skylarkpulley_tables::Pool;
 use skylarkpulley_types::Shape;
 
@@ -8,7 +9,6 @@
 use crate::free_index::FreeIndex;
 use crate::instance::Instance;
 use crate::job::{After, Answer, Job, State};
-use crate::rng::Rng;
 use crate::worker::{Grant, Worker};
 use crate::{Action, Event, GangEnd, GangMember, HoldResult, JobSpec, PreemptMode};
 
@@ -141,7 +141,7 @@
             now,
             settle_until: now + SETTLE,
             settled: false,
-            rng: Rng::new(0),
+            rng: Rng::with_seed(0),
             out: Vec::new(),
             workers: Vec::new(),
             spare_workers: Vec::new(),
@@ -179,7 +179,7 @@
 
     /// Uses `seed` for the jitter of retries; differs between entries.
     pub fn with_seed(mut self, seed: u64) -> Self {
-        self.rng = Rng::new(seed);
+        self.rng = Rng::with_seed(seed);
         self
     }
 
@@ -523,7 +523,7 @@
         let (id, epoch) = (job.spec.id.clone(), job.epoch);
         let reason = reason.to_owned();
         self.out.push(Action::Release { job: id, epoch, members, reason: reason.clone() });
-        let backoff = Duration::from_millis(base / 2 + self.rng.below(base));
+        let backoff = Duration::from_millis(base / 2 + self.rng.u64(0..base));
         self.release(ix);
         self.requeue(ix, backoff, &reason);
     }
@@ -603,7 +603,7 @@
             GangEnd::Failed { worker } => self.task_failed(ix, worker, &members),
             GangEnd::LeaseLapsed | GangEnd::Stopped => {
                 self.probe_ended(ix, &members, true);
-                let backoff = Duration::from_millis(self.rng.below(100));
+                let backoff = Duration::from_millis(self.rng.u64(0..100));
                 self.requeue(ix, backoff, "gang stopped; continues from its checkpoint");
             }
         }
--- a/crates/placement/src/placer/health.rs
+++ b/crates/placement/src/placer/health.rs
@@ -33,7 +33,7 @@
         let worker = self.worker_of(agent).filter(|worker| members.iter().any(|m| m.0 == *worker));
         self.probe_ended(ix, members, worker.is_none());
         let backoff = Duration::from_millis(500 << tries.min(6));
-        let backoff = backoff / 2 + Duration::from_millis(self.rng.below(500 << tries.min(6)));
+        let backoff = backoff / 2 + Duration::from_millis(self.rng.u64(0..500 << tries.min(6)));
         let Some(worker) = worker else {
             return self.requeue(ix, backoff, "failed on a worker that is gone");
         };
