--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -92,8 +92,8 @@
     Holding {
         answers: Vec<Answer>,
     },
-    /// All members are held; waiting for the start.
-    Committing,
+    /// All members are held; waiting for the start until this time.
+    Committing(Instant),
     Running,
     /// A stop was sent; waiting for the end.
     Stopping(After),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -77,6 +77,8 @@
     job: usize,
     start: Instant,
     made: Instant,
+    /// Version of the estimates it rests on.
+    version: u64,
     /// Per worker of the set, the accelerators that stay free next to the job.
     spare: BTreeMap<usize, u32>,
     /// Preemptions were sent to make room.
@@ -382,7 +384,7 @@
         }
     }
 
-    /// Records a decided gang and asks for its holds.
+    /// Records a decided gang and asks for its holds. `victims` is sorted.
     fn place(
         &mut self,
         ix: usize,
@@ -399,7 +401,7 @@
         let accelerators = self.job(ix).spec.shape.accelerators;
         let mut members = Vec::new();
         for worker in workers {
-            let on = |grant: &&Grant| victims.contains(&grant.job) || grant.evicting;
+            let on = |grant: &&Grant| victims.binary_search(&grant.job).is_ok() || grant.evicting;
             let evicted = self.workers[*worker].grants.iter().filter(on);
             let evict = evicted.map(|grant| self.job(grant.job).spec.id.clone()).collect();
             let agent = self.workers[*worker].agent.clone();
@@ -473,7 +475,7 @@
         }
         let State::Holding { answers } = &self.job(ix).state else { return };
         if answers.iter().all(|answer| *answer == Answer::Held) {
-            self.job_mut(ix).state = State::Committing;
+            self.job_mut(ix).state = State::Committing(self.now + START_LIMIT);
             let epoch = self.job(ix).epoch;
             self.set_timer(START_LIMIT, Timer::Hold(ix, epoch));
         }
@@ -502,12 +504,9 @@
                 }
                 self.set_timer(PENDING_LIMIT - waited, Timer::Hold(ix, epoch));
             }
-            // The timer of the holding phase may fire first; the one of this phase is later.
-            State::Committing if waited >= START_LIMIT => {
-                let due = self.timers.iter().any(|(_, timer)| *timer == Timer::Hold(ix, epoch));
-                if !due {
-                    self.retry(ix, "committed gang did not start in time");
-                }
+            // The timers of the holding phase may fire before.
+            State::Committing(until) if self.now >= *until => {
+                self.retry(ix, "committed gang did not start in time");
             }
             _ => {}
         }
@@ -544,6 +543,7 @@
     /// Takes the grants of a gang off the books.
     fn release(&mut self, ix: usize) {
         self.account(ix, false);
+        self.end_probe(ix);
         let members = std::mem::take(&mut self.job_mut(ix).members);
         for (worker, _) in &members {
             self.workers[*worker].grants.retain(|grant| grant.job != ix);
@@ -584,6 +584,7 @@
         let ran = now.saturating_duration_since(self.job(ix).started);
         let was_running = self.job(ix).is_running() || stopping.is_some();
         let members = self.job(ix).members.clone();
+        let probed = self.probed_by(ix);
         self.release(ix);
         match end {
             GangEnd::Finished => {
@@ -593,16 +594,14 @@
                     let (team, kind) = (job.spec.team.clone(), job.spec.kind.clone());
                     self.estimates.observe(&team, &kind, job.spec.run_time, actual);
                 }
-                self.probe_ended(ix, &members, true);
+                for worker in probed {
+                    self.unquarantine(worker, "a probe finished");
+                }
                 self.remove_job(ix);
             }
-            _ if stopping == Some(After::Remove) => {
-                self.probe_ended(ix, &members, true);
-                self.remove_job(ix)
-            }
-            GangEnd::Failed { worker } => self.task_failed(ix, worker, &members),
+            _ if stopping == Some(After::Remove) => self.remove_job(ix),
+            GangEnd::Failed { worker } => self.task_failed(ix, worker, &members, &probed),
             GangEnd::LeaseLapsed | GangEnd::Stopped => {
-                self.probe_ended(ix, &members, true);
                 let backoff = Duration::from_millis(self.rng.u64(0..100));
                 self.requeue(ix, backoff, "gang stopped; continues from its checkpoint");
             }
@@ -629,7 +628,7 @@
                 }
                 return;
             }
-            State::Holding { .. } | State::Committing => {
+            State::Holding { .. } | State::Committing(_) => {
                 let reason = reason.to_owned();
                 self.out.push(Action::Release { job: id, epoch, members, reason });
                 self.release(ix);
@@ -645,7 +644,11 @@
         if after == After::Requeue {
             job.preempted.retain(|at| now.saturating_duration_since(*at) < queue::HOUR);
             job.preempted.push(now);
+            // The job may run on lent capacity again when its oldest preemption is an hour old.
+            let again = queue::HOUR.saturating_sub(now - job.preempted[0]);
+            self.set_timer(again, Timer::Look);
         }
+        let job = self.job(ix);
         let members_ix = job.members.clone();
         for (worker, _) in members_ix {
             for grant in &mut self.workers[worker].grants {
--- a/crates/placement/src/placer/health.rs
+++ b/crates/placement/src/placer/health.rs
@@ -26,12 +26,20 @@
 const EXCESS_STEP: Duration = Duration::from_secs(5);
 
 impl Placer {
-    pub(super) fn task_failed(&mut self, ix: usize, agent: &AgentId, members: &[(usize, u32)]) {
+    pub(super) fn task_failed(
+        &mut self,
+        ix: usize,
+        agent: &AgentId,
+        members: &[(usize, u32)],
+        probed: &[usize],
+    ) {
         let id = self.job(ix).spec.id.clone();
         let tries = self.job(ix).tries;
         self.job_mut(ix).tries += 1;
         let worker = self.worker_of(agent).filter(|worker| members.iter().any(|m| m.0 == *worker));
-        self.probe_ended(ix, members, worker.is_none());
+        for worker in probed {
+            self.probe_failed(*worker);
+        }
         let backoff = Duration::from_millis(500 << tries.min(6));
         let backoff = backoff / 2 + Duration::from_millis(self.rng.u64(0..500 << tries.min(6)));
         let Some(worker) = worker else {
@@ -168,27 +176,36 @@
         }
     }
 
-    /// The gang has ended; if it probed a worker, that worker returns or waits for the next probe.
-    pub(super) fn probe_ended(&mut self, ix: usize, members: &[(usize, u32)], passed: bool) {
-        let now = self.now;
-        for (worker, _) in members {
-            let Some(quarantine) = &mut self.workers[*worker].quarantine else { continue };
-            if quarantine.probe != Some(ix) {
-                continue;
-            }
-            quarantine.probe = None;
-            if passed {
-                // Stopped or finished without a failure of its own.
-                self.unquarantine(*worker, "a probe ended without failure");
-                continue;
+    /// Returns the quarantined workers that the job probes.
+    pub(super) fn probed_by(&self, ix: usize) -> Vec<usize> {
+        let probes = |worker: &usize| {
+            let quarantine = self.workers[*worker].quarantine.as_ref();
+            quarantine.is_some_and(|quarantine| quarantine.probe == Some(ix))
+        };
+        self.job(ix).members.iter().map(|member| member.0).filter(probes).collect()
+    }
+
+    /// The job no longer probes a worker. Without a failure or a success this says nothing about the
+    /// worker, and the next probe follows after the shortest pause.
+    pub(super) fn end_probe(&mut self, ix: usize) {
+        for worker in self.probed_by(ix) {
+            let probe_at = self.now + PROBE_FIRST;
+            if let Some(quarantine) = &mut self.workers[worker].quarantine {
+                quarantine.probe = None;
+                quarantine.probe_at = probe_at;
             }
-            let pause = PROBE_FIRST * 2_u32.pow(quarantine.probes.min(PROBE_LIMIT));
-            quarantine.probe_at = now + pause;
-            self.set_timer(pause, Timer::Probe(*worker));
+            self.set_timer(PROBE_FIRST, Timer::Probe(worker));
         }
     }
 
-    fn unquarantine(&mut self, worker: usize, reason: &str) {
+    fn probe_failed(&mut self, worker: usize) {
+        let Some(quarantine) = &mut self.workers[worker].quarantine else { return };
+        let pause = PROBE_FIRST * 2_u32.pow(quarantine.probes.min(PROBE_LIMIT));
+        quarantine.probe_at = self.now + pause;
+        self.set_timer(pause, Timer::Probe(worker));
+    }
+
+    pub(super) fn unquarantine(&mut self, worker: usize, reason: &str) {
         self.workers[worker].quarantine = None;
         self.workers[worker].failures.clear();
         self.refresh(worker);
--- a/crates/placement/src/placer/queue.rs
+++ b/crates/placement/src/placer/queue.rs
@@ -254,10 +254,10 @@
         let (cores, memory, shadowed) = (need.cores, need.memory, need.shadowed);
         let demand = Demand { shape, cores, memory, firm, length, shadowed };
         let is_head = self.shadow.as_ref().is_none_or(|shadow| shadow.job == ix);
-        if self.failed.contains(&demand) && !is_head {
-            return Outcome::Skipped;
-        }
-        if let Some(workers) = self.choose(&need).or_else(|| self.choose_again(&mut need)) {
+        let hopeless = self.failed.contains(&demand) && !is_head;
+        if !hopeless
+            && let Some(workers) = self.choose(&need).or_else(|| self.choose_again(&mut need))
+        {
             let reason = self.explain_choice(&need);
             self.use_spare(&workers, shape.accelerators);
             self.place(ix, &workers, None, firm, &[], reason);
@@ -269,6 +269,9 @@
         {
             return Outcome::Placed;
         }
+        if hopeless {
+            return Outcome::Skipped;
+        }
         if self.job(ix).failed_on.is_empty() {
             self.failed.insert(demand);
         }
@@ -335,7 +338,8 @@
                 return self.rank(shadow.job) <= self.rank(ix);
             }
             let age = self.now.saturating_duration_since(shadow.made);
-            self.now < shadow.start && (age < SHADOW_AGE || shadow.moving)
+            let fresh = age < SHADOW_AGE && shadow.version == self.estimates.version;
+            self.now < shadow.start && (fresh || shadow.moving)
         };
         if self.shadow.as_ref().is_some_and(keep) {
             return;
@@ -378,7 +382,8 @@
             .map(|(_, _, ix)| (*ix, self.free_at(*ix, start, need.firm) - accelerators))
             .collect();
         let made = self.now;
-        Some(Shadow { job: need.job, start, made, spare, moving: false })
+        let version = self.estimates.version;
+        Some(Shadow { job: need.job, start, made, version, spare, moving: false })
     }
 
     fn expected_end(&self, ix: usize) -> Instant {
@@ -466,6 +471,7 @@
         }
         let made = self.now;
         let start = made + GRACE * 2;
-        self.shadow = Some(Shadow { job: ix, start, made, spare, moving: true });
+        let version = self.estimates.version;
+        self.shadow = Some(Shadow { job: ix, start, made, version, spare, moving: true });
     }
 }
--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -95,7 +95,7 @@
     fn member_lost(&mut self, job: usize, worker: usize, cause: &str) {
         match self.job(job).state {
             State::Waiting => {}
-            State::Holding { .. } | State::Committing => self.retry(job, cause),
+            State::Holding { .. } | State::Committing(_) => self.retry(job, cause),
             State::Running | State::Stopping(_) => {
                 if self.job(job).members.len() == 1 {
                     return self.end(job, &GangEnd::LeaseLapsed);
--- a/crates/placement/src/placer/snapshot.rs
+++ b/crates/placement/src/placer/snapshot.rs
@@ -77,7 +77,7 @@
             state: match job.state {
                 State::Waiting => "waiting",
                 State::Holding { .. } => "holding",
-                State::Committing => "committing",
+                State::Committing(_) => "committing",
                 State::Running => "running",
                 State::Stopping(_) => "stopping",
             },
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -214,13 +214,13 @@
         self.send(Event::Hold { job, epoch, worker, result })
     }
 
-    /// Answers all holds of the job and starts it.
+    /// Answers all holds of the job, if it has any, and starts it.
     pub fn run(&mut self, job: &str) -> Vec<Action> {
         let mut actions = Vec::new();
         for (agent, _) in self.status(job).members {
             actions.extend(self.answer(job, &agent, HoldResult::Held));
         }
-        let epoch = self.epochs[job];
+        let Some(epoch) = self.epochs.get(job).copied() else { return actions };
         actions.extend(self.send(Event::GangStarted { job: job.to_owned(), epoch }));
         actions
     }
@@ -232,6 +232,17 @@
         assert_eq!(self.state(&id), "running");
     }
 
+    /// Waits for the job's backoff, then runs it.
+    pub fn run_soon(&mut self, job: &str) {
+        for _ in 0..3000 {
+            if self.state(job) == "holding" {
+                break;
+            }
+            self.advance(Duration::from_millis(20));
+        }
+        self.run(job);
+    }
+
     pub fn end(&mut self, job: &str, end: GangEnd) -> Vec<Action> {
         let epoch = self.epochs[job];
         self.send(Event::GangEnded { job: job.to_owned(), epoch, end })
