--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -63,17 +63,11 @@
         let jobs: Vec<usize> = self.workers[ix].grants.iter().map(|grant| grant.job).collect();
         self.workers[ix].alive = false;
         self.refresh(ix);
-        let instances: Vec<usize> =
-            self.workers[ix].reserved.iter().map(|reserved| reserved.instance).collect();
-        for instance in instances {
-            self.displace(instance, &cause);
-        }
         for job in jobs {
             if self.jobs[job].is_some() && self.job(job).members.iter().any(|m| m.0 == ix) {
                 self.member_lost(job, ix, &cause);
             }
         }
-        // An instance whose claim used all its accelerators here has no reserved rest.
         for instance in 0..self.instances.len() {
             if self.instances[instance].members.contains(&ix) {
                 self.displace(instance, &cause);
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -364,6 +364,26 @@
     assert_eq!((world.state("j"), world.state("k")), ("running", "waiting"));
 }
 
+/// Guards against a report that predates the end of a gang and seems to bring it back; and against
+/// a gang that is left running at an agent.
+#[test]
+fn report_lag_ended_gang_ignored() {
+    let mut world = World::new(pool(4, &[&[1]]));
+    world.submit_and_run(job("j", "a", 4, 1));
+    let agent = world.agents[0].0.clone();
+    let grants = world.held[&agent].clone();
+    world.end("j", GangEnd::Finished);
+    let report = WorkerReport { grants, reservations: Vec::new() };
+    let event = Event::WorkerReport { agent, report };
+    assert!(world.send(event.clone()).is_empty());
+    assert_eq!(world.state("j"), "gone");
+    world.submit_and_run(job("k", "a", 4, 1));
+    world.advance(secs(3));
+    let actions = world.send(event);
+    let released = |action: &Action| matches!(action, Action::Release { job, .. } if job == "j");
+    assert!(actions.iter().any(released), "{actions:?}");
+}
+
 /// Guards against unbounded work in one decision, and against waves that leave something behind.
 #[test]
 fn waves_bounded_and_complete() {
--- a/crates/placement/tests/sequences.rs
+++ b/crates/placement/tests/sequences.rs
@@ -130,3 +130,31 @@
         .tests(150)
         .quickcheck(holds as fn(Vec<Step>, u8) -> bool);
 }
+
+/// Guards against guarantees that fit together but are not all given a place, from the start and
+/// while workers are lost.
+#[test]
+fn reservations_match_exhaustive_search() {
+    fn holds(steps: Vec<Step>, losses: Vec<u8>) -> bool {
+        let mut pool = pool(4, &[&[2, 1], &[2, 2]]);
+        for (ix, step) in steps.into_iter().take(4).enumerate() {
+            let shape =
+                shape(1 + u32::from(step.a % 4), 1 + u32::from(step.b % 3), locality(step.c));
+            pool = with_guarantee(pool, &format!("g{ix}"), "a", shape, 1);
+        }
+        let mut world = World::new(pool);
+        for loss in losses.into_iter().take(4) {
+            let ix = loss as usize % world.agents.len();
+            if world.held.contains_key(&world.agents[ix].0) {
+                world.lose(ix);
+            } else {
+                world.join(ix);
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 0xfeed))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<Step>, Vec<u8>) -> bool);
+}
