--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Replays of event lists and baselines for the benches.
 
 pub mod overload;
+pub mod replay;
