Judge upstreams by the results of other entries too

Cause: the reported runs and failures only moved a number that nothing read until this entry's own next result; a limit of 16 samples kept it below the number that a judgement needs. Reported connections did not age like the slots, so an old report could keep an upstream out of use for a second. A Leaving before the first report was forgotten by that report.

Change: a report judges its upstream; connections age; such a Leaving stays. The members of a pool own their settings, random source and events, which removes four parameters from most of their methods.

Conclusion: an upstream that fails for others is ejected before this entry sends it anything (test report_failures_of_others).

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -65,7 +65,8 @@
     /// Adds `runs` results that others observed, `failures` of which were errors.
     pub fn observe(&mut self, runs: u64, failures: u64) {
         let share = failures.min(runs) as f64 / runs.max(1) as f64;
-        for _ in 0..runs.min(16) {
+        // More results than this leave no trace of earlier ones.
+        for _ in 0..runs.min(64) {
             self.add(share);
         }
     }
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -136,8 +136,9 @@
         self.sequence = report.sequence;
         self.heard = self.heard.max(self.sending_time(report.sent, now));
         if report.upstream > self.upstream {
+            // An upstream that left before its first report is not a later one.
+            self.left &= self.upstream == 0;
             self.upstream = report.upstream;
-            self.left = false;
         }
         // A lower incarnation is a late announcement that the agent still passes on.
         self.serving = report.serving && !self.left && report.upstream == self.upstream;
@@ -145,6 +146,7 @@
         self.other_connections = report.connections.saturating_sub(self.own);
         self.seen = now;
         let (runs, failures) = (report.runs, report.failures);
+        // Otherwise this entry's own results would count twice.
         if self.results == 0 && self.runs > 0 && runs > self.runs {
             self.health.observe(runs - self.runs, failures.saturating_sub(self.failures));
         }
@@ -188,8 +190,23 @@
     /// Returns the slots that others are believed to use. The view ages: one slot is presumed free
     /// again after every `hold`, so that an old report does not block free slots.
     pub fn others_at(&self, now: Instant, hold: Duration) -> u32 {
+        self.others.saturating_sub(self.steps(now, hold))
+    }
+
+    /// Returns the connections that others are believed to use; ages like the slots.
+    pub fn other_connections_at(&self, now: Instant, hold: Duration) -> u32 {
+        self.other_connections.saturating_sub(self.steps(now, hold))
+    }
+
+    fn steps(&self, now: Instant, hold: Duration) -> u32 {
         let age = now.saturating_duration_since(self.seen).as_nanos() / hold.as_nanos().max(1);
-        self.others.saturating_sub(u32::try_from(age).unwrap_or(u32::MAX))
+        u32::try_from(age).unwrap_or(u32::MAX)
+    }
+
+    /// Returns when another slot or connection is presumed free, if others use any.
+    pub fn next_step(&self, now: Instant, hold: Duration) -> Option<Instant> {
+        let used = self.others_at(now, hold) > 0 || self.other_connections_at(now, hold) > 0;
+        used.then(|| self.seen + hold.saturating_mul(self.steps(now, hold).saturating_add(1)))
     }
 
     /// Returns the number of slots that are charged for early errors.
--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
@@ -19,9 +20,13 @@
 const SWAP_FACTOR: f64 = 1.5;
 
 /// The upstreams of one pool: membership, choice and ejection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Members {
     pub members: BTreeMap<String, Member>,
+    settings: Arc<RoutingSettings>,
+    rng: Rng,
+    /// Decisions that `take_events` has not returned yet.
+    events: Vec<Decision>,
     /// Limit per upstream: the lower one of slots and connections.
     limit: u32,
     connections: u32,
@@ -47,6 +52,24 @@
 }
 
 impl Members {
+    /// Returns a pool without upstreams and slots.
+    pub fn new(settings: &Arc<RoutingSettings>, rng: Rng) -> Self {
+        Self {
+            members: BTreeMap::new(),
+            settings: settings.clone(),
+            rng,
+            events: Vec::new(),
+            limit: 0,
+            connections: 0,
+            hold: HOLD_MIN,
+        }
+    }
+
+    /// Returns the decisions about upstreams since the last call.
+    pub fn take_events(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Sets the limits of one upstream and the mean service, after which others' slots are presumed
     /// free again.
     pub fn set_limits(&mut self, slots: u32, connections: u32) {
@@ -69,14 +92,7 @@
     }
 
     /// Applies a report of a session.
-    pub fn report(
-        &mut self,
-        agent: &AgentId,
-        session: u64,
-        report: &Report,
-        now: Instant,
-        events: &mut Vec<Decision>,
-    ) -> bool {
+    pub fn report(&mut self, agent: &AgentId, session: u64, report: &Report, now: Instant) -> bool {
         let Some(member) = self.current(agent) else { return false };
         if member.session != session {
             return false;
@@ -85,21 +101,23 @@
         if !member.report(report, now) {
             return false;
         }
-        if before && !member.serving {
-            events.push(Decision::Leaving { agent: agent.clone() });
-        }
+        let stopped = before && !member.serving;
         if upstream != 0 && member.upstream > upstream && member.health.is_out() {
             // A restarted upstream need not wait for the end of the ejection.
             member.health.probe(now);
         }
+        if stopped {
+            self.events.push(Decision::Leaving { agent: agent.clone() });
+        }
+        self.judge(&agent.name, now);
         true
     }
 
     /// Marks an agent's upstream as leaving.
-    pub fn leaving(&mut self, agent: &AgentId, events: &mut Vec<Decision>) -> bool {
+    pub fn leaving(&mut self, agent: &AgentId) -> bool {
         let Some(member) = self.current(agent) else { return false };
         if member.leave() {
-            events.push(Decision::Leaving { agent: agent.clone() });
+            self.events.push(Decision::Leaving { agent: agent.clone() });
         }
         true
     }
@@ -122,14 +140,14 @@
     }
 
     /// Applies time-outs: silent sessions, ends of ejections, forgotten members.
-    pub fn tick(&mut self, now: Instant, settings: &RoutingSettings, events: &mut Vec<Decision>) {
+    pub fn tick(&mut self, now: Instant) {
         for member in self.members.values_mut() {
             member.penalties.retain(|end| *end > now);
-            if member.open && now >= member.silent_at(settings) {
+            if member.open && now >= member.silent_at(&self.settings) {
                 member.open = false;
                 member.serving = false;
                 let agent = member.agent.clone();
-                events.push(Decision::Silent { agent, session: member.session });
+                self.events.push(Decision::Silent { agent, session: member.session });
             }
             if let HealthStage::Ejected { until } = member.health.stage
                 && until <= now
@@ -138,59 +156,60 @@
             }
         }
         self.members.retain(|_, member| {
-            member.open || member.own > 0 || now < member.heard + settings.retention
+            member.open || member.own > 0 || now < member.heard + self.settings.retention
         });
-        self.keep_floor(now, settings, events);
+        self.keep_floor(now);
     }
 
     /// Returns ejected upstreams to service, the best first, while more than half are out.
-    fn keep_floor(&mut self, now: Instant, settings: &RoutingSettings, events: &mut Vec<Decision>) {
+    fn keep_floor(&mut self, now: Instant) {
         loop {
-            let (present, out) = self.count(now, settings);
+            let (present, out) = self.count(now);
             if out <= present / 2 {
                 return;
             }
-            let Some(name) = self.best_out(now, settings) else { return };
-            self.restore(&name, Reason::Floor, events);
+            let Some(name) = self.best_out(now) else { return };
+            self.restore(&name, Reason::Floor);
         }
     }
 
-    fn present(&self, now: Instant, settings: &RoutingSettings) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(move |member| member.is_present(now, settings))
+    fn present(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| member.is_present(now, &self.settings))
     }
 
     /// Returns how many upstreams are present and how many of them are ejected or on probation.
-    fn count(&self, now: Instant, settings: &RoutingSettings) -> (usize, usize) {
-        let out = self.present(now, settings).filter(|member| member.health.is_out()).count();
-        (self.present(now, settings).count(), out)
+    fn count(&self, now: Instant) -> (usize, usize) {
+        let out = self.present(now).filter(|member| member.health.is_out()).count();
+        (self.present(now).count(), out)
     }
 
-    fn best_out(&self, now: Instant, settings: &RoutingSettings) -> Option<String> {
-        self.present(now, settings)
+    fn best_out(&self, now: Instant) -> Option<String> {
+        self.present(now)
             .filter(|member| member.health.is_out())
             .min_by(|a, b| a.health.badness().total_cmp(&b.health.badness()))
             .map(|member| member.agent.name.clone())
     }
 
-    fn restore(&mut self, name: &str, reason: Reason, events: &mut Vec<Decision>) {
+    fn restore(&mut self, name: &str, reason: Reason) {
         let Some(member) = self.members.get_mut(name) else { return };
         member.health.restore();
-        events.push(Decision::Returned { agent: member.agent.clone(), reason });
+        self.events.push(Decision::Returned { agent: member.agent.clone(), reason });
     }
 
     /// Chooses an upstream for a request: a probe if one is due, else the less loaded of two random
     /// ones. `avoid` names the agent of the last failed attempt.
     pub fn choose(
-        &self,
+        &mut self,
         idempotent: bool,
         urgent: bool,
         avoid: Option<&str>,
         now: Instant,
-        settings: &RoutingSettings,
-        rng: &mut Rng,
     ) -> Option<Choice> {
         let hold = self.hold(urgent);
-        let usable = |member: &&Member| member.is_present(now, settings) && self.has_room(member);
+        let mut rng = self.rng.fork();
+        let usable = |member: &&Member| {
+            member.is_present(now, &self.settings) && self.has_room(member, now, hold)
+        };
         let probe = self.members.values().filter(usable).find(|member| {
             let HealthStage::Probing { since, .. } = member.health.stage else { return false };
             let suits = idempotent || now >= since + PROBE_PATIENCE;
@@ -208,8 +227,8 @@
             |member: &&Member| !member.health.is_out() && member.load(now, hold) < self.limit;
         let others = |member: &&Member| avoid != Some(member.agent.name.as_str());
         let candidates = || self.members.values().filter(usable).filter(free);
-        let (a, b) = match sample(candidates().filter(others), rng) {
-            (None, _) => sample(candidates(), rng),
+        let (a, b) = match sample(candidates().filter(others), &mut rng) {
+            (None, _) => sample(candidates(), &mut rng),
             pair => pair,
         };
         let chosen = |member: &Member, reason| {
@@ -226,8 +245,9 @@
         if urgent { URGENT_HOLD.min(self.hold) } else { self.hold }
     }
 
-    fn has_room(&self, member: &Member) -> bool {
-        member.own < self.limit && member.own + member.other_connections < self.connections
+    fn has_room(&self, member: &Member, now: Instant, hold: Duration) -> bool {
+        let others = member.other_connections_at(now, hold);
+        member.own < self.limit && member.own + others < self.connections
     }
 
     /// Counts a dispatched attempt.
@@ -238,14 +258,7 @@
     }
 
     /// Counts the end of an attempt and judges the upstream by it.
-    pub fn finish(
-        &mut self,
-        ended: &Ended<'_>,
-        now: Instant,
-        settings: &RoutingSettings,
-        rng: &mut Rng,
-        events: &mut Vec<Decision>,
-    ) {
+    pub fn finish(&mut self, ended: &Ended<'_>, now: Instant) {
         let (limit, hold) = (self.limit, self.hold);
         let Some(member) = self.members.get_mut(&ended.agent.name) else { return };
         member.own = member.own.saturating_sub(1);
@@ -278,94 +291,80 @@
             }
             Attempt::Leaving => {
                 if member.leave() {
-                    events.push(Decision::Leaving { agent: ended.agent.clone() });
+                    self.events.push(Decision::Leaving { agent: ended.agent.clone() });
                 }
                 return;
             }
             Attempt::Withdrawn => return,
         }
-        self.judge(ended, ratio, now, settings, rng, events);
+        if ended.probe {
+            self.judge_probe(ended, ratio, now);
+        } else {
+            self.judge(&ended.agent.name, now);
+        }
     }
 
-    fn judge(
-        &mut self,
-        ended: &Ended<'_>,
-        ratio: f64,
-        now: Instant,
-        settings: &RoutingSettings,
-        rng: &mut Rng,
-        events: &mut Vec<Decision>,
-    ) {
+    /// Ejects a healthy upstream if it is an outlier.
+    fn judge(&mut self, name: &str, now: Instant) {
+        let slow = self.slow_limit(name, now);
+        let errors = self.usual(name, now, |member| member.health.errors);
+        let healthy = |member: &&Member| member.health.stage == HealthStage::Healthy;
+        let Some(member) = self.members.get(name).filter(healthy) else { return };
+        if let Some(reason) = outlier(member, slow, errors.unwrap_or(0.0), &self.settings) {
+            self.eject(name, reason, now);
+        }
+    }
+
+    /// Returns an upstream to service after enough good probes, or ejects it again.
+    fn judge_probe(&mut self, ended: &Ended<'_>, ratio: f64, now: Instant) {
         let name = &ended.agent.name;
-        let latency = self.usual(name, now, settings, |member| member.health.latency);
-        let errors = self.usual(name, now, settings, |member| member.health.errors);
+        let slow = self.slow_limit(name, now);
         let Some(member) = self.members.get_mut(name) else { return };
-        let failed = ended.attempt != Attempt::Answered;
-        let slow = settings.slow_factor * latency.unwrap_or(1.0);
-        match &mut member.health.stage {
-            HealthStage::Ejected { .. } => return,
-            HealthStage::Probing { .. } if !ended.probe => return,
-            HealthStage::Probing { passed, latency, .. } if !failed => {
-                *passed += 1;
-                *latency += ratio;
-                if *passed < settings.probes {
-                    return;
-                }
-                if *latency / f64::from(*passed) <= slow {
-                    self.restore(name, Reason::PassedProbes, events);
-                    return;
-                }
+        let HealthStage::Probing { passed, latency, .. } = &mut member.health.stage else { return };
+        if ended.attempt == Attempt::Answered {
+            *passed += 1;
+            *latency += ratio;
+            if *passed < self.settings.probes {
+                return;
             }
-            HealthStage::Probing { .. } => {}
-            HealthStage::Healthy => {
-                let Some(reason) = outlier(member, slow, errors.unwrap_or(0.0), settings) else {
-                    return;
-                };
-                self.eject(name, reason, now, settings, rng, events);
+            if *latency / f64::from(*passed) <= slow {
+                self.restore(name, Reason::PassedProbes);
                 return;
             }
         }
-        let length = member.health.eject(settings, rng.f64(), now);
+        let length = member.health.eject(&self.settings, self.rng.f64(), now);
         let agent = member.agent.clone();
-        events.push(Decision::Ejected { agent, length, reason: Reason::FailedProbe });
+        self.events.push(Decision::Ejected { agent, length, reason: Reason::FailedProbe });
+    }
+
+    /// Returns the latency, as a multiple of the route's mean, above which an upstream is slow.
+    fn slow_limit(&self, name: &str, now: Instant) -> f64 {
+        let usual = self.usual(name, now, |member| member.health.latency);
+        self.settings.slow_factor * usual.unwrap_or(1.0)
     }
 
     /// Ejects an upstream unless half of the pool is out; then it has to be clearly worse than the
     /// best ejected one, which returns in its place.
-    fn eject(
-        &mut self,
-        name: &str,
-        reason: Reason,
-        now: Instant,
-        settings: &RoutingSettings,
-        rng: &mut Rng,
-        events: &mut Vec<Decision>,
-    ) {
-        let (present, out) = self.count(now, settings);
+    fn eject(&mut self, name: &str, reason: Reason, now: Instant) {
+        let (present, out) = self.count(now);
         if out + 1 > present / 2 {
-            let Some(best) = self.best_out(now, settings) else { return };
+            let Some(best) = self.best_out(now) else { return };
             let limit = self.members[&best].health.badness() * SWAP_FACTOR;
             if self.members[name].health.badness() <= limit {
                 return;
             }
-            self.restore(&best, Reason::Floor, events);
+            self.restore(&best, Reason::Floor);
         }
         let Some(member) = self.members.get_mut(name) else { return };
-        let length = member.health.eject(settings, rng.f64(), now);
-        events.push(Decision::Ejected { agent: member.agent.clone(), length, reason });
+        let length = member.health.eject(&self.settings, self.rng.f64(), now);
+        self.events.push(Decision::Ejected { agent: member.agent.clone(), length, reason });
     }
 
     /// Returns the lower quartile of `value` over the other upstreams in use. The median would hide
     /// the outliers when more than half of the pool is bad; the minimum varies too much.
-    fn usual(
-        &self,
-        name: &str,
-        now: Instant,
-        settings: &RoutingSettings,
-        value: fn(&Member) -> f64,
-    ) -> Option<f64> {
+    fn usual(&self, name: &str, now: Instant, value: fn(&Member) -> f64) -> Option<f64> {
         let mut values: Vec<f64> = self
-            .present(now, settings)
+            .present(now)
             .filter(|member| !member.health.is_out() && member.agent.name != name)
             .map(value)
             .collect();
@@ -375,9 +374,9 @@
 
     /// Returns the slots that this entry can expect to use: those of all upstreams in use without
     /// those that others hold.
-    pub fn capacity(&self, now: Instant, settings: &RoutingSettings) -> u32 {
+    pub fn capacity(&self, now: Instant) -> u32 {
         let (mut sum, mut any) = (0, false);
-        for member in self.present(now, settings) {
+        for member in self.present(now) {
             any = true;
             if !member.health.is_out() {
                 sum += self.limit.saturating_sub(member.others);
@@ -388,35 +387,25 @@
     }
 
     /// Returns the slots that are free as far as this entry knows.
-    pub fn free(&self, now: Instant, settings: &RoutingSettings) -> u32 {
-        self.present(now, settings)
-            .filter(|member| self.has_room(member) && !member.health.is_out())
+    pub fn free(&self, now: Instant) -> u32 {
+        self.present(now)
+            .filter(|member| self.has_room(member, now, self.hold) && !member.health.is_out())
             .map(|member| self.limit.saturating_sub(member.load(now, self.hold)))
             .sum()
     }
 
     /// Returns when `tick` has something to do, or, while requests wait, when a slot may be
     /// presumed free.
-    pub fn next_wake(
-        &self,
-        waiting: bool,
-        urgent: bool,
-        now: Instant,
-        settings: &RoutingSettings,
-    ) -> Option<Instant> {
+    pub fn next_wake(&self, waiting: bool, urgent: bool, now: Instant) -> Option<Instant> {
         let hold = self.hold(urgent);
         let times = self.members.values().flat_map(|member| {
-            let silent = member.open.then(|| member.silent_at(settings));
+            let silent = member.open.then(|| member.silent_at(&self.settings));
             let ejected = match member.health.stage {
                 HealthStage::Ejected { until } => Some(until),
                 HealthStage::Probing { since, .. } if waiting => Some(since + PROBE_PATIENCE),
                 _ => None,
             };
-            let aged = (waiting && member.others_at(now, hold) > 0).then(|| {
-                let age = now.saturating_duration_since(member.seen);
-                let steps = age.as_nanos() / hold.as_nanos().max(1) + 1;
-                member.seen + hold.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX))
-            });
+            let aged = member.next_step(now, hold).filter(|_| waiting);
             let penalty = member.penalties.iter().min().copied().filter(|_| waiting);
             [silent, ejected, aged, penalty]
         });
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -1,6 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use skylarkpulley_tables::Tables;
 
 use crate::class_queue::ClassQueue;
@@ -23,6 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct PoolState {
     pub members: Members,
+    settings: Arc<RoutingSettings>,
     pub service: Estimate,
     /// Weights of the teams that may use the pool.
     pub weights: BTreeMap<String, u32>,
@@ -48,11 +51,10 @@
 
 impl PoolState {
     /// Returns a pool without upstreams, teams and slots.
-    pub fn new(now: Instant) -> Self {
-        let mut members = Members::default();
-        members.set_mean(Duration::ZERO);
+    pub fn new(settings: &Arc<RoutingSettings>, rng: Rng, now: Instant) -> Self {
         Self {
-            members,
+            members: Members::new(settings, rng),
+            settings: settings.clone(),
             service: Estimate::default(),
             weights: BTreeMap::new(),
             urgent: None,
@@ -82,19 +84,12 @@
     }
 
     /// Adds a request to the queue of its class.
-    pub fn push(
-        &mut self,
-        id: u64,
-        request: &mut Pending,
-        expiry: Instant,
-        now: Instant,
-        settings: &RoutingSettings,
-    ) {
+    pub fn push(&mut self, id: u64, request: &mut Pending, expiry: Instant, now: Instant) {
         let class = usize::from(request.class);
         if self.classes[class].len() == 0 {
             self.filled[class] = now;
             // A short break, for example because all requests were refused, is no service.
-            if now.saturating_duration_since(self.emptied[class]) > settings.ageing {
+            if now.saturating_duration_since(self.emptied[class]) > self.settings.ageing {
                 self.served[class] = now;
             }
         }
@@ -120,14 +115,16 @@
     }
 
     /// Returns the class whose turn it is and whether it is served because it is starved.
-    pub fn next_class(&self, now: Instant, settings: &RoutingSettings) -> Option<(usize, bool)> {
+    pub fn next_class(&self, now: Instant) -> Option<(usize, bool)> {
         let first = (0..CLASSES).find(|class| self.classes[*class].len() > 0)?;
         if !self.aged_debt.is_zero() {
             return Some((first, false));
         }
         let starved = (first + 1..CLASSES)
             .filter(|class| self.classes[*class].len() > 0)
-            .filter(|class| now.saturating_duration_since(self.served[*class]) > settings.ageing)
+            .filter(|class| {
+                now.saturating_duration_since(self.served[*class]) > self.settings.ageing
+            })
             .min_by_key(|class| self.aged[*class].max(self.served[*class]));
         Some(starved.map_or((first, false), |class| (class, true)))
     }
@@ -143,14 +140,7 @@
     }
 
     /// Takes the next request of `class`, which waited as `request` says.
-    pub fn pop(
-        &mut self,
-        class: usize,
-        aged: bool,
-        request: &Pending,
-        now: Instant,
-        settings: &RoutingSettings,
-    ) {
+    pub fn pop(&mut self, class: usize, aged: bool, request: &Pending, now: Instant) {
         let Some(id) = self.classes[class].pop() else { return };
         if let Stage::Queued { expiry } = request.stage {
             self.expiries.remove(&(expiry, id));
@@ -161,7 +151,7 @@
         self.rates[class] += cost.as_secs_f64() / RATE_WINDOW.as_secs_f64();
         if aged {
             self.aged[class] = now;
-            self.aged_debt = cost.saturating_mul(settings.aged_share.saturating_sub(1));
+            self.aged_debt = cost.saturating_mul(self.settings.aged_share.saturating_sub(1));
         } else {
             self.served[class] = now;
             self.aged_debt = self.aged_debt.saturating_sub(cost);
@@ -201,9 +191,8 @@
         team: &str,
         cost: Duration,
         now: Instant,
-        settings: &RoutingSettings,
     ) -> Option<Duration> {
-        let capacity = self.members.capacity(now, settings);
+        let capacity = self.members.capacity(now);
         if capacity == 0 {
             return None;
         }
@@ -212,7 +201,7 @@
         let higher: Duration = self.classes[..class].iter().map(ClassQueue::work).sum();
         let ahead = higher + self.classes[class].work_ahead(team, weight, cost);
         let mean = self.service.mean().unwrap_or(Duration::ZERO);
-        let free = self.members.free(now, settings);
+        let free = self.members.free(now);
         let blocked = ahead.saturating_sub(mean * free);
         if free > 0 && blocked.is_zero() {
             return Some(Duration::ZERO);
@@ -222,32 +211,33 @@
         self.decay_rates(now);
         let capacity = f64::from(capacity);
         let urgent: f64 = self.rates[..class].iter().sum();
-        let left = (capacity - urgent).max(capacity / f64::from(settings.aged_share.max(1)));
+        let left = (capacity - urgent).max(capacity / f64::from(self.settings.aged_share.max(1)));
         // The running attempts free one slot in about the mean service over the slots.
-        Some((blocked + mean).div_f64(left))
+        let wait = (blocked + mean).as_secs_f64() / left;
+        Some(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
     }
 
     /// Returns when `poll` next has something to do for this pool, if no event comes first.
-    pub fn next_wake(&self, now: Instant, settings: &RoutingSettings) -> Option<Instant> {
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let expiry = self.expiries.first().map(|(expiry, _)| *expiry);
         let head = (0..CLASSES).find(|class| self.classes[*class].len() > 0);
         let urgent = head.is_some_and(|class| self.is_urgent(class));
-        let member = self.members.next_wake(head.is_some(), urgent, now, settings);
+        let member = self.members.next_wake(head.is_some(), urgent, now);
         expiry.into_iter().chain(member).min()
     }
 
     /// Returns the state for status output.
-    pub fn view(&self, name: &str, now: Instant, settings: &RoutingSettings) -> PoolView {
+    pub fn view(&self, name: &str, now: Instant) -> PoolView {
         let classes = self.classes.iter().enumerate().filter(|(_, queue)| queue.len() > 0);
         PoolView {
             name: name.to_owned(),
-            capacity: self.members.capacity(now, settings),
+            capacity: self.members.capacity(now),
             classes: classes.map(|(class, queue)| class_view(class, queue)).collect(),
             members: self
                 .members
                 .members
                 .values()
-                .map(|member| member_view(member, now, settings))
+                .map(|member| member_view(member, now, &self.settings))
                 .collect(),
         }
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
@@ -22,7 +23,7 @@
 /// [`Decision::End`], a [`Next::Ended`] or a [`Cancelled::Ended`].
 #[derive(Debug)]
 pub struct Router {
-    settings: RoutingSettings,
+    settings: Arc<RoutingSettings>,
     rng: Rng,
     routes: BTreeMap<String, RouteState>,
     pools: BTreeMap<String, PoolState>,
@@ -50,7 +51,7 @@
     /// Returns a router without tables and upstreams. `seed` decides all random choices.
     pub fn new(settings: RoutingSettings, seed: u64) -> Self {
         Self {
-            settings,
+            settings: Arc::new(settings),
             rng: Rng::with_seed(seed),
             routes: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -76,7 +77,9 @@
             }
         }
         for pool in &tables.pools {
-            self.pools.entry(pool.name.clone()).or_insert_with(|| PoolState::new(now));
+            self.pools
+                .entry(pool.name.clone())
+                .or_insert_with(|| PoolState::new(&self.settings, self.rng.fork(), now));
         }
         for (name, pool) in &mut self.pools {
             pool.apply(name, tables);
@@ -109,7 +112,10 @@
             // Attempts that still run in the old pool are counted there.
             member.open = false;
         }
-        let pool = self.pools.entry(hello.pool.clone()).or_insert_with(|| PoolState::new(now));
+        let pool = self
+            .pools
+            .entry(hello.pool.clone())
+            .or_insert_with(|| PoolState::new(&self.settings, self.rng.fork(), now));
         if !pool.members.hello(hello, now) {
             return false;
         }
@@ -128,15 +134,15 @@
         now: Instant,
     ) -> bool {
         let Some(pool) = home(&self.homes, &mut self.pools, agent) else { return false };
-        pool.members.tick(now, &self.settings, &mut self.decisions);
-        pool.members.report(agent, session, report, now, &mut self.decisions)
+        pool.members.tick(now);
+        pool.members.report(agent, session, report, now)
     }
 
     /// Stops new work for an agent's upstream until a later incarnation of the agent or upstream
     /// serves. Returns false if the agent's incarnation is not the known one.
     pub fn on_leaving(&mut self, agent: &AgentId) -> bool {
         let Some(pool) = home(&self.homes, &mut self.pools, agent) else { return false };
-        pool.members.leaving(agent, &mut self.decisions)
+        pool.members.leaving(agent)
     }
 
     /// Closes a session; its agent gets no new work until it opens another one.
@@ -169,8 +175,7 @@
         let limit = request.deadline.map_or(route.deadline, |limit| limit.min(route.deadline));
         let cost = state.service.mean().or(pool.service.mean()).unwrap_or_default();
         let class = route.priority.min(9);
-        let wait =
-            pool.wait(class, &request.team, cost, now, &self.settings).ok_or(Reason::NoUpstream)?;
+        let wait = pool.wait(class, &request.team, cost, now).ok_or(Reason::NoUpstream)?;
         let service = state.service.allowance(limit);
         let room = limit.saturating_sub(service);
         let room = if pool.is_standing(class, limit, now) { room / 2 } else { room };
@@ -205,7 +210,7 @@
             cancelled: false,
             stage: Stage::Queued { expiry },
         };
-        pool.push(request.id, &mut pending, expiry, now, &self.settings);
+        pool.push(request.id, &mut pending, expiry, now);
         *state.waiting.entry(request.team.clone()).or_default() += 1;
         self.requests.insert(request.id, pending);
         Ok(wait)
@@ -235,7 +240,8 @@
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in &names {
             if let Some(pool) = self.pools.get_mut(name) {
-                pool.members.tick(now, &self.settings, &mut self.decisions);
+                pool.members.tick(now);
+                self.decisions.extend(pool.members.take_events());
             }
             while self.dispatch(name, now) {}
             self.expire(name, now);
@@ -246,7 +252,7 @@
     /// Dispatches or ends one request of a pool; returns false when nothing more can be done.
     fn dispatch(&mut self, name: &str, now: Instant) -> bool {
         let Some(pool) = self.pools.get_mut(name) else { return false };
-        let Some((class, aged)) = pool.next_class(now, &self.settings) else { return false };
+        let Some((class, aged)) = pool.next_class(now) else { return false };
         let Some(id) = pool.peek(class) else { return false };
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let route = self.routes.get_mut(&request.route);
@@ -256,10 +262,9 @@
         }
         let avoid = request.avoid.as_deref();
         let (idempotent, urgent) = (request.idempotent, pool.is_urgent(class));
-        let (settings, rng) = (&self.settings, &mut self.rng);
-        let choice = pool.members.choose(idempotent, urgent, avoid, now, settings, rng);
+        let choice = pool.members.choose(idempotent, urgent, avoid, now);
         let Some(Choice { agent, probe, reason }) = choice else { return false };
-        pool.pop(class, aged, request, now, &self.settings);
+        pool.pop(class, aged, request, now);
         pool.members.start(&agent);
         request.dispatch += 1;
         request.attempts += 1;
@@ -295,7 +300,7 @@
                 continue;
             }
             pool.remove(id, request, now);
-            pool.push(id, request, expiry, now, &self.settings);
+            pool.push(id, request, expiry, now);
         }
     }
 
@@ -313,8 +318,7 @@
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let expected = route.as_ref().and_then(|route| route.service.mean());
             let ended = Ended { agent, attempt: result, elapsed, expected, probe: *probe };
-            let events = &mut self.decisions;
-            pool.members.finish(&ended, now, &self.settings, &mut self.rng, events);
+            pool.members.finish(&ended, now);
             let used = match result {
                 Attempt::Full | Attempt::Leaving | Attempt::Withdrawn => Duration::ZERO,
                 _ => elapsed,
@@ -402,7 +406,7 @@
         if let Some(route) = route {
             *route.waiting.entry(request.team.clone()).or_default() += 1;
         }
-        pool.push(id, request, expiry, now, &self.settings);
+        pool.push(id, request, expiry, now);
     }
 
     fn end(&mut self, id: u64, outcome: Outcome, reason: Reason) -> Next {
@@ -438,7 +442,7 @@
     /// Returns when to call `poll` next if no event comes first.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let backoff = self.backoffs.first().map(|(until, _)| *until);
-        let pools = self.pools.values().filter_map(|pool| pool.next_wake(now, &self.settings));
+        let pools = self.pools.values().filter_map(|pool| pool.next_wake(now));
         pools.chain(backoff).min()
     }
 
@@ -449,7 +453,7 @@
 
     /// Returns the state for status output.
     pub fn snapshot(&self, now: Instant) -> RouterView {
-        let pools = self.pools.iter().map(|(name, pool)| pool.view(name, now, &self.settings));
+        let pools = self.pools.iter().map(|(name, pool)| pool.view(name, now));
         RouterView {
             pools: pools.collect(),
             routes: self.routes.values().map(RouteState::view).collect(),
--- a/crates/routing/tests/suite/ejection.rs
+++ b/crates/routing/tests/suite/ejection.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use skylarkpulley_routing::{Attempt, Decision, MemberState, Reason};
+use skylarkpulley_routing::{Attempt, Decision, MemberState, Reason, Report};
+use skylarkpulley_types::Clock;
 
 use crate::rig::{Rig, Sent, agents};
 
@@ -217,3 +218,18 @@
     rig.poll();
     assert_eq!(out(&rig, 4), 1);
 }
+
+/// Guards against an upstream that fails for other entries and is tried by this one first.
+#[test]
+fn report_failures_of_others() {
+    let mut rig = Rig::new(4);
+    let now = rig.clock.now();
+    for (sequence, runs, failures) in [(100, 50, 0), (101, 100, 45)] {
+        let report =
+            Report { sequence, serving: true, upstream: 1, runs, failures, ..Report::default() };
+        assert!(rig.router.on_report(&agents(4)[0], 1, &report, now));
+    }
+    let ejected = ejections(&rig.poll());
+    assert_eq!(ejected.len(), 1);
+    assert_eq!(ejected[0].1, Reason::ErrorRate);
+}
--- a/crates/routing/tests/suite/membership.rs
+++ b/crates/routing/tests/suite/membership.rs
@@ -39,6 +39,15 @@
             },
             serves: false,
         },
+        Case {
+            name: "leaving before the first report, then a late report",
+            act: |rig| {
+                assert!(rig.hello(&agent(0, 2), 2));
+                assert!(rig.router.on_leaving(&agent(0, 2)));
+                rig.report(&agent(0, 2), 2, true, 1, 0);
+            },
+            serves: false,
+        },
         Case {
             name: "leaving, then a late report of the same upstream",
             act: |rig| {
