Add the operators' command line

Cause: operators had no way to check, apply or inspect anything.

Each command is a library function that writes to passed-in outputs.

--- /dev/null
+++ b/crates/cli/src/drain.rs
@@ -0,0 +1,14 @@
+use skylarkpulley_admin::Client;
+
+use crate::{CliError, Drain, Exit, Output};
+
+pub(crate) async fn run(command: &Drain, output: &mut Output<'_>) -> Result<Exit, CliError> {
+    let reply = Client::new(&command.entry)?.drain(&command.member).await?;
+    if command.json {
+        output.json(&reply)?;
+    } else {
+        let (member, remaining) = (&reply.member, reply.remaining);
+        output.line(&format!("{member} receives no new work; {remaining} still run there"))?;
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,23 @@
+use std::process::ExitCode;
+
+/// How a command ended, as its exit code.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done.
+    Done = 0,
+    /// The tables have faults, or the entry refused the request.
+    Refused = 1,
+    /// The command line is wrong, or a file cannot be read or written.
+    Usage = 2,
+    /// The entry cannot be reached, or its answer was lost.
+    Unreachable = 3,
+    /// Another edit was accepted first.
+    Conflict = 4,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,21 @@
+use skylarkpulley_admin::Client;
+
+use crate::output::age;
+use crate::{CliError, Exit, Explain, Output};
+
+pub(crate) async fn run(command: &Explain, output: &mut Output<'_>) -> Result<Exit, CliError> {
+    let explanation = Client::new(&command.entry)?.explain(&command.id).await?;
+    if command.json {
+        output.json(&explanation)?;
+        return Ok(Exit::Done);
+    }
+    for line in &explanation.lines {
+        let (code, event) = (line.code, &line.event);
+        let (age, process) = (age(line.age_ms), &line.process);
+        output.line(&format!("{age} ago  {code} {event}  at {process}: {}", line.detail))?;
+    }
+    if explanation.lines.is_empty() {
+        output.line(&format!("no records of {}", explanation.id))?;
+    }
+    Ok(Exit::Done)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder while the crate is being set up.
+//! The operators' command line, as a library, so that tests can run its commands.
+
+mod apply;
+mod args;
+mod cancel;
+mod check;
+mod drain;
+mod error;
+mod exit;
+mod explain;
+mod output;
+mod show;
+mod status;
+mod submit;
+
+pub use args::{
+    Apply, Cancel, Check, Command, CommandLine, Drain, Explain, Show, StatusCommand, Submit,
+};
+pub use error::CliError;
+pub use exit::Exit;
+pub use output::Output;
+
+/// Runs one command.
+pub async fn run(command: &Command, output: &mut Output<'_>) -> Exit {
+    let result = match command {
+        Command::Apply(command) => apply::run(command, output).await,
+        Command::Cancel(command) => cancel::run(command, output).await,
+        Command::Check(command) => check::run(command, output),
+        Command::Drain(command) => drain::run(command, output).await,
+        Command::Explain(command) => explain::run(command, output).await,
+        Command::Show(command) => show::run(command, output).await,
+        Command::Status(command) => status::run(command, output).await,
+        Command::Submit(command) => submit::run(command, output).await,
+    };
+    match result {
+        Ok(exit) => exit,
+        Err(error) => {
+            output.error(&error.to_string());
+            error.exit()
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/status.rs
@@ -0,0 +1,144 @@
+use skylarkpulley_admin::{Client, Status};
+
+use crate::output::age;
+use crate::{CliError, Exit, Output, StatusCommand};
+
+pub(crate) async fn run(
+    command: &StatusCommand,
+    output: &mut Output<'_>,
+) -> Result<Exit, CliError> {
+    let status = Client::new(&command.entry)?.status().await?;
+    if command.json {
+        output.json(&status)?;
+        return Ok(Exit::Done);
+    }
+    print_versions(&status, output)?;
+    print_members(&status, output)?;
+    print_teams(&status, output)?;
+    print_gangs(&status, output)?;
+    print_queues(&status, output)?;
+    Ok(Exit::Done)
+}
+
+fn print_versions(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let (entry, version, oldest) = (&status.entry, status.version, status.oldest_version);
+    let everywhere = if oldest == version {
+        "in force everywhere".to_owned()
+    } else {
+        format!("oldest {oldest}, superseded {} ago", age(status.oldest_age_ms))
+    };
+    output.line(&format!("entry {entry}: version {version}, {everywhere}"))?;
+    let rows: Vec<_> = status
+        .processes
+        .iter()
+        .map(|process| {
+            let version = process.version.to_string();
+            [process.process.clone(), process.kind.clone(), version, age(process.seen_ms)]
+        })
+        .collect();
+    output.columns("Processes", ["process", "kind", "version", "last report"], &rows)?;
+    Ok(())
+}
+
+fn print_members(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let rows: Vec<_> = status
+        .upstreams
+        .iter()
+        .map(|member| {
+            [
+                member.pool.clone(),
+                member.name.clone(),
+                member.domain.clone(),
+                member.state.clone(),
+                format!("{}/{}", member.busy, member.slots),
+                member.connections.to_string(),
+            ]
+        })
+        .collect();
+    let header = ["pool", "upstream", "domain", "state", "slots", "connections"];
+    output.columns("Upstreams", header, &rows)?;
+    let rows: Vec<_> = status
+        .workers
+        .iter()
+        .map(|member| {
+            [
+                member.pool.clone(),
+                member.name.clone(),
+                format!("{}/{}", member.domain, member.rack),
+                member.state.clone(),
+                member.accelerators.to_string(),
+                member.guaranteed.to_string(),
+                member.borrowed.to_string(),
+                member.reserved.to_string(),
+            ]
+        })
+        .collect();
+    let header = [
+        "pool",
+        "worker",
+        "domain/rack",
+        "state",
+        "accelerators",
+        "guaranteed",
+        "borrowed",
+        "reserved",
+    ];
+    output.columns("Workers", header, &rows)?;
+    Ok(())
+}
+
+fn print_teams(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let rows: Vec<_> = status
+        .teams
+        .iter()
+        .map(|team| {
+            [
+                team.pool.clone(),
+                team.team.clone(),
+                team.weight.to_string(),
+                team.waiting.to_string(),
+                team.used.to_string(),
+                format!("{}/{}", team.claimed, team.guarantees),
+                team.at_risk.to_string(),
+            ]
+        })
+        .collect();
+    let header = ["pool", "team", "weight", "waiting", "used", "claimed", "at risk"];
+    output.columns("Teams", header, &rows)?;
+    Ok(())
+}
+
+fn print_gangs(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let rows: Vec<_> = status
+        .gangs
+        .iter()
+        .map(|gang| {
+            [
+                gang.pool.clone(),
+                gang.job.clone(),
+                gang.team.clone(),
+                gang.shape.to_string(),
+                gang.state.clone(),
+                gang.lead.clone(),
+                age(gang.lease_ms),
+                gang.claim.clone().unwrap_or_else(|| "borrowed".to_owned()),
+            ]
+        })
+        .collect();
+    let header = ["pool", "job", "team", "shape", "state", "lead", "lease", "claim"];
+    output.columns("Gangs", header, &rows)?;
+    Ok(())
+}
+
+fn print_queues(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let rows: Vec<_> = status
+        .queues
+        .iter()
+        .map(|queue| {
+            let waiting = queue.waiting.to_string();
+            [queue.route.clone(), queue.team.clone(), waiting, age(queue.oldest_ms)]
+        })
+        .collect();
+    output.columns("Queues", ["route", "team", "waiting", "oldest"], &rows)?;
+    Ok(())
+}
