Test that the packer remembers failed states

Cause: a search without its memory of failed states passed all tests.

Change: a case that ends at the budget without that memory.

--- a/crates/tables/tests/packer.rs
+++ b/crates/tables/tests/packer.rs
@@ -194,3 +194,14 @@
         .with_demand(Shape::new(8, 2, Locality::Rack), 1066);
     assert_eq!(excess.pack(), Packing::DoesNotFit);
 }
+
+/// Guards against a search that examines equivalent states again and again. In racks of 7 and of 5
+/// workers, 15 gangs of 3 leave room for 35 gangs of 2; one more stays within the 120 workers.
+#[test]
+fn pack_equivalent_states() {
+    let packer = Packer::new(8, &[[vec![7; 10], vec![5; 10]].concat()])
+        .with_demand(Shape::new(8, 3, Locality::Rack), 15);
+    let with_pairs = |count| packer.clone().with_demand(Shape::new(8, 2, Locality::Rack), count);
+    assert_eq!(with_pairs(35).pack(), Packing::Fits);
+    assert_eq!(with_pairs(36).pack(), Packing::DoesNotFit);
+}
