List the rows that differ between two tables

Cause: the entry has to say what differs when an edit loses a race, and the manual's examples were not checked.

Change: RowDifference::between compares both tables row by row; a test parses the examples of docs/tables.md.

--- a/crates/admin/src/apply.rs
+++ b/crates/admin/src/apply.rs
@@ -1,5 +1,7 @@
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
-use skylarkpulley_tables::Fault;
+use skylarkpulley_tables::{Fault, Tables};
 
 /// An edit of both tables.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -47,3 +49,18 @@
     /// The row in force; none when it is absent.
     pub current: Option<String>,
 }
+
+impl RowDifference {
+    /// Returns the rows that differ between an edit and the tables in force, in order of key.
+    pub fn between(edited: &Tables, current: &Tables) -> Vec<Self> {
+        let (mut edited, mut current) = (edited.rows(), current.rows());
+        let keys: BTreeSet<_> = edited.keys().chain(current.keys()).cloned().collect();
+        keys.into_iter()
+            .map(|row| {
+                let (edited, current) = (edited.remove(&row), current.remove(&row));
+                Self { row, edited, current }
+            })
+            .filter(|difference| difference.edited != difference.current)
+            .collect()
+    }
+}
--- a/crates/tables/tests/samples.rs
+++ b/crates/tables/tests/samples.rs
@@ -47,3 +47,15 @@
         assert_eq!(faults[0].file, key);
     }
 }
+
+/// Guards against a manual whose examples are refused.
+#[test]
+fn parse_manual_examples() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/tables.md");
+    let manual = fs::read_to_string(path).expect("the manual exists");
+    let examples = manual.split("```toml\n").skip(1).filter_map(|rest| rest.split("```").next());
+    let (routes, pools): (Vec<_>, Vec<_>) =
+        examples.partition(|example| example.starts_with("[[route]]"));
+    let tables = parse(routes.concat().as_bytes(), pools.concat().as_bytes());
+    assert_eq!(tables.map(|tables| (tables.routes.len(), tables.pools.len())), Ok((1, 2)));
+}
