Add the demo of both deployments

Cause: nothing showed the whole system at work and under failure.

Change: the demo command starts both sample deployments at their sizes of today, drives requests and jobs, edits a table, ends an upstream, an agent, a worker and an entry, takes the store away, and counts every promise with its violations. Status lists workers and gangs from the agents' reports, because an entry that does not place for a pool showed none.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -21,7 +21,7 @@
     pub command: Command,
 }
 
-/// All commands. `demo`, which starts both deployments in this process, belongs here as well.
+/// All commands.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
@@ -31,6 +31,8 @@
     Cancel(Cancel),
     /// Checks two files.
     Check(Check),
+    /// Runs both sample deployments in this process.
+    Demo(Demo),
     /// Drains a member.
     Drain(Drain),
     /// Explains decisions.
@@ -43,6 +45,16 @@
     Submit(Submit),
 }
 
+/// Run both sample deployments in this process, disturb them, and print what was promised against
+/// what happened. Takes at most 30 s.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// show log lines; the filter has the syntax of RUST_LOG, such as info
+    #[argh(option)]
+    pub log: Option<String>,
+}
+
 /// Check both tables and report every fault.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,46 @@
+use std::time::Instant;
+
+use skylarkpulley_demo::{DemoError, DemoReport, Scenario};
+
+use crate::args::Demo;
+use crate::{CliError, Exit, Output};
+
+/// Runs both sample deployments at once and prints what was promised against what happened.
+pub(crate) async fn run(command: &Demo, output: &mut Output<'_>) -> Result<Exit, CliError> {
+    skylarkpulley_telemetry::init_logging(
+        skylarkpulley_telemetry::LogFormat::Plain,
+        command.log.as_deref().unwrap_or("error"),
+    );
+    let start = Instant::now();
+    let progress = |text: &str| eprintln!("[{:5.1} s] {text}", start.elapsed().as_secs_f64());
+    let canteen = Scenario {
+        name: "canteen balance service".to_owned(),
+        routes: include_str!("../../../samples/canteen/routes.toml").to_owned(),
+        pools: include_str!("../../../samples/canteen/pools.toml").to_owned(),
+        graceful: false,
+    };
+    let booking = Scenario {
+        name: "booking service".to_owned(),
+        routes: include_str!("../../../samples/booking/routes.toml").to_owned(),
+        pools: include_str!("../../../samples/booking/pools.toml").to_owned(),
+        graceful: true,
+    };
+    let (canteen, booking) = tokio::join!(canteen.run(progress), booking.run(progress));
+    let kept = print(canteen, output)? & print(booking, output)?;
+    let verdict = if kept { "every promise was kept" } else { "a promise was broken" };
+    output.line(&format!("\n{verdict}; {:.1} s", start.elapsed().as_secs_f64()))?;
+    Ok(if kept { Exit::Done } else { Exit::Refused })
+}
+
+fn print(report: Result<DemoReport, DemoError>, output: &mut Output<'_>) -> Result<bool, CliError> {
+    match report {
+        Ok(report) => {
+            output.line(&report.to_string())?;
+            Ok(report.is_kept())
+        }
+        Err(error) => {
+            output.error(&error.to_string());
+            Ok(false)
+        }
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 mod args;
 mod cancel;
 mod check;
+mod demo;
 mod drain;
 mod error;
 mod exit;
@@ -14,7 +15,7 @@
 mod submit;
 
 pub use args::{
-    Apply, Cancel, Check, Command, CommandLine, Drain, Explain, Show, StatusCommand, Submit,
+    Apply, Cancel, Check, Command, CommandLine, Demo, Drain, Explain, Show, StatusCommand, Submit,
 };
 pub use error::CliError;
 pub use exit::Exit;
@@ -26,6 +27,7 @@
         Command::Apply(command) => apply::run(command, output).await,
         Command::Cancel(command) => cancel::run(command, output).await,
         Command::Check(command) => check::run(command, output),
+        Command::Demo(command) => demo::run(command, output).await,
         Command::Drain(command) => drain::run(command, output).await,
         Command::Explain(command) => explain::run(command, output).await,
         Command::Show(command) => show::run(command, output).await,
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,10 +1,16 @@
 //! All programs of a deployment in one process, for the `demo` command and for tests of the whole
 //! path.
 
+mod callers;
 mod deployment;
 mod error;
+mod report;
+mod scenario;
 mod vm;
 
+pub use callers::{CallEnd, CallerSpec, Entries, send_requests};
 pub use deployment::{Deployment, DeploymentSpec, EntryVm, UpstreamVm, WorkerVm};
 pub use error::DemoError;
+pub use report::{DemoReport, Promise};
+pub use scenario::Scenario;
 pub use vm::Vm;
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -24,6 +24,7 @@
     Copies(u64, oneshot::Sender<(Vec<v1::JobCopy>, u64)>),
     Drain(String, oneshot::Sender<Option<u32>>),
     Get(String, oneshot::Sender<Option<JobView>>),
+    List(oneshot::Sender<Vec<JobView>>),
     Held { pool: String, job: String, epoch: u64, worker: AgentId, result: HoldResult },
     Merge(Vec<v1::JobCopy>),
     Saved { id: String, revision: u64, version: Option<u64> },
@@ -176,6 +177,11 @@
         self.ask(|reply| Command::Get(id.to_owned(), reply)).await?
     }
 
+    /// Returns the jobs that have not ended.
+    pub async fn list(&self) -> Vec<JobView> {
+        self.ask(Command::List).await.unwrap_or_default()
+    }
+
     /// Returns the state of the pools that this entry places for.
     pub async fn status(&self) -> Vec<(String, Status)> {
         self.ask(Command::Status).await.unwrap_or_default()
--- a/crates/entry/src/placement_task.rs
+++ b/crates/entry/src/placement_task.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::hub::{Hub, MemberEvent, agent_id};
-use crate::job_book::JobBook;
+use crate::job_book::{HeldJob, JobBook};
 use crate::job_record::JobRecord;
 use crate::jobs::{Command, Recorded, Submitted};
 use crate::pool_placer::PoolPlacer;
@@ -137,6 +137,13 @@
             }
             Command::Drain(worker, reply) => drop(reply.send(self.drain(&worker, now))),
             Command::Get(id, reply) => drop(reply.send(self.view(&id, now))),
+            Command::List(reply) => {
+                let open = self.book.iter().filter(|held| !held.record.is_ended());
+                let view = |held: &HeldJob| {
+                    held.record.to_view(now.saturating_duration_since(held.received))
+                };
+                let _ = reply.send(open.map(view).collect());
+            }
             Command::Held { pool, job, epoch, worker, result } => {
                 if let Some(placer) = self.pools.get_mut(&pool) {
                     placer.held(&job, epoch, &worker, result, now);
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_admin::{
-    GangStatus, ProcessStatus, QueueStatus, Status, TeamStatus, UpstreamStatus, WorkerStatus,
+    GangStatus, JobView, ProcessStatus, QueueStatus, Status, TeamStatus, UpstreamStatus,
+    WorkerStatus,
 };
 use skylarkpulley_placement::{InstanceStatus, JobStatus, Status as PoolStatus};
 use skylarkpulley_proto::v1;
@@ -15,6 +16,7 @@
 use crate::hub::{Hub, MemberEvent, agent_id};
 use crate::jobs::Jobs;
 use crate::router_task::Router;
+use crate::session_service::SILENCE_LIMIT;
 
 /// An agent that was last heard of this long ago is no longer listed.
 const LISTED_FOR: Duration = Duration::from_secs(60);
@@ -74,9 +76,9 @@
         if let (Some(router), Some(tables)) = (router, &tables) {
             add_upstreams(&mut status, &router, tables);
         }
+        add_workers(&mut status, &processes, &pools, now);
+        add_gangs(&mut status, &processes, &self.jobs.list().await);
         for (name, pool) in &pools {
-            add_workers(&mut status, name, pool);
-            add_gangs(&mut status, name, pool);
             if let Some(tables) = &tables {
                 add_teams(&mut status, name, pool, tables);
             }
@@ -225,43 +227,75 @@
     count(teams.filter(|(name, _)| name == team).map(|(_, waiting)| waiting).sum())
 }
 
-fn add_workers(status: &mut Status, pool: &str, view: &PoolStatus) {
-    for worker in &view.workers {
-        let state = match (worker.quarantined, worker.draining, worker.usable) {
-            (true, _, _) => "quarantined",
-            (_, true, _) => "draining",
-            (_, _, true) => "serving",
-            (_, _, false) => "silent",
+/// Adds workers and gangs from the agents' reports, which reach every entry. What only the placer
+/// knows, such as a quarantine, is shown by the entry that places for the pool.
+fn add_workers(
+    status: &mut Status,
+    processes: &Processes,
+    pools: &[(String, PoolStatus)],
+    now: Instant,
+) {
+    let known: BTreeMap<&AgentId, &skylarkpulley_placement::WorkerStatus> = pools
+        .iter()
+        .flat_map(|(_, pool)| &pool.workers)
+        .map(|worker| (&worker.agent, worker))
+        .collect();
+    for (agent, process) in processes {
+        let Some(state) = process.report.as_ref().and_then(|report| report.worker.as_ref()) else {
+            continue;
+        };
+        let silent = now.saturating_duration_since(process.heard) >= SILENCE_LIMIT;
+        let placed = known.get(agent);
+        let name = match placed {
+            _ if silent => "silent",
+            Some(worker) if worker.quarantined => "quarantined",
+            Some(worker) if worker.draining => "draining",
+            _ if !state.serving => "draining",
+            _ => "serving",
+        };
+        let sum = |guaranteed: bool| {
+            let grants = state.grants.iter();
+            grants
+                .filter(|grant| grant.instance.is_empty() != guaranteed)
+                .map(|grant| grant.accelerators)
+                .sum()
         };
         status.workers.push(WorkerStatus {
-            pool: pool.to_owned(),
-            name: worker.agent.name.clone(),
-            domain: worker.domain.clone(),
-            rack: worker.rack.clone(),
-            state: state.to_owned(),
-            accelerators: worker.accelerators,
-            guaranteed: worker.firm,
-            borrowed: worker.used.saturating_sub(worker.firm),
-            reserved: worker.reserved,
+            pool: process.hello.pool.clone(),
+            name: agent.name.clone(),
+            domain: process.hello.domain.clone(),
+            rack: process.hello.rack.clone(),
+            state: name.to_owned(),
+            accelerators: state.accelerators,
+            guaranteed: sum(true),
+            borrowed: sum(false),
+            reserved: state.reservations.iter().map(|held| held.accelerators).sum(),
         });
     }
 }
 
-fn add_gangs(status: &mut Status, pool: &str, view: &PoolStatus) {
-    for job in view.jobs.iter().filter(|job| !job.members.is_empty()) {
-        let state = match job.state {
-            "holding" | "committing" => "starting",
-            other => other,
+/// Adds gangs with their leads, from the grants that agents report and the jobs of this entry.
+fn add_gangs(status: &mut Status, processes: &Processes, jobs: &[JobView]) {
+    let mut gangs: BTreeMap<&str, (&v1::Grant, &str)> = BTreeMap::new();
+    for process in processes.values() {
+        let Some(state) = process.report.as_ref().and_then(|report| report.worker.as_ref()) else {
+            continue;
         };
+        for grant in &state.grants {
+            gangs.entry(&grant.gang).or_insert((grant, &process.hello.pool));
+        }
+    }
+    for job in jobs {
+        let Some((grant, pool)) = gangs.get(job.id.as_str()) else { continue };
         status.gangs.push(GangStatus {
-            pool: pool.to_owned(),
+            pool: (*pool).to_owned(),
             job: job.id.clone(),
             team: job.team.clone(),
             shape: job.shape,
-            state: state.to_owned(),
-            lead: job.members.first().map(|(agent, _)| agent.name.clone()).unwrap_or_default(),
+            state: if grant.running { "running" } else { "starting" }.to_owned(),
+            lead: grant.lead.as_ref().map(|lead| lead.name.clone()).unwrap_or_default(),
             lease_ms: LEASE_MS,
-            claim: job.instance.clone(),
+            claim: (!grant.instance.is_empty()).then(|| grant.instance.clone()),
         });
     }
 }
