Control stand-ins from other processes and repeat keyed requests

Cause: tests with processes of their own need faults and counters over HTTP, and a test of duplicates needs requests that share a key.

Conclusion: the same oracles serve tests in one process and across processes.

--- a/crates/standins/src/bin/skylarkpulley-standins.rs
+++ b/crates/standins/src/bin/skylarkpulley-standins.rs
@@ -6,7 +6,8 @@
 
 use argh::FromArgs;
 use skylarkpulley_standins::{
-    LoadSettings, TableService, Upstream, UpstreamSettings, Worker, WorkerSettings, run_load,
+    LoadSettings, TableService, Upstream, UpstreamFault, UpstreamSettings, Worker, WorkerFault,
+    WorkerSettings, parse_store_fault, run_load,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -33,6 +34,9 @@
     /// address to listen on (default 127.0.0.1:0)
     #[argh(option, default = "loopback()")]
     listen: SocketAddr,
+    /// fault from the start, such as outage or slow:10s
+    #[argh(option)]
+    fault: Option<String>,
 }
 
 /// Run an upstream.
@@ -51,6 +55,9 @@
     /// service time in milliseconds (default 5)
     #[argh(option, default = "5")]
     service_ms: u64,
+    /// fault from the start, such as close or slow:250ms
+    #[argh(option)]
+    fault: Option<UpstreamFault>,
 }
 
 /// Run a worker.
@@ -69,6 +76,9 @@
     /// lag of the usage report in milliseconds (default 1000)
     #[argh(option, default = "1000")]
     lag_ms: u64,
+    /// fault from the start, such as silent or slow-checkpoint:5s
+    #[argh(option)]
+    fault: Option<WorkerFault>,
 }
 
 /// Send HTTP load to a loopback address and report outcomes.
@@ -87,7 +97,13 @@
     /// longest run in seconds (default 60)
     #[argh(option, default = "60")]
     seconds: u64,
-    /// body; {{n}} is replaced by the number of the request
+    /// successive requests that share key and body (default 1)
+    #[argh(option, default = "1")]
+    repeats: u64,
+    /// time in milliseconds within which a 2xx answer is on time (default 10000)
+    #[argh(option, default = "10000")]
+    deadline_ms: u64,
+    /// body; the text {n} is replaced by the number of the request
     #[argh(option, default = "String::from(\"{n}\")")]
     body: String,
     /// header as name:value; may be repeated
@@ -128,6 +144,7 @@
         Command::Load(args) => load(args).await?,
         Command::Store(args) => {
             let mut service = TableService::start(args.listen).await?;
+            service.faults().set(args.fault.as_deref().map(parse_store_fault).transpose()?);
             println!("listening on {}", service.server().address());
             shutdown_signal().await?;
             service.stop().await;
@@ -138,6 +155,7 @@
             settings.agent = args.agent;
             settings.incarnation = args.incarnation;
             let mut upstream = Upstream::start(settings).await?;
+            upstream.set_fault(args.fault);
             println!("listening on {}", upstream.server().address());
             shutdown_signal().await?;
             upstream.stop().await;
@@ -147,6 +165,7 @@
                 .with_checkpoint(Duration::from_millis(args.checkpoint_ms))
                 .with_lag(Duration::from_millis(args.lag_ms));
             let mut worker = Worker::start(settings).await?;
+            worker.set_fault(args.fault);
             println!("listening on {}", worker.server().address());
             shutdown_signal().await?;
             worker.stop().await;
@@ -159,6 +178,8 @@
     let urls: Vec<&str> = args.url.iter().map(String::as_str).collect();
     let mut settings = LoadSettings::new(&urls, args.rate, args.count)
         .with_body(&args.body)
+        .with_deadline(Duration::from_millis(args.deadline_ms))
+        .with_repeats(args.repeats)
         .with_duration(Duration::from_secs(args.seconds))
         .with_open(args.open)
         .with_timeout(Duration::from_millis(args.timeout_ms));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,9 +1,14 @@
 //! Stand-ins for what the platform provides, for tests and the `demo` command only: the table
 //! service, an upstream and a worker, each with fault injection and counters, and a load
 //! generator.
+//!
+//! Each server also answers `GET /standin/counts` and `PUT /standin/fault`, so that tests can use
+//! it as a process of its own.
 
 mod connections;
+mod control;
 mod error;
+mod fault_text;
 mod load;
 mod running;
 mod table_service;
@@ -12,6 +17,7 @@
 
 pub use connections::Connections;
 pub use error::StandinError;
+pub use fault_text::parse_store_fault;
 pub use load::{LoadReport, LoadSettings, run_load};
 pub use running::Running;
 pub use table_service::TableService;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -20,15 +20,19 @@
 /// earlier ones, until `open` requests are in progress.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
-    /// Body of each request; the text `{n}` is replaced by the number of the request.
+    /// Body of each request; the text `{n}` is replaced by the number of the request divided by
+    /// `repeats`.
     pub body: String,
     /// Highest number of requests; 1 to 10 million.
     pub count: u64,
+    /// Time within which a 2xx answer is on time.
+    pub deadline: Duration,
     /// Longest time during which requests are started.
     pub duration: Duration,
     /// Headers of each request.
     pub headers: Vec<(String, String)>,
-    /// Prefix of the `Idempotency-Key` header; the number of the request is appended.
+    /// Prefix of the `Idempotency-Key` header; the number of the request divided by `repeats` is
+    /// appended.
     pub key_prefix: Option<String>,
     /// Method of each request.
     pub method: Method,
@@ -36,6 +40,8 @@
     pub open: usize,
     /// Requests per second, above 0 and up to 100,000.
     pub rate: f64,
+    /// Number of successive requests that share key and body, at least 1.
+    pub repeats: u64,
     /// Time after which a request is given up.
     pub timeout: Duration,
     /// URLs; requests take them in turn.
@@ -49,12 +55,14 @@
         Self {
             body: "{n}".to_owned(),
             count,
+            deadline: Duration::from_secs(10),
             duration: Duration::from_secs(60),
             headers: Vec::new(),
             key_prefix: None,
             method: Method::POST,
             open: 1024,
             rate,
+            repeats: 1,
             timeout: Duration::from_secs(10),
             urls: urls.iter().map(|url| (*url).to_owned()).collect(),
         }
@@ -71,6 +79,16 @@
         Self { key_prefix: Some(prefix.to_owned()), ..self }
     }
 
+    /// Makes each `repeats` successive requests share key and body, as callers do that ask again.
+    pub fn with_repeats(self, repeats: u64) -> Self {
+        Self { repeats, ..self }
+    }
+
+    /// Sets the time within which a 2xx answer is on time.
+    pub fn with_deadline(self, deadline: Duration) -> Self {
+        Self { deadline, ..self }
+    }
+
     /// Sets the body; `{n}` is replaced by the number of the request.
     pub fn with_body(self, body: &str) -> Self {
         Self { body: body.to_owned(), ..self }
@@ -103,6 +121,9 @@
         if !(1..=MOST_COUNT).contains(&self.count) {
             return Err(fault("count", &self.count, "1 to 10000000"));
         }
+        if self.repeats == 0 {
+            return Err(fault("repeats", &self.repeats, "at least 1"));
+        }
         if !(1..=MOST_OPEN).contains(&self.open) {
             return Err(fault("open", &self.open, "1 to 4096"));
         }
@@ -135,6 +156,8 @@
     pub errors: BTreeMap<String, u64>,
     /// Complete answers with a 2xx status that did not end with the request's own body.
     pub mismatched: u64,
+    /// Complete answers with a 2xx status within the deadline.
+    pub on_time: u64,
     /// Complete answers per second, over the whole run.
     pub throughput: f64,
     /// Median time from the start of a request to the end of its complete answer, in milliseconds.
@@ -155,7 +178,7 @@
             f,
             "{} sent, {} skipped in {:.2} s; {:.0}/s; p50 {:.2} ms, p99 {:.2} ms; \
              starts late by {:.2} ms (p99); \
-             outcomes {:?}; statuses {:?}; errors {:?}; {} mismatched",
+             outcomes {:?}; statuses {:?}; errors {:?}; {} on time, {} mismatched",
             self.sent,
             self.skipped,
             self.seconds,
@@ -166,6 +189,7 @@
             self.outcomes,
             self.statuses,
             self.errors,
+            self.on_time,
             self.mismatched,
         )
     }
@@ -201,7 +225,7 @@
     let sender = Arc::new(Sender { client, settings: settings.clone(), urls });
     let begin = Instant::now();
     let mut open = FuturesUnordered::new();
-    let mut tally = Tally::default();
+    let mut tally = Tally { deadline: settings.deadline, ..Tally::default() };
     for number in 0..settings.count {
         let due = begin + Duration::from_secs_f64(number as f64 / settings.rate);
         if due - begin >= settings.duration {
@@ -237,9 +261,10 @@
 
 impl Sender {
     async fn send(&self, number: u64, due: Instant) -> Ending {
-        let body = Bytes::from(self.settings.body.replace("{n}", &number.to_string()));
+        let shared = (number / self.settings.repeats).to_string();
+        let body = Bytes::from(self.settings.body.replace("{n}", &shared));
         let start = Instant::now();
-        let result = self.exchange(number, body).await.map_err(|error| match error {
+        let result = self.exchange(number, &shared, body).await.map_err(|error| match error {
             error if error.is_timeout() => "timeout",
             error if error.is_connect() => "connect",
             _ => "broken",
@@ -247,14 +272,19 @@
         Ending { late: start.saturating_duration_since(due), latency: start.elapsed(), result }
     }
 
-    async fn exchange(&self, number: u64, body: Bytes) -> Result<Answer, reqwest::Error> {
+    async fn exchange(
+        &self,
+        number: u64,
+        shared: &str,
+        body: Bytes,
+    ) -> Result<Answer, reqwest::Error> {
         let url = self.urls[(number % self.urls.len() as u64) as usize].clone();
         let mut request = self.client.request(self.settings.method.clone(), url);
         for (name, value) in &self.settings.headers {
             request = request.header(name, value);
         }
         if let Some(prefix) = &self.settings.key_prefix {
-            request = request.header("Idempotency-Key", format!("{prefix}{number}"));
+            request = request.header("Idempotency-Key", format!("{prefix}{shared}"));
         }
         let answer = request.body(body.clone()).send().await?;
         let status = answer.status();
@@ -268,6 +298,7 @@
 
 #[derive(Default)]
 struct Tally {
+    deadline: Duration,
     late: Vec<Duration>,
     latencies: Vec<Duration>,
     report: LoadReport,
@@ -287,6 +318,8 @@
                 *report.outcomes.entry(outcome).or_default() += 1;
                 *report.statuses.entry(answer.status).or_default() += 1;
                 report.mismatched += u64::from(!answer.matched);
+                let success = (200..300).contains(&answer.status);
+                report.on_time += u64::from(success && ending.latency <= self.deadline);
                 self.latencies.push(ending.latency);
             }
             Err(cause) => *report.errors.entry(cause.to_owned()).or_default() += 1,
--- a/crates/standins/src/table_service.rs
+++ b/crates/standins/src/table_service.rs
@@ -6,10 +6,12 @@
 use poem::endpoint::make;
 use poem::http::{Method, StatusCode};
 use poem::{Request, Response};
+use serde_json::json;
 use skylarkpulley_store::wire::{ListedRow, Mismatch, Written};
 use skylarkpulley_store::{Fault, Faults, Operation, Row, RowTable};
 
-use crate::{Connections, Running, StandinError};
+use crate::control::control;
+use crate::{Connections, Running, StandinError, parse_store_fault};
 
 /// Stand-in of the platform's table service. The protocol is described in `docs/store.md`.
 #[derive(Debug)]
@@ -90,6 +92,15 @@
     }
 
     async fn serve(&self, request: Request) -> Response {
+        let counts = || {
+            let (reads, writes) = (&self.reads, &self.writes);
+            json!({ "reads": reads.load(Ordering::Relaxed), "writes": writes.load(Ordering::Relaxed) })
+        };
+        let set = |fault| self.faults.set(fault);
+        let request = match control(request, parse_store_fault, set, counts).await {
+            Ok(answer) => return answer,
+            Err(request) => request,
+        };
         let remote = request.remote_addr().clone();
         let call = match Call::read(request).await {
             Ok(call) => call,
@@ -133,7 +144,7 @@
                 let prefix = String::from_utf8_lossy(&value);
                 let rows = self.table(|table| table.list(&prefix, stale));
                 let rows: Vec<_> = rows.iter().map(|(key, row)| ListedRow::new(key, row)).collect();
-                json(StatusCode::OK, &rows)
+                json_body(StatusCode::OK, &rows)
             }
             Method::GET => match self.table(|table| table.get(&key, stale)) {
                 Some(row) => Response::builder()
@@ -142,12 +153,12 @@
                 None => text(StatusCode::NOT_FOUND, "no such row"),
             },
             Method::PUT => match self.table(|table| table.put(&key, expected, value)) {
-                Ok(version) => json(StatusCode::OK, &Written { version }),
-                Err(found) => json(StatusCode::PRECONDITION_FAILED, &Mismatch { found }),
+                Ok(version) => json_body(StatusCode::OK, &Written { version }),
+                Err(found) => json_body(StatusCode::PRECONDITION_FAILED, &Mismatch { found }),
             },
             _ => match self.table(|table| table.delete(&key, expected)) {
                 Ok(()) => Response::builder().status(StatusCode::NO_CONTENT).finish(),
-                Err(found) => json(StatusCode::PRECONDITION_FAILED, &Mismatch { found }),
+                Err(found) => json_body(StatusCode::PRECONDITION_FAILED, &Mismatch { found }),
             },
         }
     }
@@ -186,7 +197,7 @@
     Response::builder().status(status).body(body)
 }
 
-fn json(status: StatusCode, body: &impl serde::Serialize) -> Response {
+fn json_body(status: StatusCode, body: &impl serde::Serialize) -> Response {
     let body = serde_json::to_vec(body).unwrap_or_default();
     Response::builder().status(status).content_type("application/json").body(body)
 }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 
+use crate::control::control;
 use crate::{Connections, Running, StandinError};
 
 /// Interval of announcements.
@@ -98,6 +99,7 @@
 struct Plan {
     lasting: Option<UpstreamFault>,
     mix: Vec<(UpstreamFault, u32)>,
+    muted: bool,
     queued: VecDeque<UpstreamFault>,
     random: fastrand::Rng,
 }
@@ -178,6 +180,11 @@
         });
     }
 
+    /// Loses the announcements from now on, or no longer.
+    pub fn mute(&self, muted: bool) {
+        self.state.faults(|plan| plan.muted = muted);
+    }
+
     /// Announces `leaving` from now on and goes on serving.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
@@ -223,7 +230,12 @@
         call(&mut self.faults.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    async fn serve(self: Arc<Self>, mut request: Request) -> Response {
+    async fn serve(self: Arc<Self>, request: Request) -> Response {
+        let set = |fault| self.faults(|plan| plan.lasting = fault);
+        let mut request = match control(request, str::parse, set, || self.figures()).await {
+            Ok(answer) => return answer,
+            Err(request) => request,
+        };
         let remote = request.remote_addr().clone();
         let key = request.header("Idempotency-Key").map(str::to_owned);
         let service = request.header("Service-Ms").and_then(|ms| ms.parse().ok());
@@ -257,15 +269,29 @@
         Response::builder().content_type("text/plain").body(answer)
     }
 
+    fn figures(&self) -> serde_json::Value {
+        let connections = self.connections.most();
+        self.counts(|counts| {
+            json!({
+                "active": counts.active,
+                "keys": counts.executions.len(),
+                "most_active": counts.most,
+                "most_connections": connections,
+                "most_executions": counts.executions.values().max().copied().unwrap_or(0),
+                "runs": counts.runs,
+            })
+        })
+    }
+
     fn is_down(&self, phase: Duration) -> bool {
         let phase = phase.max(Duration::from_millis(1));
         (self.started.elapsed().as_millis() / phase.as_millis()) % 2 == 1
     }
 
-    /// Reports whether the upstream keeps silent because it flaps.
+    /// Reports whether the upstream keeps silent because it flaps or is muted.
     fn is_silent(&self) -> bool {
-        let lasting = self.faults(|plan| plan.lasting);
-        matches!(lasting, Some(UpstreamFault::Flap(phase)) if self.is_down(phase))
+        let (lasting, muted) = self.faults(|plan| (plan.lasting, plan.muted));
+        muted || matches!(lasting, Some(UpstreamFault::Flap(phase)) if self.is_down(phase))
     }
 }
 
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use skylarkpulley_types::{Clock, SystemClock};
 
+use crate::control::control;
 use crate::{Connections, Running, StandinError};
 
 mod tasks;
@@ -229,7 +230,12 @@
         call(&mut tasks, self.clock.now())
     }
 
-    async fn serve(&self, mut request: Request) -> Response {
+    async fn serve(&self, request: Request) -> Response {
+        let set = |fault| *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        let mut request = match control(request, str::parse, set, || self.figures()).await {
+            Ok(answer) => return answer,
+            Err(request) => request,
+        };
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         if fault == Some(WorkerFault::Silent) {
             self.connections.gone(request.remote_addr()).await;
@@ -261,6 +267,16 @@
         }
     }
 
+    fn figures(&self) -> serde_json::Value {
+        self.tasks(|tasks, _| {
+            json!({
+                "most_accelerators": tasks.most(),
+                "overlaps": tasks.overlaps(),
+                "starts": tasks.starts(),
+            })
+        })
+    }
+
     async fn change(
         &self,
         id: &str,
--- a/crates/standins/tests/standins.rs
+++ b/crates/standins/tests/standins.rs
@@ -255,6 +255,34 @@
     assert!(upstream.executions_by_key().values().all(|count| *count == 1));
 }
 
+/// Guards against repeated requests that do not share their key and body, so that a test of
+/// duplicates would test nothing, and against late answers that count as on time.
+#[tokio::test]
+async fn load_repeats_keys() {
+    let upstream = upstream(20).await;
+    let url = format!("{}/x", upstream.server().url());
+    let settings = LoadSettings::new(&[&url], 2000.0, 30).with_keys("k").with_repeats(3);
+    let report = run_load(&settings.with_deadline(Duration::from_millis(1))).await.unwrap();
+    assert_eq!((report.sent, report.mismatched, report.on_time), (30, 0, 0), "{report}");
+    let executions = upstream.executions_by_key();
+    assert_eq!((executions.len(), executions["k0"], executions["k9"]), (10, 3, 3));
+}
+
+/// Guards against stand-ins that cannot be controlled from another process.
+#[tokio::test]
+async fn standins_control_calls() {
+    let upstream = upstream(0).await;
+    let url = |path: &str| format!("{}/standin/{path}", upstream.server().url());
+    let put = |fault: &'static str| client().put(url("fault")).body(fault).send();
+    assert_eq!(put("close").await.unwrap().status(), 204);
+    assert!(send(&upstream, "k").await.is_err());
+    assert_eq!(put("slow:soon").await.unwrap().status(), 400);
+    assert_eq!(put("none").await.unwrap().status(), 204);
+    assert_eq!(send(&upstream, "k").await.unwrap().0, 200);
+    let counts: Value = client().get(url("counts")).send().await.unwrap().json().await.unwrap();
+    assert_eq!((&counts["runs"], &counts["most_executions"]), (&json!(2), &json!(2)));
+}
+
 /// Guards against load on other machines.
 #[tokio::test]
 async fn load_refuses_settings() {
