Bound the delta of one changed team

Cause: the size of a delta must not grow with the number of teams.

Change: a test with 310 teams in one pool.

Measured: one row, under 100 bytes.

Conclusion: guarded.

--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -4,7 +4,8 @@
 
 use common::{document, rows};
 use skylarkpulley_config::{
-    Applied, Change, Delta, History, Replica, TablesRow, compare_edits, join_rows, split_rows,
+    Applied, Change, Delta, Document, History, Replica, TablesRow, compare_edits, join_rows,
+    split_rows,
 };
 
 /// Guards against a delta that carries unchanged rows, forgets removed ones or does not lead to
@@ -163,6 +164,26 @@
     }
 }
 
+/// Guards against a delta that grows with the number of teams in the pool: 310 teams in one row
+/// were 48 KB per change, above the traffic that a node may use.
+#[test]
+fn delta_of_one_team_in_large_pool() {
+    let pools = |changed: u32| {
+        let teams = (0..310).map(|team| {
+            let weight = if team == 7 { changed } else { 2 };
+            format!("[[pool.team]]\nname = 'team-{team}'\nweight = {weight}\n")
+        });
+        format!("[[pool]]\nname = 'jobs'\n{}", teams.collect::<String>())
+    };
+    let mut history = History::new(8);
+    for (version, changed) in [(1, 2), (2, 5)] {
+        history.install(Document::new(version, split_rows("", &pools(changed)).unwrap()));
+    }
+    let delta = history.delta_from(1).unwrap();
+    assert_eq!((delta.rows.len(), delta.removed.len()), (1, 0));
+    assert!(delta.size() < 100, "{} bytes", delta.size());
+}
+
 /// Guards against a lost race that is explained wrongly.
 #[test]
 fn compare_edits_cases() {
