Refuse a store address that is not an http URL by its own error

Cause: a wrong address was reported as an unavailable row.

Change: StoreError::InvalidAddress, found when the client is made.

Conclusion: a wrong setting is told from an outage.

--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -73,6 +73,14 @@
         /// Queue length or wait.
         detail: String,
     },
+    /// The address of the service is not an `http` URL.
+    #[display("invalid store address {address:?}: {detail}")]
+    InvalidAddress {
+        /// The address.
+        address: String,
+        /// Cause.
+        detail: String,
+    },
     /// The key contains characters other than ASCII letters, digits and `-._/`, or is empty.
     #[display("invalid row key {key:?}")]
     InvalidKey {
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -37,11 +37,13 @@
 impl HttpStore {
     /// Returns a client of the service at `base`, such as `http://127.0.0.1:4000`.
     pub fn new(base: &str, settings: HttpSettings) -> Result<Self, StoreError> {
-        let invalid = |detail: String| StoreError::Unavailable { key: base.to_owned(), detail };
-        let url = Url::parse(base).map_err(|error| invalid(error.to_string()))?;
-        if url.cannot_be_a_base() {
-            return Err(invalid("address is not an http URL".to_owned()));
-        }
+        let address = base.to_owned();
+        let invalid = |detail: String| StoreError::InvalidAddress { address, detail };
+        let url = match Url::parse(base) {
+            Ok(url) if url.scheme() == "http" => url,
+            Ok(_) => return Err(invalid("not an http URL".to_owned())),
+            Err(error) => return Err(invalid(error.to_string())),
+        };
         let client = Client::builder()
             .connect_timeout(settings.connect)
             .http1_only()
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -80,6 +80,7 @@
         StoreError::TimedOut { .. } => "timed out",
         StoreError::Suspended { .. } => "suspended",
         StoreError::Throttled { .. } => "throttled",
+        StoreError::InvalidAddress { .. } => "invalid address",
         StoreError::InvalidKey { .. } => "invalid key",
         StoreError::Malformed { .. } => "malformed",
     }
@@ -232,6 +233,15 @@
     }
 }
 
+/// Guards against an address that fails only at the first call.
+#[test]
+fn http_store_invalid_address() {
+    for address in ["", "127.0.0.1:4000", "ftp://127.0.0.1", "mailto:a"] {
+        let error = HttpStore::new(address, HttpSettings::default()).unwrap_err();
+        assert_eq!(kind(&error), "invalid address", "{address}");
+    }
+}
+
 /// Guards against a service that is gone being reported as a lost answer, which would leave every
 /// write of an outage in doubt.
 #[tokio::test]
