--- a/crates/keys/tests/table/table.rs
+++ b/crates/keys/tests/table/table.rs
@@ -207,6 +207,22 @@
     assert_eq!(bench.tables[1].serving(), [(RANGE, 2)]);
 }
 
+/// Guards against an owner that does not know yet that it was replaced, and grants a key to another
+/// attempt than the one that holds it. A second grant to that attempt does no harm: its target
+/// runs it once.
+#[test]
+fn deposed_owner_repeats_only_old_grants() {
+    let mut bench = Bench::new(Limits::default());
+    let key = key(0);
+    assert_eq!(bench.reserve(0, &key, "a"), Some(KeyReply::Granted));
+    bench.assign(2, 1, 2, 1, &[1, 2]);
+    let actions = bench.tables[1].complete(1, &attempt(&key, "a"), ok("yes"), bench.now);
+    assert_eq!(bench.reply(1, actions), Some(KeyReply::Completed));
+    assert_eq!(bench.reserve(0, &key, "a"), Some(KeyReply::Granted));
+    assert_eq!(bench.reserve(0, &key, "b"), Some(KeyReply::InProgress));
+    assert!(matches!(bench.reserve(1, &key, "b"), Some(KeyReply::Answered(_))));
+}
+
 /// Guards against a late copy that replaces what the witness learned since.
 #[test]
 fn witness_ignores_late_copies() {
