Report a missing task when its lease is extended

Cause: a trial found a member that was taken to run for 2.1 s after its task had finished: the simulated worker dropped the report because the agent was paused, and accepted the extension of a task that it no longer had.

Change: the simulated worker keeps its reports for a paused agent and answers an extension of a missing task with Stopped; the same is asked of the agent in the description of Action::Extend.

Conclusion: the 2 s bound counts from the time at which a member's agent learns that its task has ended.

--- a/crates/ledger/src/action.rs
+++ b/crates/ledger/src/action.rs
@@ -51,7 +51,8 @@
         /// Description of the task.
         task: Arc<[u8]>,
     },
-    /// Extend the task's lease on the worker.
+    /// Extend the task's lease on the worker. When the worker has no such task, report
+    /// `WorkerEvent::Stopped`.
     Extend {
         /// The task.
         gang: String,
--- a/crates/ledger/tests/gangs/faults.rs
+++ b/crates/ledger/tests/gangs/faults.rs
@@ -82,7 +82,7 @@
     sim.run(3 * SECOND);
     sim.gangs.get_mut("g").unwrap().proposer_up = false;
     for process in broken.into_iter().filter(|process| *process < 3) {
-        sim.workers[process].paused = false;
+        sim.resume(process);
         sim.restart(process);
     }
     sim.run(3 * SECOND);
@@ -226,7 +226,7 @@
     sim.workers[2].paused = true;
     sim.run(10 * SECOND);
     assert_eq!(sim.running("g"), 0);
-    sim.workers[2].paused = false;
+    sim.resume(2);
     for _ in 0..WORKERS * 10 {
         sim.step();
         assert_eq!(sim.running("g"), 0);
--- a/crates/ledger/tests/gangs/interleavings.rs
+++ b/crates/ledger/tests/gangs/interleavings.rs
@@ -67,7 +67,7 @@
         (22, _) => sim.crash(worker),
         (23..25, _) => sim.restart(worker),
         (25, _) => sim.workers[worker].paused = true,
-        (26, _) => sim.workers[worker].paused = false,
+        (26, _) => sim.resume(worker),
         (27, _) => sim.cancel(&gang(a)),
         (28..30, _) => sim.retry(&gang(a)),
         (30, _) => {
@@ -121,7 +121,7 @@
         let mut sim = play(&steps);
         sim.fate = Box::new(|_| Fate::Pass);
         for index in 0..WORKERS {
-            sim.workers[index].paused = false;
+            sim.resume(index);
             sim.restart(index);
         }
         sim.run(Duration::from_secs(4));
--- a/crates/ledger/tests/gangs/sim.rs
+++ b/crates/ledger/tests/gangs/sim.rs
@@ -78,6 +78,8 @@
     /// Ignores the first stop of every task, as a worker does whose task needs time to end.
     pub slow: bool,
     deaf: BTreeSet<(String, u64)>,
+    /// What the worker reported while the agent was paused.
+    unread: Vec<(String, u64, WorkerEvent)>,
     /// Thousandths by which this worker's clock is fast or slow.
     drift: i32,
 }
@@ -131,6 +133,7 @@
             tasks: BTreeMap::new(),
             slow: false,
             deaf: BTreeSet::new(),
+            unread: Vec::new(),
             // Relative to each other the clocks drift by up to 1 %.
             drift: [0, 5, -5, 3][index % 4],
         });
@@ -212,6 +215,7 @@
     pub fn crash(&mut self, index: usize) {
         self.workers[index].up = false;
         self.workers[index].paused = false;
+        self.workers[index].unread.clear();
     }
 
     pub fn restart(&mut self, index: usize) {
@@ -274,12 +278,22 @@
     fn report_event(&mut self, index: usize, id: &str, epoch: u64, event: WorkerEvent) {
         let now = self.clock(index);
         let worker = &mut self.workers[index];
-        if worker.up && !worker.paused {
+        if worker.paused {
+            worker.unread.push((id.to_owned(), epoch, event));
+        } else if worker.up {
             let actions = worker.ledger.worker(id, epoch, event, now);
             self.act(index, actions);
         }
     }
 
+    /// A paused agent goes on; it finds the worker's reports before anything else.
+    pub fn resume(&mut self, index: usize) {
+        self.workers[index].paused = false;
+        for (id, epoch, event) in std::mem::take(&mut self.workers[index].unread) {
+            self.report_event(index, &id, epoch, event);
+        }
+    }
+
     fn send(&mut self, from: usize, to: usize, message: Message) {
         let incarnation = self.workers[to].member.agent.incarnation;
         self.post(Packet { from, to, incarnation, message });
@@ -366,8 +380,9 @@
                 Action::Extend { gang, epoch, lease } => {
                     let expires = self.clock(index) + lease;
                     let task = self.workers[index].tasks.get_mut(&gang);
-                    if let Some(task) = task.filter(|task| task.epoch == epoch) {
-                        task.expires = expires;
+                    match task.filter(|task| task.epoch == epoch) {
+                        Some(task) => task.expires = expires,
+                        None => self.report_event(index, &gang, epoch, WorkerEvent::Stopped),
                     }
                 }
                 Action::Checkpoint { .. } => self.checkpoints += 1,
