Test late messages for ended tasks and other runs of an agent

Change: a test of these messages on a single ledger.

Conclusion: L6 is covered for hold, commit and renewal.

--- a/crates/ledger/tests/gangs/ledger.rs
+++ b/crates/ledger/tests/gangs/ledger.rs
@@ -305,6 +305,28 @@
     assert_eq!(bench.hold(&Hold { epoch: 7, ..borrowed("a", 1, 8) }), HoldReply::Refused(refusal));
 }
 
+/// Guards against late messages that start an ended task again, a renewal of an older epoch, and a
+/// commit that is meant for another run of the agent (L6).
+#[test]
+fn late_messages_are_refused() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.hold(&borrowed("a", 1, 8)), HoldReply::Held);
+    let successor = Member::new(AgentId::new("w0", 2), "10.0.1.0:7");
+    let members = vec![other(), successor];
+    let commit = Commit { gang: "a".to_owned(), epoch: 1, members, task: Arc::new([]) };
+    let refusal = Refusal::NotMember { gang: "a".to_owned() };
+    assert_eq!(bench.ledger.commit(&commit, bench.now).0, Err(refusal));
+
+    bench.start_remote(&Hold { epoch: 1, ..borrowed("a", 1, 8) });
+    let old = Renew { gang: "a".to_owned(), epoch: 0, lease: LEASE, stamp: 2, sequence: 9 };
+    let (reply, actions) = bench.ledger.renew(&old, bench.now);
+    assert_eq!((reply.state, actions), (MemberState::Unknown, vec![]));
+    bench.ledger.worker("a", 1, WorkerEvent::Finished, bench.now);
+    assert_eq!(bench.renew("a", 2), (MemberState::Finished, vec![]));
+    let refusal = Refusal::Stale { name: "a".to_owned(), epoch: 1, seen: 1 };
+    assert_eq!(bench.hold(&borrowed("a", 1, 8)), HoldReply::Refused(refusal));
+}
+
 /// Guards against a repeated commit that is refused, and one of a second proposer that is taken for
 /// a repeat.
 #[test]
