Look at the waiting jobs in constant time each

Change: teams and estimates are referred to by index; the expected ends of a worker are computed once per search; the wait reason no longer names the earlier job, which made it change for all waiting jobs at once.

--- a/crates/bench/benches/placement.rs
+++ b/crates/bench/benches/placement.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use skylarkpulley_placement::{Action, Event, HoldResult, JobSpec, Placer, WorkerReport};
+use skylarkpulley_placement::{Action, Event, GangEnd, HoldResult, JobSpec, Placer, WorkerReport};
 use skylarkpulley_tables::{Domain, Guarantee, Pool, PoolKind, Team};
 use skylarkpulley_types::{AgentId, Locality, Shape};
 
@@ -129,6 +129,46 @@
     }
 }
 
+/// Jobs that wait while a gang ends.
+const WAITING: usize = 2000;
+
+impl Loaded {
+    /// Fills the queue with jobs of many teams and run times.
+    fn fill_queue(&mut self) {
+        for ix in 0..WAITING {
+            self.number += 1;
+            let shape = Shape::new(8, 1 + ix as u32 % 3, Locality::Rack);
+            let team = format!("t{}", 2 + ix % 300);
+            let mut spec = JobSpec::new(&format!("q{}", self.number), &team, shape);
+            spec.run_time = Duration::from_secs(60 + ix as u64 * 7 % 7200);
+            spec.class = (ix % 4) as u8;
+            self.submit(spec);
+        }
+        for _ in 0..WAITING {
+            let actions = self.placer.decide(self.now);
+            for action in &actions {
+                self.start(action);
+            }
+        }
+    }
+
+    /// Ends one small running gang, decides, and starts another one in its place.
+    fn end_one(&mut self, ix: usize) -> Duration {
+        let id = format!("j{ix}");
+        let Some(epoch) = self.placer.explain(&id).map(|job| job.epoch) else {
+            return Duration::ZERO;
+        };
+        let start = Instant::now();
+        self.placer.handle(Event::GangEnded { job: id, epoch, end: GangEnd::Finished }, self.now);
+        let actions = black_box(self.placer.decide(self.now));
+        let taken = start.elapsed();
+        for action in &actions {
+            self.start(action);
+        }
+        taken
+    }
+}
+
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("placement");
     group.sample_size(20).measurement_time(Duration::from_secs(2));
@@ -148,8 +188,25 @@
                 });
             });
         }
-        // A claim changes the state for good; the loaded placer is made anew for each sample.
         let shape = Shape::new(8, gang, Locality::Pool);
+        loaded.fill_queue();
+        let mut next = 0;
+        group.bench_function(BenchmarkId::new("end", workers), |bencher| {
+            bencher.iter_custom(|rounds| {
+                let mut taken = Duration::ZERO;
+                for _ in 0..rounds {
+                    next += 1;
+                    if next > workers as usize * 2 {
+                        next = 1;
+                        loaded = Loaded::new(workers);
+                        loaded.fill_queue();
+                    }
+                    taken += loaded.end_one(next);
+                }
+                taken
+            });
+        });
+        // A claim changes the state for good; the loaded placer is made anew each time.
         group.sample_size(10).bench_function(BenchmarkId::new("claim", workers), |bencher| {
             bencher.iter_custom(|rounds| {
                 let once = |_| Loaded::new(workers).decide(shape, Some("wide"));
--- a/crates/placement/src/estimates.rs
+++ b/crates/placement/src/estimates.rs
@@ -1,11 +1,20 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+#[derive(Clone, Copy, Debug)]
+struct Ratio {
+    /// Weighted sum of the logarithms of the observed ratios.
+    sum: f64,
+    weight: f64,
+    factor: f64,
+}
+
 /// Observed ratio of actual to declared run time per team and kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Estimates {
-    /// By team and kind: the weighted sum of the logarithms of the ratios, and the sum of weights.
-    ratios: HashMap<String, HashMap<String, (f64, f64)>>,
+    /// By team, then by kind, the position in `ratios`.
+    names: HashMap<String, HashMap<String, usize>>,
+    ratios: Vec<Ratio>,
     /// Grows with every observation.
     pub version: u64,
 }
@@ -17,22 +26,32 @@
     /// runs.
     const DECAY: f64 = 0.9;
 
+    /// Returns the key of a team and kind. Keys stay valid.
+    pub fn key(&mut self, team: &str, kind: &str) -> usize {
+        if let Some(key) = self.names.get(team).and_then(|kinds| kinds.get(kind)) {
+            return *key;
+        }
+        let key = self.ratios.len();
+        self.ratios.push(Ratio { sum: 0.0, weight: 0.0, factor: 1.0 });
+        self.names.entry(team.to_owned()).or_default().insert(kind.to_owned(), key);
+        key
+    }
+
     /// Records that a job declared as `declared` took `actual`.
-    pub fn observe(&mut self, team: &str, kind: &str, declared: Duration, actual: Duration) {
-        let ratio = actual.as_secs_f64().max(0.001) / declared.as_secs_f64().max(0.001);
-        let ratio = ratio.clamp(1.0 / Self::LIMIT, Self::LIMIT).ln();
+    pub fn observe(&mut self, key: usize, declared: Duration, actual: Duration) {
+        let observed = actual.as_secs_f64().max(0.001) / declared.as_secs_f64().max(0.001);
+        let observed = observed.clamp(1.0 / Self::LIMIT, Self::LIMIT).ln();
+        let ratio = &mut self.ratios[key];
+        ratio.sum = ratio.sum * Self::DECAY + observed;
+        ratio.weight = ratio.weight * Self::DECAY + 1.0;
+        // One observation of "as declared" is assumed beforehand, so that a single outlier does not
+        // dominate.
+        ratio.factor = (ratio.sum / (ratio.weight + 1.0)).exp();
         self.version += 1;
-        let kinds = self.ratios.entry(team.to_owned()).or_default();
-        let entry = kinds.entry(kind.to_owned()).or_insert((0.0, 0.0));
-        entry.0 = entry.0 * Self::DECAY + ratio;
-        entry.1 = entry.1 * Self::DECAY + 1.0;
     }
 
-    /// Returns the geometric mean of the observed ratios applied to `declared`. One observation of
-    /// "as declared" is assumed beforehand, so that a single outlier does not dominate.
-    pub fn correct(&self, team: &str, kind: &str, declared: Duration) -> Duration {
-        let known = self.ratios.get(team).and_then(|kinds| kinds.get(kind));
-        let Some((sum, weight)) = known else { return declared };
-        declared.mul_f64((sum / (weight + 1.0)).exp())
+    /// Returns the geometric mean of the observed ratios applied to `declared`.
+    pub fn correct(&self, key: usize, declared: Duration) -> Duration {
+        declared.mul_f64(self.ratios[key].factor)
     }
 }
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -109,6 +109,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub spec: JobSpec,
+    /// Index of the team.
+    pub team: usize,
+    /// Key of the run-time estimate.
+    pub estimate: usize,
     pub state: State,
     pub epoch: u64,
     /// Worker and accelerators of each member.
@@ -144,6 +148,8 @@
 impl Job {
     pub fn new(spec: JobSpec, now: Instant) -> Self {
         Self {
+            team: 0,
+            estimate: 0,
             state: State::Waiting,
             epoch: spec.epoch,
             members: Vec::new(),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -59,6 +59,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Use {
+    /// Paid share; 0 for a team that is not in the pool.
+    weight: u32,
     accelerators: u64,
     cores: u64,
     memory: u64,
@@ -110,7 +112,7 @@
     spare_jobs: Vec<usize>,
     by_id: HashMap<String, usize>,
     /// Waiting jobs by class and team, in order of their keys.
-    queues: BTreeMap<(u8, String), BTreeSet<(i64, usize)>>,
+    queues: BTreeMap<(u8, usize), BTreeSet<(i64, usize)>>,
     /// Waiting jobs that claim a guarantee.
     claims: BTreeSet<(i64, usize)>,
     /// Jobs queued since the last full pass.
@@ -124,7 +126,10 @@
     plan: bool,
     plan_at: Instant,
     epoch: u64,
-    uses: HashMap<String, Use>,
+    /// Index of each team in `uses`.
+    teams: HashMap<String, usize>,
+    uses: Vec<Use>,
+    described: u64,
     estimates: Estimates,
     timers: BTreeSet<(Instant, Timer)>,
     /// Gangs that ended recently, which older reports may still list.
@@ -167,7 +172,9 @@
             plan: true,
             plan_at: now,
             epoch: 0,
-            uses: HashMap::new(),
+            teams: HashMap::new(),
+            uses: Vec::new(),
+            described: 0,
             estimates: Estimates::default(),
             timers: BTreeSet::new(),
             ended: HashMap::new(),
@@ -175,6 +182,7 @@
             refused: VecDeque::new(),
             origin: now,
         };
+        placer.take_shares();
         placer.rebuild_instances();
         placer
     }
@@ -192,6 +200,7 @@
             return;
         }
         self.pool = pool.clone();
+        self.take_shares();
         self.rebuild_instances();
         self.review_refused();
         self.review_waiting();
@@ -325,7 +334,31 @@
         (job.epoch == epoch && !job.is_waiting()).then_some(ix)
     }
 
-    fn add_job(&mut self, job: Job) -> usize {
+    /// Copies weights and sizes that every ranking of a job needs.
+    fn take_shares(&mut self) {
+        self.described = u64::from(self.pool.worker_count());
+        for used in &mut self.uses {
+            used.weight = 0;
+        }
+        for ix in 0..self.pool.teams.len() {
+            let team = self.pool.teams[ix].clone();
+            let used = self.team(&team.name);
+            self.uses[used].weight = team.weight;
+        }
+    }
+
+    fn team(&mut self, name: &str) -> usize {
+        if let Some(ix) = self.teams.get(name) {
+            return *ix;
+        }
+        self.teams.insert(name.to_owned(), self.uses.len());
+        self.uses.push(Use::default());
+        self.uses.len() - 1
+    }
+
+    fn add_job(&mut self, mut job: Job) -> usize {
+        job.team = self.team(&job.spec.team);
+        job.estimate = self.estimates.key(&job.spec.team, &job.spec.kind);
         let id = job.spec.id.clone();
         let ix = self.spare_jobs.pop().unwrap_or(self.jobs.len());
         if ix == self.jobs.len() {
@@ -377,7 +410,7 @@
         let job = self.jobs[ix].as_ref().expect("job index is live");
         let members = job.members.len() as u64;
         let delta = [job.total(), u64::from(job.spec.cores) * members, job.memory * members];
-        let entry = self.uses.entry(job.spec.team.clone()).or_default();
+        let entry = &mut self.uses[job.team];
         let fields = [&mut entry.accelerators, &mut entry.cores, &mut entry.memory];
         for (field, delta) in fields.into_iter().zip(delta) {
             *field = if add { *field + delta } else { field.saturating_sub(delta) };
@@ -591,8 +624,7 @@
                 let job = self.job(ix);
                 let actual = ran + job.progress;
                 if was_running && !job.stub {
-                    let (team, kind) = (job.spec.team.clone(), job.spec.kind.clone());
-                    self.estimates.observe(&team, &kind, job.spec.run_time, actual);
+                    self.estimates.observe(job.estimate, job.spec.run_time, actual);
                 }
                 for worker in probed {
                     self.unquarantine(worker, "a probe finished");
--- a/crates/placement/src/placer/admission.rs
+++ b/crates/placement/src/placer/admission.rs
@@ -40,7 +40,10 @@
         }
         self.account(ix, false);
         let now = self.now;
+        let team = self.team(&spec.team);
+        let estimate = self.estimates.key(&spec.team, &spec.kind);
         let job = self.job_mut(ix);
+        (job.team, job.estimate) = (team, estimate);
         job.stub = false;
         job.progress = spec.progress;
         job.submitted = now.checked_sub(spec.waited).unwrap_or(now);
--- a/crates/placement/src/placer/choice.rs
+++ b/crates/placement/src/placer/choice.rs
@@ -212,8 +212,8 @@
     }
 
     pub(super) fn corrected(&self, ix: usize) -> Duration {
-        let spec = &self.job(ix).spec;
-        self.estimates.correct(&spec.team, &spec.kind, spec.run_time)
+        let job = self.job(ix);
+        self.estimates.correct(job.estimate, job.spec.run_time)
     }
 
     /// Returns workers for a job that may evict other work. `room` is what firm work and foreign
--- a/crates/placement/src/placer/queue.rs
+++ b/crates/placement/src/placer/queue.rs
@@ -10,6 +10,7 @@
 use super::choice::Need;
 use super::{GRACE, Placer, Shadow, Timer};
 use crate::job::After;
+use crate::worker::Worker;
 use crate::{Action, Preemption};
 
 pub(super) const HOUR: Duration = Duration::from_secs(3600);
@@ -59,7 +60,7 @@
             job.key = key;
             self.claims.insert((key, ix));
         } else {
-            let queue = (job.spec.class, job.spec.team.clone());
+            let queue = (job.spec.class, job.team);
             self.queues.entry(queue).or_default().insert((key, ix));
         }
         self.fresh.push(ix);
@@ -72,7 +73,7 @@
             self.claims.remove(&key);
             return;
         }
-        let queue = (job.spec.class, job.spec.team.clone());
+        let queue = (job.spec.class, job.team);
         if let Some(jobs) = self.queues.get_mut(&queue) {
             jobs.remove(&key);
             if jobs.is_empty() {
@@ -123,19 +124,18 @@
         let waited = self.now.saturating_duration_since(job.submitted);
         let steps = (waited.as_secs() / AGEING.as_secs()).min(9) as u8;
         let class = job.spec.class.saturating_sub(steps);
-        (class, !job.spec.urgent, self.share(&job.spec.team), job.key, ix)
+        (class, !job.spec.urgent, self.share(job.team), job.key, ix)
     }
 
     /// The team's dominant share, divided by its weight, in parts per million.
-    fn share(&self, team: &str) -> u64 {
-        let Some(used) = self.uses.get(team) else { return 0 };
-        let weight = self.pool.team(team).map_or(1, |team| team.weight.max(1));
-        let workers = u64::from(self.pool.worker_count().max(1));
+    fn share(&self, team: usize) -> u64 {
+        let used = &self.uses[team];
+        let workers = self.described;
         let part = |used: u64, whole: u64| (used * 1_000_000).checked_div(whole).unwrap_or(0);
         let accelerators = part(used.accelerators, workers * u64::from(self.pool.accelerators));
         let cores = part(used.cores, workers * u64::from(self.pool.cores));
         let memory = part(used.memory, workers * self.pool.memory_mib);
-        accelerators.max(cores).max(memory) / u64::from(weight)
+        accelerators.max(cores).max(memory) / u64::from(used.weight.max(1))
     }
 
     pub(super) fn place_waiting(&mut self) {
@@ -168,7 +168,7 @@
         let mut heads = BinaryHeap::new();
         for (queue, jobs) in &self.queues {
             if let Some((_, ix)) = jobs.first() {
-                heads.push(Reverse((self.rank(*ix), queue.clone())));
+                heads.push(Reverse((self.rank(*ix), *queue)));
             }
         }
         let (mut searches, mut looked_at) = (0, 0);
@@ -223,7 +223,7 @@
 
     fn attempt(&mut self, ix: usize) -> Outcome {
         let spec = &self.job(ix).spec;
-        let (team, shape, preemption) = (spec.team.clone(), spec.shape, spec.preemption);
+        let (shape, preemption) = (spec.shape, spec.preemption);
         if let Some(guarantee) = spec.claim.clone() {
             if let Some(instance) = self.open_instance(&guarantee) {
                 return match self.start_claim(ix, instance) {
@@ -264,7 +264,7 @@
             return Outcome::Placed;
         }
         if preemption == Preemption::Never
-            && let Some(instance) = self.own_instance(&team, shape)
+            && let Some(instance) = self.own_instance(&self.job(ix).spec.team, shape)
             && self.start_claim(ix, instance).is_ok()
         {
             return Outcome::Placed;
@@ -277,9 +277,9 @@
         }
         self.reserve_start(ix, &need);
         let reason = match &self.shadow {
+            // Does not name the earlier job: the reason would change for all waiting jobs with it.
             Some(shadow) if shadow.job != ix && need.shadowed => {
-                let first = &self.job(shadow.job).spec.id;
-                format!("no room for {shape} that leaves the reserved start of {first} in place")
+                format!("no room for {shape} beside the reserved start of an earlier job")
             }
             _ => format!("no set of workers has room for {shape}"),
         };
@@ -362,7 +362,10 @@
             if !worker.is_usable() {
                 continue;
             }
-            let Some(start) = self.start_on(ix, accelerators, need.firm) else { continue };
+            let ends = self.expected_ends(worker);
+            let fits = |at: &Instant| free_at(worker, &ends, *at, need.firm) >= accelerators;
+            let start = std::iter::once(self.now).chain(ends.iter().map(|end| end.0)).find(fits);
+            let Some(start) = start else { continue };
             let set = match locality {
                 _ if workers == 1 => 0,
                 Locality::Pool => 0,
@@ -379,7 +382,11 @@
         let start = best[workers as usize - 1].1;
         let spare = best
             .iter()
-            .map(|(_, _, ix)| (*ix, self.free_at(*ix, start, need.firm) - accelerators))
+            .map(|(_, _, ix)| {
+                let worker = &self.workers[*ix];
+                let free = free_at(worker, &self.expected_ends(worker), start, need.firm);
+                (*ix, free - accelerators)
+            })
             .collect();
         let made = self.now;
         let version = self.estimates.version;
@@ -396,37 +403,14 @@
         self.now + (ran / 2).max(Duration::from_secs(1))
     }
 
-    fn start_on(&self, ix: usize, accelerators: u32, firm: bool) -> Option<Instant> {
-        let worker = &self.workers[ix];
-        if self.free_at(ix, self.now, firm) >= accelerators {
-            return Some(self.now);
-        }
-        let mut ends: Vec<Instant> =
-            worker.grants.iter().map(|grant| self.expected_end(grant.job)).collect();
+    /// Returns the expected end of each grant, whether it is firm, and its size, in order.
+    fn expected_ends(&self, worker: &Worker) -> Vec<(Instant, bool, u32)> {
+        let grants = worker.grants.iter();
+        let mut ends: Vec<(Instant, bool, u32)> = grants
+            .map(|grant| (self.expected_end(grant.job), grant.firm, grant.accelerators))
+            .collect();
         ends.sort_unstable();
-        ends.into_iter().find(|end| self.free_at(ix, *end, firm) >= accelerators)
-    }
-
-    fn free_at(&self, ix: usize, at: Instant, firm: bool) -> u32 {
-        let worker = &self.workers[ix];
-        let stays = |job: usize| self.expected_end(job) > at;
-        let used: u32 = worker
-            .grants
-            .iter()
-            .filter(|grant| stays(grant.job))
-            .map(|grant| grant.accelerators)
-            .sum();
-        let free = worker.accelerators.saturating_sub(used);
-        if !firm {
-            return free;
-        }
-        let held: u32 = worker
-            .grants
-            .iter()
-            .filter(|grant| grant.firm && stays(grant.job))
-            .map(|grant| grant.accelerators)
-            .sum();
-        free.min(worker.accelerators.saturating_sub(held + worker.reserved()))
+        ends
     }
 
     /// Moves checkpointable work out of the way of a job that starves although enough accelerators
@@ -475,3 +459,16 @@
         self.shadow = Some(Shadow { job: ix, start, made, version, spare, moving: true });
     }
 }
+
+/// Returns what is expected to be unused on the worker at some time; for firm work, only what no
+/// reservation covers.
+fn free_at(worker: &Worker, ends: &[(Instant, bool, u32)], at: Instant, firm: bool) -> u32 {
+    let stays = || ends.iter().filter(|(end, _, _)| *end > at);
+    let used: u32 = stays().map(|(_, _, size)| size).sum();
+    let free = worker.accelerators.saturating_sub(used);
+    if !firm {
+        return free;
+    }
+    let held: u32 = stays().filter(|(_, firm, _)| *firm).map(|(_, _, size)| size).sum();
+    free.min(worker.accelerators.saturating_sub(held + worker.reserved()))
+}
