Move work of any class for a starved shape

Cause: trials showed that moving only work of the same or a lower class leaves large jobs waiting although enough accelerators are unused.

Change: defragmentation moves work of any class, but for urgent jobs.

--- a/crates/placement/src/placer/queue.rs
+++ b/crates/placement/src/placer/queue.rs
@@ -426,13 +426,14 @@
         if waited < STARVED || gain <= 0.0 || unused < u64::from(need.shape.total()) {
             return;
         }
-        // The last preemption of the hour is left for claims.
+        // The last preemption of the hour is left for claims. More urgent classes are moved as well:
+        // enough accelerators are unused elsewhere, so that moved work waits for seconds only.
         let allowed = |job: usize| {
             let known = self.job(job);
             known.spec.preemption == Preemption::Checkpoint
                 && known.is_running()
+                && !known.spec.urgent
                 && self.preemptions(job) + 1 < PREEMPTIONS
-                && self.rank(job).0 >= self.rank(ix).0
         };
         let room = |worker: usize| {
             let worker = &self.workers[worker];
