Bound the rearrangement of reservations in large pools

Cause: with thousands of workers one search over all instances has no useful bound, and names of kinds, which submitters choose, were kept for ever.

Change: in pools of more than 64 workers one search moves at most 32 small reservations and places 4 instances; a team has at most 256 estimates.

Conclusion: the cost per event is bounded at target size.

--- a/crates/placement/src/estimates.rs
+++ b/crates/placement/src/estimates.rs
@@ -26,8 +26,16 @@
     /// runs.
     const DECAY: f64 = 0.9;
 
+    /// Submitters choose the names of kinds; a team's further kinds share one estimate, so that
+    /// unique names do not use memory without bound.
+    const KINDS: usize = 256;
+
     /// Returns the key of a team and kind. Keys stay valid.
     pub fn key(&mut self, team: &str, kind: &str) -> usize {
+        let known = self.names.get(team);
+        let full =
+            known.is_some_and(|kinds| kinds.len() >= Self::KINDS && !kinds.contains_key(kind));
+        let kind = if full { "" } else { kind };
         if let Some(key) = self.names.get(team).and_then(|kinds| kinds.get(kind)) {
             return *key;
         }
--- a/crates/placement/src/placer/reservations.rs
+++ b/crates/placement/src/placer/reservations.rs
@@ -17,6 +17,9 @@
 const LARGE: usize = 64;
 const LARGE_BUDGET: u32 = 64;
 const LARGE_PERIOD: Duration = Duration::from_secs(1);
+/// Reservations that may move, and instances placed by it, in one search of a large pool.
+const LARGE_MOVED: usize = 32;
+const LARGE_PLACED: usize = 4;
 
 impl Placer {
     /// Brings the instances in line with the pool's guarantees.
@@ -249,15 +252,20 @@
     fn plan_all(&mut self) {
         let open: Vec<usize> =
             (0..self.instances.len()).filter(|ix| self.instances[*ix].claim.is_none()).collect();
-        let (mut placed, missing): (Vec<usize>, Vec<usize>) =
+        let (mut placed, mut missing): (Vec<usize>, Vec<usize>) =
             open.into_iter().partition(|ix| !self.instances[*ix].members.is_empty());
-        let claimed = |worker: &Worker| {
-            let rest = worker.reserved.iter();
-            let rest = rest.filter(|reserved| self.instances[reserved.instance].claim.is_some());
-            let rest: u32 = rest.map(|reserved| reserved.accelerators).sum();
-            worker.accelerators.saturating_sub(worker.firm() + rest)
+        if self.workers.len() > LARGE {
+            // Small shapes find another place most easily.
+            placed.sort_by_key(|ix| self.instances[*ix].shape.total());
+            placed.truncate(LARGE_MOVED);
+            missing.truncate(LARGE_PLACED);
+        }
+        let fixed = |worker: &Worker| {
+            let stays = worker.reserved.iter().filter(|one| !placed.contains(&one.instance));
+            let stays: u32 = stays.map(|reserved| reserved.accelerators).sum();
+            worker.accelerators.saturating_sub(worker.firm() + stays)
         };
-        let slots = self.slots(claimed);
+        let slots = self.slots(fixed);
         let shapes = |ixs: &[usize]| -> Vec<Shape> {
             ixs.iter().map(|ix| self.instances[*ix].shape).collect()
         };
--- a/crates/placement/tests/reclaim.rs
+++ b/crates/placement/tests/reclaim.rs
@@ -221,6 +221,28 @@
     assert!(back.iter().any(restored), "{back:?}");
 }
 
+/// Guards against a large pool in which reservations are not rearranged when one worker is lost:
+/// single workers may have to leave a rack that a pair needs.
+#[test]
+fn guarantee_rearranged_in_large_pool() {
+    let racks = [2; 33];
+    let one = shape(4, 1, Locality::Worker);
+    let pair = shape(4, 2, Locality::Rack);
+    let base = with_guarantee(pool(4, &[&racks]), "one", "a", one, 2);
+    let mut world = World::new(with_guarantee(base, "pair", "b", pair, 31));
+    let safe = |world: &World| !world.placer.status().instances.iter().any(|one| one.at_risk);
+    assert!(safe(&world));
+    for round in 0..20 {
+        let ix = round * 7 % 66;
+        world.lose(ix);
+        world.advance(Duration::from_secs(1));
+        // 65 workers: 31 whole racks, one whole rack or two single workers for the rest.
+        assert!(safe(&world), "round {round}");
+        world.join(ix);
+        world.advance(Duration::from_secs(1));
+    }
+}
+
 /// Guards against non-preemptible work on capacity that a guarantee covers.
 #[test]
 fn never_stays_off_reserved_capacity() {
