Count a claim of another entry once ours was refused

Cause: when two entries claim one instance at once, the grant of the other entry was first reported while our own claim was still on the books, and was never taken as the claim afterwards; the instance would have been reserved again.

Change: a reported grant whose job has no instance yet claims it when it can.

--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -156,6 +156,12 @@
             let held = self.workers[ix].grants.iter_mut().find(|held| held.job == job);
             let Some(held) = held else { return self.adopt(ix, grant, Some(job)) };
             held.covered = true;
+            let unclaimed = self.job(job).instance.is_none();
+            if let Some(name) = grant.instance.as_ref().filter(|_| unclaimed) {
+                // The instance was claimed by another job when the grant was first reported.
+                self.adopt_claim(ix, job, name);
+                self.refresh(ix);
+            }
             if grant.running && self.job(job).is_running() {
                 self.observe_memory(job, grant.memory_mib);
             }
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -353,6 +353,34 @@
     assert!(world.epochs["new"] > top);
 }
 
+/// Guards against one instance being claimed twice when two entries propose at once.
+#[test]
+fn takeover_claim_of_other_entry_counts() {
+    let one = shape(4, 1, Locality::Worker);
+    let mut world = World::new(with_guarantee(pool(4, &[&[2]]), "one", "a", one, 1));
+    world.submit(JobSpec { claim: Some("one".to_owned()), ..job("ours", "a", 4, 1) });
+    let agent = world.status("ours").members[0].0.clone();
+    let theirs = ReportedGrant {
+        job: "theirs".to_owned(),
+        epoch: 50,
+        accelerators: 4,
+        instance: Some("one/0".to_owned()),
+        running: true,
+        ..ReportedGrant::default()
+    };
+    let report = WorkerReport { grants: vec![theirs], reservations: Vec::new() };
+    let event = Event::WorkerReport { agent: agent.clone(), report };
+    // Both grants are on the books until the agent has refused ours.
+    world.settled = false;
+    world.send(event.clone());
+    world.answer("ours", &agent, HoldResult::Refused { reason: "claimed".to_owned(), seen: 50 });
+    world.send(event);
+    world.settled = true;
+    let instance = world.placer.status().instances[0].clone();
+    assert_eq!(instance.claim.as_deref(), Some("theirs"));
+    assert!(world.status("ours").instance.is_none());
+}
+
 /// Guards against a report that predates a decision and seems to free what was just granted.
 #[test]
 fn report_lag_keeps_new_grants() {
