Repair reservations only where the agent's report contradicts the plan

Cause: the ledger converts a whole reservation for a claim, also for one that uses only a part; the placer would have set the rest again every 2.5 s, and could have cleared the reservation of a claim whose evictions were under way.

Change: a reservation on a planned worker is never cleared, and none is set again on a worker where its claim runs.

Conclusion: the placer's and the ledger's view of claims agree.

--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -6,7 +6,7 @@
 
 use super::{Placer, REPORT_LAG, Rack};
 use crate::job::{After, Job, State};
-use crate::worker::{Grant, Reserved, Worker};
+use crate::worker::{Grant, Worker};
 use crate::{Action, GangEnd, JobSpec, ReportedGrant, WorkerReport};
 
 impl Placer {
@@ -273,13 +273,8 @@
                 self.adopt_reservation(ix, instance, reserved.epoch);
                 continue;
             }
-            let held = instance.is_some_and(|instance| {
-                let fresh = |held: &Reserved| now - held.set <= REPORT_LAG;
-                self.workers[ix].reserved.iter().any(|held| {
-                    held.instance == instance
-                        && (held.accelerators == reserved.accelerators || fresh(held))
-                })
-            });
+            let held =
+                instance.is_some_and(|instance| self.instances[instance].members.contains(&ix));
             // A change that is under way must not be cleared by a report that predates it.
             let settled =
                 instance.is_none_or(|instance| now - self.instances[instance].moved > REPORT_LAG);
@@ -294,12 +289,19 @@
             }
         }
         let mut again = Vec::new();
+        // A claim converts the whole reservation at its agent, which keeps the unused rest.
+        let converted: Vec<usize> = self.workers[ix]
+            .grants
+            .iter()
+            .filter_map(|grant| self.job(grant.job).instance)
+            .collect();
         for held in &mut self.workers[ix].reserved {
             let name = &self.instances[held.instance].name;
             let listed = report.reservations.iter().any(|reserved| {
                 reserved.instance == *name && reserved.accelerators == held.accelerators
             });
-            if listed || held.accelerators == 0 || now - held.set <= REPORT_LAG {
+            let converted = converted.contains(&held.instance);
+            if listed || converted || now - held.set <= REPORT_LAG {
                 continue;
             }
             held.set = now;
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use skylarkpulley_placement::{
-    Action, Event, GangEnd, HoldResult, JobSpec, Placer, Preemption, ReportedGrant, WorkerReport,
+    Action, Event, GangEnd, HoldResult, JobSpec, Placer, Preemption, ReportedGrant,
+    ReportedReservation, WorkerReport,
 };
-use skylarkpulley_types::Locality;
+use skylarkpulley_types::{AgentId, Locality};
 use world::{World, job, pool, shape, with_guarantee};
 
 fn secs(count: u64) -> Duration {
@@ -353,6 +354,43 @@
     assert!(world.epochs["new"] > top);
 }
 
+/// Guards against reservations that drift apart from what the agents report, and against repairs
+/// that interfere with a change under way or with a claim.
+#[test]
+fn reservations_repaired_from_reports() {
+    let three = shape(3, 1, Locality::Worker);
+    let mut world = World::new(with_guarantee(pool(4, &[&[2]]), "three", "a", three, 1));
+    let planned = world.placer.status().instances[0].members[0].clone();
+    let other = world.agents.iter().map(|agent| &agent.0).find(|agent| **agent != planned);
+    let other = other.unwrap().clone();
+    let reserved =
+        |epoch| ReportedReservation { instance: "three/0".to_owned(), epoch, accelerators: 3 };
+    let report = |agent: &AgentId, reservations: Vec<ReportedReservation>| {
+        let report = WorkerReport { grants: Vec::new(), reservations };
+        Event::WorkerReport { agent: agent.clone(), report }
+    };
+    // Within the lag of reports nothing is repaired.
+    assert!(world.send(report(&planned, Vec::new())).is_empty());
+    assert!(world.send(report(&other, vec![reserved(3)])).is_empty());
+    world.advance(secs(3));
+    let set = world.send(report(&planned, Vec::new()));
+    assert!(matches!(&set[..], [Action::SetReservation { accelerators: 3, .. }]), "{set:?}");
+    let cleared = world.send(report(&other, vec![reserved(3)]));
+    assert!(matches!(&cleared[..], [Action::ClearReservation { .. }]), "{cleared:?}");
+    // A claim of two accelerators converts the reservation; the agent reports none.
+    world.submit_and_run(JobSpec {
+        claim: Some("three".to_owned()),
+        shape: shape(2, 1, Locality::Worker),
+        ..job("claim", "a", 2, 1)
+    });
+    world.advance(secs(3));
+    let agent = world.status("claim").members[0].0.clone();
+    let grants = world.held[&agent].clone();
+    let report = WorkerReport { grants, reservations: Vec::new() };
+    let actions = world.send(Event::WorkerReport { agent, report });
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
 /// Guards against one instance being claimed twice when two entries propose at once.
 #[test]
 fn takeover_claim_of_other_entry_counts() {
