Wait for the end of a gang before a missing member counts

Cause: the report that ends a gang no longer lists it; the placer preempted the gang in the moment before it was told of the end.

Conclusion: finished gangs are no longer reported as preempted.

--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -44,6 +44,8 @@
     Retry(usize, u64),
     Stop(usize, u64),
     Excess(usize, u64),
+    /// Job, epoch, worker.
+    Missing(usize, u64, usize),
     Probe(usize),
     ProbeEnd(usize, u32),
     Avoid(usize),
@@ -297,6 +299,9 @@
                         self.end(job, &GangEnd::LeaseLapsed);
                     }
                 }
+                Timer::Missing(job, epoch, worker) if self.is_at(job, epoch) => {
+                    self.still_missing(job, worker)
+                }
                 Timer::Excess(job, epoch) if self.is_at(job, epoch) => self.check_excess(job),
                 Timer::Probe(worker) => self.probe_due(worker),
                 Timer::ProbeEnd(worker, probes) => self.probe_passed(worker, probes),
--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -4,7 +4,7 @@
 
 use skylarkpulley_types::AgentId;
 
-use super::{Placer, REPORT_LAG, Rack};
+use super::{Placer, REPORT_LAG, Rack, Timer};
 use crate::job::{After, Job, State};
 use crate::worker::{Grant, Worker};
 use crate::{Action, GangEnd, JobSpec, ReportedGrant, WorkerReport};
@@ -253,12 +253,21 @@
                 }
                 continue;
             }
-            if self.job(job).is_running() {
-                // The end of the gang is reported by its lead; this catches a lost message.
-                let reason = "a member is no longer reported";
-                self.preempt(job, reason, After::Requeue);
-                self.job_mut(job).preempted.pop();
+            // The end of the gang is usually reported at the same time.
+            let epoch = self.job(job).epoch;
+            for grant in self.workers[ix].grants.iter_mut().filter(|grant| grant.job == job) {
+                grant.covered = false;
             }
+            self.set_timer(REPORT_LAG, Timer::Missing(job, epoch, ix));
+        }
+    }
+
+    /// Ends a gang of which a member is still missing from reports; its end was not reported.
+    pub(super) fn still_missing(&mut self, job: usize, worker: usize) {
+        let missing = |grant: &Grant| grant.job == job && !grant.covered;
+        if self.job(job).is_running() && self.workers[worker].grants.iter().any(missing) {
+            self.preempt(job, "a member is no longer reported", After::Requeue);
+            self.job_mut(job).preempted.pop();
         }
     }
 
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -430,6 +430,28 @@
     assert_eq!((world.state("j"), world.state("k")), ("running", "waiting"));
 }
 
+/// Guards against a gang that is preempted because the report that ends it no longer lists it, and
+/// against one whose end was never reported.
+#[test]
+fn report_without_member_waits_for_end() {
+    for reported in [true, false] {
+        let mut world = World::new(pool(4, &[&[1]]));
+        world.submit_and_run(job("j", "a", 4, 1));
+        let agent = world.agents[0].0.clone();
+        let grants = world.held[&agent].clone();
+        let report = WorkerReport { grants, reservations: Vec::new() };
+        world.send(Event::WorkerReport { agent: agent.clone(), report });
+        let report = WorkerReport::default();
+        assert!(world.send(Event::WorkerReport { agent, report }).is_empty());
+        if reported {
+            assert!(world.end("j", GangEnd::Finished).is_empty());
+        }
+        let late = world.advance(secs(3));
+        let preempted = late.iter().any(|action| matches!(action, Action::Preempt { .. }));
+        assert_eq!(preempted, !reported, "{late:?}");
+    }
+}
+
 /// Guards against a report that predates the end of a gang and seems to bring it back; and against
 /// a gang that is left running at an agent.
 #[test]
