--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -4,9 +4,9 @@
 
 use skylarkpulley_types::AgentId;
 
-use super::{Placer, REPORT_LAG, Rack};
+use super::{Placer, REPORT_LAG, Rack, Timer};
 use crate::job::{After, Job, State};
-use crate::worker::{Grant, Reserved, Worker};
+use crate::worker::{Grant, Worker};
 use crate::{Action, GangEnd, JobSpec, ReportedGrant, WorkerReport};
 
 impl Placer {
@@ -156,6 +156,12 @@
             let held = self.workers[ix].grants.iter_mut().find(|held| held.job == job);
             let Some(held) = held else { return self.adopt(ix, grant, Some(job)) };
             held.covered = true;
+            let unclaimed = self.job(job).instance.is_none();
+            if let Some(name) = grant.instance.as_ref().filter(|_| unclaimed) {
+                // The instance was claimed by another job when the grant was first reported.
+                self.adopt_claim(ix, job, name);
+                self.refresh(ix);
+            }
             if grant.running && self.job(job).is_running() {
                 self.observe_memory(job, grant.memory_mib);
             }
@@ -247,12 +253,21 @@
                 }
                 continue;
             }
-            if self.job(job).is_running() {
-                // The end of the gang is reported by its lead; this catches a lost message.
-                let reason = "a member is no longer reported";
-                self.preempt(job, reason, After::Requeue);
-                self.job_mut(job).preempted.pop();
+            // The end of the gang is usually reported at the same time.
+            let epoch = self.job(job).epoch;
+            for grant in self.workers[ix].grants.iter_mut().filter(|grant| grant.job == job) {
+                grant.covered = false;
             }
+            self.set_timer(REPORT_LAG, Timer::Missing(job, epoch, ix));
+        }
+    }
+
+    /// Ends a gang of which a member is still missing from reports; its end was not reported.
+    pub(super) fn still_missing(&mut self, job: usize, worker: usize) {
+        let missing = |grant: &Grant| grant.job == job && !grant.covered;
+        if self.job(job).is_running() && self.workers[worker].grants.iter().any(missing) {
+            self.preempt(job, "a member is no longer reported", After::Requeue);
+            self.job_mut(job).preempted.pop();
         }
     }
 
@@ -267,13 +282,8 @@
                 self.adopt_reservation(ix, instance, reserved.epoch);
                 continue;
             }
-            let held = instance.is_some_and(|instance| {
-                let fresh = |held: &Reserved| now - held.set <= REPORT_LAG;
-                self.workers[ix].reserved.iter().any(|held| {
-                    held.instance == instance
-                        && (held.accelerators == reserved.accelerators || fresh(held))
-                })
-            });
+            let held =
+                instance.is_some_and(|instance| self.instances[instance].members.contains(&ix));
             // A change that is under way must not be cleared by a report that predates it.
             let settled =
                 instance.is_none_or(|instance| now - self.instances[instance].moved > REPORT_LAG);
@@ -288,12 +298,19 @@
             }
         }
         let mut again = Vec::new();
+        // A claim converts the whole reservation at its agent, which keeps the unused rest.
+        let converted: Vec<usize> = self.workers[ix]
+            .grants
+            .iter()
+            .filter_map(|grant| self.job(grant.job).instance)
+            .collect();
         for held in &mut self.workers[ix].reserved {
             let name = &self.instances[held.instance].name;
             let listed = report.reservations.iter().any(|reserved| {
                 reserved.instance == *name && reserved.accelerators == held.accelerators
             });
-            if listed || held.accelerators == 0 || now - held.set <= REPORT_LAG {
+            let converted = converted.contains(&held.instance);
+            if listed || converted || now - held.set <= REPORT_LAG {
                 continue;
             }
             held.set = now;
