Prove at most once over a deployment with dying processes

Cause: the assembled request path was only tested without faults.

Change: crates/demo/tests/requests sends a keyed request, lets an entry, the owner, the witness or the target of the key die (agents restart with empty memory), the store refuse every call, or the upstream close, truncate, freeze or fail, and repeats the key through the other entry. The executions counted by the upstreams are compared with every reply. A program that fails to start no longer panics: its runtime was dropped in asynchronous code (seen when an agent's old listener was still open). Agents have an optional setting for the advertised control address.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -213,7 +213,11 @@
             clock: Arc::clone(&self.clock),
             decisions: Arc::clone(&self.decisions),
             origin: self.clock.now(),
-            hello: hello(settings, self.id.incarnation, self.control),
+            hello: hello(
+                settings,
+                self.id.incarnation,
+                settings.advertised.unwrap_or(self.control),
+            ),
             inbound,
             leaving: self.leaving.subscribe(),
             learned,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -24,6 +24,10 @@
     pub rack: String,
     /// Address of the control listener, reached by entries and other agents.
     pub control: SocketAddr,
+    /// Address under which entries and other agents reach the control listener, when it is not
+    /// the one that it listens on.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// Address on the loopback interface where the upstream announces itself.
     pub local: SocketAddr,
     /// Address of the worker's own interface; only for workers.
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -22,8 +22,12 @@
 pub struct DeploymentSpec {
     /// Number of entries.
     pub entries: usize,
+    /// Requests that an entry holds at once.
+    pub open_limit: usize,
     /// Text of the pools table.
     pub pools: String,
+    /// Time in which a caller must have sent its whole request.
+    pub read_timeout: Duration,
     /// Text of the routes table.
     pub routes: String,
     /// Service time of the upstreams.
@@ -37,7 +41,9 @@
     pub fn new(routes: &str, pools: &str) -> Self {
         Self {
             entries: 2,
+            open_limit: 10_000,
             pools: pools.to_owned(),
+            read_timeout: Duration::from_secs(5),
             routes: routes.to_owned(),
             service: Duration::from_millis(5),
             upstreams: 3,
@@ -54,6 +60,11 @@
         Self { upstreams, ..self }
     }
 
+    /// Sets the callers' limits of an entry: open requests and the time to send one.
+    pub fn with_limits(self, open_limit: usize, read_timeout: Duration) -> Self {
+        Self { open_limit, read_timeout, ..self }
+    }
+
     /// Sets the service time of the upstreams.
     pub fn with_service(self, service: Duration) -> Self {
         Self { service, ..self }
@@ -158,9 +169,9 @@
             log_format: LogFormat::Plain,
             metrics: None,
             name: format!("entry-{index}"),
-            open_limit: 10_000,
+            open_limit: self.spec.open_limit,
             peers: self.live_entries().map(|entry| entry.control).collect(),
-            read_timeout: Duration::from_secs(5),
+            read_timeout: self.spec.read_timeout,
             secret: SECRET.to_owned(),
             store: self.store.url(),
         };
@@ -260,18 +271,28 @@
                 pool,
                 &format!("domain-{}", index % 3),
             );
-            let agent = self.start_agent(&settings).await?;
-            let local = agent.program().and_then(Agent::local).unwrap_or_else(loopback);
-            let upstream = UpstreamSettings::new(loopback(), self.spec.service)
-                .with_agent(&format!("http://{local}"), 1);
-            let upstream = Upstream::start(upstream)
-                .await
-                .map_err(|error| DemoError::Start { detail: error.to_string() })?;
-            self.upstreams.push(UpstreamVm { agent, settings, upstream });
+            self.add_upstream(settings).await?;
         }
         Ok(())
     }
 
+    /// Starts an upstream and its agent, and does not wait until they have joined.
+    ///
+    /// # Errors
+    /// When one of them does not start.
+    pub async fn add_upstream(&mut self, mut settings: AgentSettings) -> Result<(), DemoError> {
+        let agent = self.start_agent(&settings).await?;
+        // A later run of the agent is announced to at the same address.
+        settings.local = agent.program().and_then(Agent::local).unwrap_or_else(loopback);
+        let upstream = UpstreamSettings::new(loopback(), self.spec.service)
+            .with_agent(&format!("http://{}", settings.local), 1);
+        let upstream = Upstream::start(upstream)
+            .await
+            .map_err(|error| DemoError::Start { detail: error.to_string() })?;
+        self.upstreams.push(UpstreamVm { agent, settings, upstream });
+        Ok(())
+    }
+
     async fn add_workers(&mut self, pool: &skylarkpulley_tables::Pool) -> Result<(), DemoError> {
         for domain in &pool.domains {
             for (rack, workers) in domain.racks.iter().enumerate() {
@@ -297,7 +318,8 @@
         Ok(())
     }
 
-    fn agent_settings(
+    /// Returns the settings of an agent called `name`.
+    pub fn agent_settings(
         &self,
         name: &str,
         kind: PoolKind,
@@ -305,6 +327,7 @@
         domain: &str,
     ) -> AgentSettings {
         AgentSettings {
+            advertised: None,
             control: loopback(),
             domain: domain.to_owned(),
             drain_timeout: Duration::from_secs(10),
--- a/crates/demo/src/vm.rs
+++ b/crates/demo/src/vm.rs
@@ -27,12 +27,14 @@
             .build()
             .map_err(|error| failed(error.to_string()))?;
         let started = runtime.spawn(program).await;
-        let program = match started {
-            Ok(Ok(program)) => program,
+        // A runtime must not be dropped in asynchronous code, so the VM owns it from here on.
+        let mut vm = Self { program: None, runtime: Some(runtime) };
+        match started {
+            Ok(Ok(program)) => vm.program = Some(program),
             Ok(Err(error)) => return Err(failed(error.to_string())),
             Err(error) => return Err(failed(error.to_string())),
-        };
-        Ok(Self { program: Some(program), runtime: Some(runtime) })
+        }
+        Ok(vm)
     }
 
     /// Returns the program, `None` once the VM is down.
--- /dev/null
+++ b/crates/demo/tests/requests/main.rs
@@ -0,0 +1,5 @@
+//! The request path of an assembled deployment under failure. The executions that the stand-in
+//! upstreams count for each idempotency key are the truth that replies are compared with.
+
+mod at_most_once;
+mod caller;
