Distribute the tables through the config crate, one sender per change

Cause: every entry sent every change to every agent, whole pool rows at a time; the proof that guarantees fit ran at each process. A worker whose agent had no configuration yet was placed on as one without accelerators, so that no job of the pool ever started (seen in one of three demo runs).

Change: sessions register with a Distributor; replicas apply deltas of single rows; the version comes from the tables' own row. Accepted tables are read without the packing proof. Reports without accelerators are not passed to the placer. Log lines carry no colour codes.

--- a/crates/agent/src/state_task.rs
+++ b/crates/agent/src/state_task.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use skylarkpulley_config::{Applied, Delta, Replica, join_rows};
 use skylarkpulley_keys::RangeMap;
 use skylarkpulley_proto::v1;
-use skylarkpulley_tables::Row;
+use skylarkpulley_tables::parse_accepted;
 use skylarkpulley_telemetry::{Decisions, Event};
 use skylarkpulley_types::{Clock, Digest};
 use tokio::sync::{mpsc, watch};
@@ -39,8 +39,7 @@
     mut messages: mpsc::Receiver<v1::EntryMessage>,
     report: watch::Sender<v1::Report>,
 ) {
-    let mut state =
-        State { digest: 0, parts, range_version: 0, report, rows: BTreeMap::new(), version: 0 };
+    let mut state = State { parts, range_version: 0, replica: Replica::new(), report };
     let mut upstream = state.parts.runner.as_ref().map(Runner::state);
     let mut worker = state.parts.gangs.as_ref().map(Gangs::state);
     let mut tick = tokio::time::interval(REFRESH_INTERVAL);
@@ -74,12 +73,10 @@
 }
 
 struct State {
-    digest: u64,
     parts: StateParts,
     range_version: u64,
     report: watch::Sender<v1::Report>,
-    rows: BTreeMap<String, String>,
-    version: u64,
+    replica: Replica,
 }
 
 impl State {
@@ -92,36 +89,30 @@
     }
 
     async fn take_config(&mut self, config: v1::Config) {
-        if config.to <= self.version {
-            return;
-        }
-        // Reports show the old version, so that the entry sends everything.
-        if config.from != 0 && config.from != self.version {
-            return;
-        }
-        let mut rows = if config.from == 0 { BTreeMap::new() } else { self.rows.clone() };
-        for key in &config.removed {
-            rows.remove(key);
-        }
-        rows.extend(config.rows.into_iter().map(|row| (row.key, row.text)));
-        let parts: Vec<&[u8]> =
-            rows.iter().flat_map(|(key, text)| [key.as_bytes(), text.as_bytes()]).collect();
-        if Digest::of(&parts).0 != config.digest {
-            self.record(Event::ConfigResent, "the digest differs; everything is asked for");
-            self.version = 0;
-            return;
+        let delta = Delta {
+            from: config.from,
+            to: config.to,
+            rows: config.rows.into_iter().map(|row| (row.key, row.text.into())).collect(),
+            removed: config.removed,
+            digest: Digest(config.digest),
+        };
+        match self.replica.apply(&delta) {
+            Applied::Applied => {}
+            // The next report shows version and digest, and the entry sends what is missing.
+            Applied::NeedFull => {
+                return self.record(Event::ConfigResent, "a delta does not fit");
+            }
+            Applied::Stale => return,
         }
-        self.rows = rows;
-        self.digest = config.digest;
-        self.version = config.to;
-        self.record(Event::ConfigApplied, &format!("version {}", self.version));
+        let text = format!("version {}", self.replica.document().version());
+        self.record(Event::ConfigApplied, &text);
         self.put_in_force().await;
     }
 
     async fn put_in_force(&self) {
-        let key = format!("pool/{}", self.parts.pool);
-        let row = self.rows.get(&key).map(|text| Row::parse(&key, text));
-        let Some(Ok(Row::Pool(pool))) = row else { return };
+        let Ok((routes, pools)) = join_rows(self.replica.document().rows()) else { return };
+        let Ok(tables) = parse_accepted(routes.as_bytes(), pools.as_bytes()) else { return };
+        let Some(pool) = tables.pool(&self.parts.pool) else { return };
         if let Some(runner) = &self.parts.runner {
             let limits = Limits { slots: pool.slots, connections: pool.connections };
             runner.set_limits(limits).await;
@@ -148,8 +139,8 @@
     ) {
         let report = v1::Report {
             sequence: 0,
-            config_version: self.version,
-            config_digest: self.digest,
+            config_version: self.replica.document().version(),
+            config_digest: self.replica.document().digest().0,
             range_version: self.range_version,
             upstream,
             worker,
--- a/crates/entry/src/config_task.rs
+++ b/crates/entry/src/config_task.rs
@@ -1,15 +1,17 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use bytes::Bytes;
 use skylarkpulley_admin::{ApplyReply, ApplyRequest, RowDifference};
+use skylarkpulley_config::{Applied, Delta, Distributor, Document, TablesRow, join_rows};
 use skylarkpulley_proto::v1;
-use skylarkpulley_store::{Store, StoreError, WriteClass, put_resolved};
-use skylarkpulley_tables::{Tables, parse};
+use skylarkpulley_store::{Row, Store, StoreError, WriteClass, put_resolved};
+use skylarkpulley_tables::{Tables, parse, parse_accepted};
 use skylarkpulley_telemetry::Event;
+use skylarkpulley_types::{AgentId, Digest};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::config_state::{Rows, digest};
 use crate::hub::Hub;
 
 /// Store row with both tables.
@@ -18,13 +20,11 @@
 /// Time between two reads of the row.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Value of the store row: both tables as one unit, with the edit that wrote them.
-#[derive(Debug, Deserialize, Serialize)]
-struct StoredTables {
-    edit_id: String,
-    routes: String,
-    pools: String,
-}
+/// Time between two looks at which processes need the configuration.
+const SEND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Processes that are served in one look; bounds the work after a change.
+const SENDS_PER_LOOK: usize = 1000;
 
 /// Why an edit was neither accepted nor rejected.
 #[derive(Debug)]
@@ -35,22 +35,39 @@
     pub may_have_applied: bool,
 }
 
+/// Outbound half of an agent's session.
+pub type Outbound = mpsc::Sender<Result<v1::EntryMessage, tonic::Status>>;
+
+type ApplyResult = Result<ApplyReply, ApplyFailure>;
+
 enum Command {
-    Apply(ApplyRequest, oneshot::Sender<Result<ApplyReply, ApplyFailure>>),
+    Answer(u64, u64, oneshot::Sender<Option<v1::Config>>),
+    Apply(ApplyRequest, oneshot::Sender<ApplyResult>),
+    Close(AgentId, u64),
+    Install(Document, TablesRow),
     Offer(v1::Config),
+    Open(AgentId, u64, Outbound),
+    Report(AgentId, u64, u64),
 }
 
-/// Handle to the task that keeps the configuration of this entry up to date.
+/// Handle to the task that keeps the configuration of this entry up to date and distributes it.
 #[derive(Clone, Debug)]
 pub struct ConfigTask {
-    commands: mpsc::Sender<Command>,
+    commands: mpsc::UnboundedSender<Command>,
 }
 
 impl ConfigTask {
     /// Starts the task.
     pub fn new(hub: &Arc<Hub>, store: Arc<dyn Store>) -> Self {
-        let (commands, inbox) = mpsc::channel(64);
-        tokio::spawn(Worker { hub: Arc::clone(hub), store }.work(inbox));
+        let (commands, inbox) = mpsc::unbounded_channel();
+        let now = hub.clock.now();
+        let worker = Worker {
+            distributor: Distributor::new(now, &hub.name),
+            editor: Arc::new(Editor { commands: commands.clone(), hub: Arc::clone(hub), store }),
+            hub: Arc::clone(hub),
+            sessions: BTreeMap::new(),
+        };
+        tokio::spawn(worker.work(inbox));
         Self { commands }
     }
 
@@ -58,160 +75,278 @@
     ///
     /// # Errors
     /// [`ApplyFailure`] when the store gave no clear answer.
-    pub async fn apply(&self, request: ApplyRequest) -> Result<ApplyReply, ApplyFailure> {
+    pub async fn apply(&self, request: ApplyRequest) -> ApplyResult {
         let stopping =
             || ApplyFailure { detail: "the entry is stopping".to_owned(), may_have_applied: false };
         let (reply, answer) = oneshot::channel();
-        self.commands.send(Command::Apply(request, reply)).await.map_err(|_| stopping())?;
+        self.commands.send(Command::Apply(request, reply)).map_err(|_| stopping())?;
         answer.await.map_err(|_| stopping())?
     }
 
     /// Takes in a message of another entry.
-    pub async fn offer(&self, message: v1::Config) {
-        let _ = self.commands.send(Command::Offer(message)).await;
+    pub fn offer(&self, message: v1::Config) {
+        let _ = self.commands.send(Command::Offer(message));
+    }
+
+    /// Returns what another entry with `version` and `digest` needs.
+    pub async fn answer(&self, version: u64, digest: u64) -> Option<v1::Config> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(Command::Answer(version, digest, reply)).ok()?;
+        answer.await.ok()?
+    }
+
+    /// Notes that an agent has opened a session.
+    pub fn open(&self, agent: &AgentId, session: u64, outbound: Outbound) {
+        let _ = self.commands.send(Command::Open(agent.clone(), session, outbound));
+    }
+
+    /// Notes which version and digest an agent holds.
+    pub fn report(&self, agent: &AgentId, version: u64, digest: u64) {
+        let _ = self.commands.send(Command::Report(agent.clone(), version, digest));
+    }
+
+    /// Notes that a session has ended.
+    pub fn close(&self, agent: &AgentId, session: u64) {
+        let _ = self.commands.send(Command::Close(agent.clone(), session));
     }
 }
 
 struct Worker {
+    distributor: Distributor,
+    editor: Arc<Editor>,
     hub: Arc<Hub>,
-    store: Arc<dyn Store>,
+    sessions: BTreeMap<String, (u64, Outbound)>,
 }
 
 impl Worker {
-    async fn work(self, mut inbox: mpsc::Receiver<Command>) {
-        let mut tick = tokio::time::interval(POLL_INTERVAL);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let this = Arc::new(self);
+    async fn work(mut self, mut inbox: mpsc::UnboundedReceiver<Command>) {
+        let mut poll = tokio::time::interval(POLL_INTERVAL);
+        let mut send = tokio::time::interval(SEND_INTERVAL);
+        poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        send.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 command = inbox.recv() => match command {
-                    // An edit may wait for a slow store; reads go on meanwhile.
-                    Some(Command::Apply(request, reply)) => {
-                        let this = Arc::clone(&this);
-                        tokio::spawn(async move { reply.send(this.apply(request).await) });
-                    }
-                    Some(Command::Offer(message)) => this.take_message(message),
+                    Some(command) => self.handle(command),
                     None => return,
                 },
-                _ = tick.tick() => {
-                    let this = Arc::clone(&this);
-                    tokio::spawn(async move { this.poll().await });
+                _ = poll.tick() => {
+                    let editor = Arc::clone(&self.editor);
+                    tokio::spawn(async move { editor.poll().await });
                 }
+                _ = send.tick() => self.send_due(),
             }
         }
     }
 
-    async fn poll(&self) {
-        let Ok(Some(row)) = self.store.get(TABLES_ROW).await else { return };
-        let version = self.hub.config.borrow().version();
-        if row.version < version {
-            let text = format!("the store answered with version {}", row.version);
-            self.record(Event::ConfigStale, &text);
+    fn handle(&mut self, command: Command) {
+        let now = self.hub.clock.now();
+        match command {
+            Command::Answer(version, digest, reply) => {
+                let delta = self.distributor.answer(version, Digest(digest));
+                let _ = reply.send(delta.as_ref().map(to_message));
+            }
+            // An edit may wait for a slow store; everything else goes on meanwhile.
+            Command::Apply(request, reply) => {
+                let editor = Arc::clone(&self.editor);
+                tokio::spawn(async move { reply.send(editor.apply(request).await) });
+            }
+            Command::Close(agent, session) => {
+                let peer = agent.to_string();
+                if self.sessions.get(&peer).is_some_and(|(known, _)| *known == session) {
+                    self.sessions.remove(&peer);
+                    self.distributor.remove(&peer);
+                }
+            }
+            Command::Install(document, row) => self.install(document, &row),
+            Command::Offer(message) => self.take_message(message),
+            Command::Open(agent, session, outbound) => {
+                let peer = agent.to_string();
+                self.sessions.insert(peer.clone(), (session, outbound));
+                self.distributor.report(now, &peer, 0, Digest(0));
+            }
+            Command::Report(agent, version, digest) => {
+                self.distributor.report(now, &agent.to_string(), version, Digest(digest));
+            }
         }
-        if row.version <= version {
-            return;
+    }
+
+    fn send_due(&mut self) {
+        let names: Vec<String> =
+            self.hub.entries.borrow().iter().map(|entry| entry.name.clone()).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        self.distributor.set_entries(&names);
+        let now = self.hub.clock.now();
+        for (peer, delta) in self.distributor.due(now, SENDS_PER_LOOK) {
+            let Some((_, outbound)) = self.sessions.get(&peer) else { continue };
+            let body = v1::entry_message::Body::Config(to_message(&delta));
+            // A session that does not read is served again after its next report.
+            let _ = outbound.try_send(Ok(v1::EntryMessage { body: Some(body) }));
         }
-        let Ok(stored) = serde_json::from_slice::<StoredTables>(&row.value) else {
-            return self.record(Event::ConfigStale, "the store's row is not readable");
+    }
+
+    fn install(&mut self, document: Document, row: &TablesRow) {
+        let version = document.version();
+        let Ok(tables) = parse_accepted(row.routes.as_bytes(), row.pools.as_bytes()) else {
+            return self.record(Event::ConfigStale, "the store's row does not pass the check");
         };
-        if let Ok(tables) = parse(stored.routes.as_bytes(), stored.pools.as_bytes()) {
-            self.adopt(row.version, &stored.edit_id, tables);
+        match self.distributor.install(self.hub.clock.now(), document) {
+            Applied::Applied => {
+                let texts = (row.routes.clone(), row.pools.clone());
+                self.put_in_force(Some(&row.edit), texts, tables);
+            }
+            Applied::NeedFull | Applied::Stale => {
+                if version < self.distributor.document().version() {
+                    let text = format!("version {version} was offered");
+                    self.record(Event::ConfigStale, &text);
+                }
+            }
         }
     }
 
-    fn adopt(&self, version: u64, edit: &str, tables: Tables) {
-        let now = self.hub.clock.now();
-        let rows = tables.rows();
-        let adopted = self
-            .hub
-            .config
-            .send_if_modified(|config| config.adopt(version, edit, rows, tables, now));
-        if adopted {
-            self.record(Event::ConfigApplied, &format!("version {version}, edit {edit}"));
+    fn take_message(&mut self, message: v1::Config) {
+        let delta = to_delta(message);
+        match self.distributor.apply(self.hub.clock.now(), &delta) {
+            Applied::Applied => {}
+            Applied::NeedFull => {
+                return self.record(Event::ConfigResent, "a peer's delta does not fit");
+            }
+            Applied::Stale => return,
+        }
+        let Ok(texts) = join_rows(self.distributor.document().rows()) else {
+            return self.record(Event::ConfigStale, "a peer's rows are not readable");
+        };
+        if let Ok(tables) = parse_accepted(texts.0.as_bytes(), texts.1.as_bytes()) {
+            self.put_in_force(None, texts, tables);
         }
     }
 
-    fn take_message(&self, message: v1::Config) {
-        let (version, mut rows) = {
-            let config = self.hub.config.borrow();
-            (config.version(), config.rows().clone())
-        };
-        if message.to <= version || (message.from != 0 && message.from != version) {
-            return;
+    fn put_in_force(&mut self, edit: Option<&str>, texts: (String, String), tables: Tables) {
+        let now = self.hub.clock.now();
+        let document = self.distributor.document();
+        let text = format!("version {}", document.version());
+        self.hub.config.send_modify(|config| config.adopt(document, edit, texts, tables, now));
+        self.record(Event::ConfigApplied, &text);
+        self.send_due();
+    }
+
+    fn record(&self, event: Event, detail: &str) {
+        self.hub.decisions.record(self.hub.clock.now(), event, TABLES_ROW, detail);
+    }
+}
+
+/// Reads and writes the store row.
+struct Editor {
+    commands: mpsc::UnboundedSender<Command>,
+    hub: Arc<Hub>,
+    store: Arc<dyn Store>,
+}
+
+impl Editor {
+    async fn poll(&self) {
+        if let Ok(Some(row)) = self.store.get(TABLES_ROW).await {
+            self.install(&row);
         }
-        if message.from == 0 {
-            rows = Rows::new();
+    }
+
+    fn install(&self, row: &Row) -> Option<TablesRow> {
+        let stored = TablesRow::decode(&row.value).ok()?;
+        let document = stored.document().ok()?;
+        if document.version() != self.hub.config.borrow().version() {
+            let _ = self.commands.send(Command::Install(document, stored.clone()));
         }
-        for key in &message.removed {
-            rows.remove(key);
+        Some(stored)
+    }
+
+    async fn apply(&self, request: ApplyRequest) -> ApplyResult {
+        // The proof that all guarantees fit together may take a second.
+        let (routes, pools) = (request.routes.clone(), request.pools.clone());
+        let check = move || parse(routes.as_bytes(), pools.as_bytes()).map(|_| ());
+        let checked = tokio::task::spawn_blocking(check)
+            .await
+            .map_err(|error| ApplyFailure { detail: error.to_string(), may_have_applied: false })?;
+        if let Err(faults) = checked {
+            self.record(Event::ConfigRejected, &format!("{} faults", faults.len()));
+            return Ok(ApplyReply::Rejected { faults });
         }
-        rows.extend(message.rows.into_iter().map(|row| (row.key, row.text)));
-        if digest(&rows) != message.digest {
-            return self.record(Event::ConfigResent, "the digest of a peer's version differs");
+        let current = self.store.get(TABLES_ROW).await.map_err(|error| fail(&error))?;
+        let base = current.as_ref().and_then(|row| TablesRow::decode(&row.value).ok());
+        if let Some(base) = base.as_ref().filter(|base| base.edit == request.edit_id) {
+            return Ok(ApplyReply::Accepted { version: base.version });
         }
-        let pairs = rows.iter().map(|(key, text)| (key.as_str(), text.as_str()));
-        if let Ok(tables) = Tables::from_rows(pairs) {
-            self.adopt(message.to, "from a peer", tables);
+        let version = base.as_ref().map_or(0, |base| base.version);
+        // A stale read would show an older version; compare-and-set then fails as well.
+        if version != request.from_version {
+            return self.conflict(&request, base.as_ref());
         }
+        let row = TablesRow::new(&request.edit_id, &request.routes, &request.pools);
+        let row = base.as_ref().map_or(row.clone(), |base| row.with_base(base));
+        self.write(&request, current.map_or(0, |row| row.version), row).await
     }
 
-    async fn apply(&self, request: ApplyRequest) -> Result<ApplyReply, ApplyFailure> {
-        let tables = match parse(request.routes.as_bytes(), request.pools.as_bytes()) {
-            Ok(tables) => tables,
-            Err(faults) => {
-                self.record(Event::ConfigRejected, &format!("{} faults", faults.len()));
-                return Ok(ApplyReply::Rejected { faults });
-            }
-        };
-        let stored = StoredTables {
-            edit_id: request.edit_id.clone(),
-            routes: request.routes,
-            pools: request.pools,
-        };
-        let value = serde_json::to_vec(&stored).unwrap_or_default();
-        let put = put_resolved(
-            self.store.as_ref(),
-            TABLES_ROW,
-            request.from_version,
-            value.into(),
-            WriteClass::Tables,
-        );
-        match put.await {
-            Ok(version) => {
-                let text = format!("version {version}, edit {}", request.edit_id);
+    async fn write(&self, request: &ApplyRequest, expected: u64, row: TablesRow) -> ApplyResult {
+        let failed = |detail: String| ApplyFailure { detail, may_have_applied: false };
+        let document = row.document().map_err(|error| failed(error.to_string()))?;
+        let value = row.encode().map_err(|error| failed(error.to_string()))?;
+        let store = self.store.as_ref();
+        let value = Bytes::from(value);
+        match put_resolved(store, TABLES_ROW, expected, value, WriteClass::Tables).await {
+            Ok(_) => {
+                let version = row.version;
+                let text = format!("version {version}, edit {}", row.edit);
                 self.record(Event::ConfigAccepted, &text);
-                self.adopt(version, &request.edit_id, tables);
+                let _ = self.commands.send(Command::Install(document, row));
                 Ok(ApplyReply::Accepted { version })
             }
-            Err(StoreError::Conflict { found, .. }) => {
-                self.record(Event::ConfigRejected, &format!("version {found} came first"));
-                self.poll().await;
-                Ok(self.conflict(found, &tables))
+            Err(StoreError::Conflict { .. } | StoreError::Overtaken { .. }) => {
+                let row = store.get(TABLES_ROW).await.map_err(|error| fail(&error))?;
+                let winner = row.as_ref().and_then(|row| self.install(row));
+                self.conflict(request, winner.as_ref())
             }
-            Err(error) => Err(ApplyFailure {
-                detail: error.to_string(),
-                may_have_applied: error.is_ambiguous(),
-            }),
+            Err(error) => Err(fail(&error)),
         }
     }
 
-    fn conflict(&self, found: u64, edited: &Tables) -> ApplyReply {
-        let edited = edited.rows();
-        let config = self.hub.config.borrow();
-        let current = config.rows();
-        let keys: std::collections::BTreeSet<&String> =
-            edited.keys().chain(current.keys()).collect();
-        let differs = |key: &&String| edited.get(*key) != current.get(*key);
-        let difference = |key: &String| RowDifference {
-            row: key.clone(),
-            edited: edited.get(key).cloned(),
-            current: current.get(key).cloned(),
+    fn conflict(&self, request: &ApplyRequest, winner: Option<&TablesRow>) -> ApplyResult {
+        let version = winner.map_or(0, |winner| winner.version);
+        self.record(Event::ConfigRejected, &format!("version {version} came first"));
+        let tables = |routes: &str, pools: &str| {
+            parse_accepted(routes.as_bytes(), pools.as_bytes()).unwrap_or_default()
         };
-        let rows = keys.into_iter().filter(differs).map(difference).collect();
-        ApplyReply::Conflict { version: found.max(config.version()), rows }
+        let edited = tables(&request.routes, &request.pools);
+        let current = winner.map(|row| tables(&row.routes, &row.pools)).unwrap_or_default();
+        Ok(ApplyReply::Conflict { version, rows: RowDifference::between(&edited, &current) })
     }
 
     fn record(&self, event: Event, detail: &str) {
         self.hub.decisions.record(self.hub.clock.now(), event, TABLES_ROW, detail);
     }
 }
+
+fn fail(error: &StoreError) -> ApplyFailure {
+    ApplyFailure { detail: error.to_string(), may_have_applied: error.is_ambiguous() }
+}
+
+fn to_message(delta: &Delta) -> v1::Config {
+    let row = |(key, text): &(String, Arc<str>)| v1::ConfigRow {
+        key: key.clone(),
+        text: text.to_string(),
+    };
+    v1::Config {
+        from: delta.from,
+        to: delta.to,
+        rows: delta.rows.iter().map(row).collect(),
+        removed: delta.removed.clone(),
+        digest: delta.digest.0,
+    }
+}
+
+fn to_delta(message: v1::Config) -> Delta {
+    Delta {
+        from: message.from,
+        to: message.to,
+        rows: message.rows.into_iter().map(|row| (row.key, row.text.into())).collect(),
+        removed: message.removed,
+        digest: Digest(message.digest),
+    }
+}
--- a/crates/entry/src/control_service.rs
+++ b/crates/entry/src/control_service.rs
@@ -4,20 +4,22 @@
 use skylarkpulley_proto::{MIN_PROTOCOL, PROTOCOL, v1};
 use tonic::{Request, Response, Status, Streaming};
 
+use crate::config_task::ConfigTask;
 use crate::hub::Hub;
 use crate::jobs::Jobs;
 use crate::session_service::{SessionStream, accept_session};
 
 /// The control interface of an entry, for agents and other entries.
 pub struct ControlService {
+    config: ConfigTask,
     hub: Arc<Hub>,
     jobs: Jobs,
 }
 
 impl ControlService {
     /// Returns the interface over the shared state of the entry.
-    pub fn new(hub: Arc<Hub>, jobs: Jobs) -> Self {
-        Self { hub, jobs }
+    pub fn new(hub: Arc<Hub>, config: ConfigTask, jobs: Jobs) -> Self {
+        Self { config, hub, jobs }
     }
 }
 
@@ -29,7 +31,9 @@
         &self,
         request: Request<Streaming<v1::AgentMessage>>,
     ) -> Result<Response<SessionStream>, Status> {
-        let stream = accept_session(Arc::clone(&self.hub), request.into_inner()).await?;
+        let stream =
+            accept_session(Arc::clone(&self.hub), self.config.clone(), request.into_inner())
+                .await?;
         Ok(Response::new(stream))
     }
 
@@ -46,11 +50,13 @@
         self.hub.note_entry(&message.control);
         let entries = self.hub.entry_addresses();
         let ranges = self.hub.ranges.borrow().clone();
+        let config = self.config.answer(message.config_version, message.config_digest).await;
+        let config_version = self.hub.config.borrow().version();
         Ok(Response::new(v1::PeerReply {
             protocol: PROTOCOL,
             name: self.hub.name.clone(),
-            config_version: self.hub.config.borrow().version(),
-            config: self.hub.config.borrow().message_from(message.config_version),
+            config_version,
+            config,
             ranges: ranges.message().filter(|ranges| ranges.version > message.range_version),
             entries,
             jobs: Vec::new(),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -124,7 +124,7 @@
             secret.clone(),
         );
         entry.tasks.spawn(peers.work(for_peers));
-        entry.serve_control(listeners.control, secret, jobs.clone());
+        entry.serve_control(listeners.control, secret, config.clone(), jobs.clone());
         entry.serve_callers(listeners.callers, &settings, router, jobs.clone(), seed);
         let admin =
             Admin { config, hub: Arc::clone(&hub), jobs, ready: Arc::clone(&entry.ready), status };
@@ -178,8 +178,14 @@
         self.tasks.shutdown().await;
     }
 
-    fn serve_control(&mut self, listener: TcpListener, secret: Secret, jobs: Jobs) {
-        let service = ControlService::new(Arc::clone(&self.hub), jobs);
+    fn serve_control(
+        &mut self,
+        listener: TcpListener,
+        secret: Secret,
+        config: ConfigTask,
+        jobs: Jobs,
+    ) {
+        let service = ControlService::new(Arc::clone(&self.hub), config, jobs);
         let server = EntryServer::new(service)
             .max_decoding_message_size(MESSAGE_LIMIT)
             .max_encoding_message_size(MESSAGE_LIMIT);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -140,7 +140,7 @@
             }
         }
         if let Some(message) = reply.config {
-            self.config.offer(message).await;
+            self.config.offer(message);
         }
         if let Some(view) = reply.ranges.and_then(|ranges| RangeView::from_json(&ranges.map)) {
             self.hub.accept_ranges(view);
--- a/crates/entry/src/placement_task.rs
+++ b/crates/entry/src/placement_task.rs
@@ -296,6 +296,10 @@
     }
 
     fn report(&mut self, agent: &AgentId, hello: &v1::Hello, state: v1::WorkerState, now: Instant) {
+        // An agent without configuration does not know the worker's accelerators yet.
+        if state.accelerators == 0 {
+            return;
+        }
         let Some(info) = self.workers.get_mut(agent) else { return };
         let first = info.state.is_none();
         info.state = Some(state.clone());
--- a/crates/entry/src/session_service.rs
+++ b/crates/entry/src/session_service.rs
@@ -2,11 +2,13 @@
 use std::time::Duration;
 
 use skylarkpulley_proto::{MIN_PROTOCOL, PROTOCOL, v1};
+use skylarkpulley_types::AgentId;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
-use crate::hub::{Hub, MemberEvent};
+use crate::config_task::ConfigTask;
+use crate::hub::{Hub, MemberEvent, agent_id};
 
 /// A session without a message for this long is given up and its agent gets no new work.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
@@ -24,6 +26,7 @@
 /// agent's protocol is too old.
 pub async fn accept_session(
     hub: Arc<Hub>,
+    config: ConfigTask,
     mut inbound: Streaming<v1::AgentMessage>,
 ) -> Result<SessionStream, Status> {
     let first = tokio::time::timeout(SILENCE_LIMIT, inbound.message())
@@ -40,13 +43,14 @@
         return Err(Status::invalid_argument("Hello names no agent"));
     }
     let (outbound, stream) = mpsc::channel(OUTBOUND_LIMIT);
-    tokio::spawn(SessionTask::new(hub, hello, outbound).serve(inbound));
+    tokio::spawn(SessionTask::new(hub, config, hello, outbound).serve(inbound));
     Ok(ReceiverStream::new(stream))
 }
 
 struct SessionTask {
-    acked_config: u64,
     acked_ranges: u64,
+    agent: AgentId,
+    config: ConfigTask,
     hello: v1::Hello,
     hub: Arc<Hub>,
     outbound: mpsc::Sender<Result<v1::EntryMessage, Status>>,
@@ -56,20 +60,21 @@
 impl SessionTask {
     fn new(
         hub: Arc<Hub>,
+        config: ConfigTask,
         hello: v1::Hello,
         outbound: mpsc::Sender<Result<v1::EntryMessage, Status>>,
     ) -> Self {
         let session = hub.next_session();
-        Self { acked_config: 0, acked_ranges: 0, hello, hub, outbound, session }
+        let agent = agent_id(&hello);
+        Self { acked_ranges: 0, agent, config, hello, hub, outbound, session }
     }
 
     async fn serve(mut self, mut inbound: Streaming<v1::AgentMessage>) {
         self.hub.notify(MemberEvent::Joined { session: self.session, hello: self.hello.clone() });
-        let mut config = self.hub.config.subscribe();
         let mut ranges = self.hub.ranges.subscribe();
         let silence = tokio::time::sleep(SILENCE_LIMIT);
         tokio::pin!(silence);
-        self.send_config();
+        self.config.open(&self.agent, self.session, self.outbound.clone());
         self.send_ranges();
         let silent = loop {
             tokio::select! {
@@ -80,10 +85,6 @@
                     }
                     Ok(None) | Err(_) => break false,
                 },
-                changed = config.changed() => match changed {
-                    Ok(()) => self.send_config(),
-                    Err(_) => break false,
-                },
                 changed = ranges.changed() => match changed {
                     Ok(()) => self.send_ranges(),
                     Err(_) => break false,
@@ -92,6 +93,7 @@
                 () = self.outbound.closed() => break false,
             }
         };
+        self.config.close(&self.agent, self.session);
         self.hub.notify(MemberEvent::Left {
             session: self.session,
             hello: self.hello.clone(),
@@ -111,18 +113,8 @@
     }
 
     fn take_report(&mut self, report: v1::Report) {
-        let behind_config = {
-            let current = self.hub.config.borrow();
-            let differs = report.config_version == current.version()
-                && report.config_digest != current.digest();
-            report.config_version < current.version() || differs
-        };
-        let lost_config = behind_config && report.config_version < self.acked_config;
-        self.acked_config = report.config_version;
+        self.config.report(&self.agent, report.config_version, report.config_digest);
         self.acked_ranges = report.range_version;
-        if lost_config || (behind_config && report.sequence.is_multiple_of(2)) {
-            self.send_config();
-        }
         if report.range_version < self.hub.ranges.borrow().version()
             && report.sequence.is_multiple_of(2)
         {
@@ -139,13 +131,6 @@
         self.hub.notify(MemberEvent::Report { hello: self.hello.clone(), report });
     }
 
-    fn send_config(&self) {
-        let message = self.hub.config.borrow().message_from(self.acked_config);
-        if let Some(message) = message {
-            self.send(v1::entry_message::Body::Config(message));
-        }
-    }
-
     fn send_ranges(&self) {
         // Only agents of upstreams hold key records.
         if self.hello.kind() != v1::PoolKind::Upstream {
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use fault::Fault;
 pub use packer::{Packer, Packing};
-pub use parse::{SourceFile, parse, parse_files};
+pub use parse::{SourceFile, parse, parse_accepted, parse_files};
 pub use pool::{Domain, Guarantee, Pool, PoolKind, Team};
 pub use route::Route;
 pub use row::Row;
--- a/crates/tables/src/parse.rs
+++ b/crates/tables/src/parse.rs
@@ -27,6 +27,24 @@
 
 /// Does the same as [`parse`] with the names of the files.
 pub fn parse_files(routes: SourceFile<'_>, pools: SourceFile<'_>) -> Result<Tables, Vec<Fault>> {
+    read_tables(routes, pools, true)
+}
+
+/// Parses tables that were accepted before. Skips the proof that all guarantees fit together, which
+/// takes up to a second and was done when the edit was accepted.
+pub fn parse_accepted(routes: &[u8], pools: &[u8]) -> Result<Tables, Vec<Fault>> {
+    read_tables(
+        SourceFile { name: "routes.toml", bytes: routes },
+        SourceFile { name: "pools.toml", bytes: pools },
+        false,
+    )
+}
+
+fn read_tables(
+    routes: SourceFile<'_>,
+    pools: SourceFile<'_>,
+    prove: bool,
+) -> Result<Tables, Vec<Fault>> {
     let routes_document = Document::new(routes.name, routes.bytes);
     let pools_document = Document::new(pools.name, pools.bytes);
     let (read, names) = read_pools(&pools_document);
@@ -42,7 +60,9 @@
         tables.routes.extend(route);
     }
     for ReadPool { pool, spots } in read {
-        check_shapes(&pools_document, &pool, &spots);
+        if prove {
+            check_shapes(&pools_document, &pool, &spots);
+        }
         tables.pools.push(pool);
     }
     let mut faults = routes_document.into_faults();
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -16,7 +16,10 @@
 /// back to `info`. A second call has no effect.
 pub fn init_logging(format: LogFormat, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
     // Fails only when a logger is already installed, which keeps working.
     let _ = match format {
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
