Predict waits from the slots that can really be had

Cause: the expected wait of a starved class counted the whole queue above it against its ageing share, so its share was not used (3.4 instead of 5 % of the slots at 1.5x); the capacity came from corrections that are made when others hold most; teams over their share waited 2.5 times as long as predicted (173 against 427 ms for those refused after a wait), because queues of other teams were counted as they are and not as they are refilled.

Change: the wait is the shorter one of the turn by priority and the ageing turn; capacity comes from the reports and, while a queue stands, from what was used; a standing queue counts other teams by their share. The most urgent class tries presumed slots after 5 ms once it has waited for a mean service, after 1 ms once it has waited for four.

--- a/crates/bench/tests/overload.rs
+++ b/crates/bench/tests/overload.rs
@@ -50,14 +50,16 @@
 }
 
 /// Guards against low classes of one entry that keep the slots from the top class of another: one
-/// entry accepts 80 % of the requests.
+/// entry accepts 80 % of the requests. With seed 3 tries every 5 ms are not enough (99.56 %).
 #[test]
 fn replay_skewed_entries() {
-    let mut scenario = Scenario::new(3.0);
-    scenario.entries = vec![8.0, 1.0, 1.0];
-    let score = routed(&scenario);
-    assert!(score.classes[0].share() >= 0.999, "{score}");
-    assert!(score.useful >= 0.9, "{score}");
+    for seed in [17, 3] {
+        let mut scenario = Scenario::new(3.0);
+        (scenario.seed, scenario.entries[0]) = (seed, 8.0);
+        let score = routed(&scenario);
+        assert!(score.classes[0].share() >= 0.999, "{score}");
+        assert!(score.useful >= 0.9, "{score}");
+    }
 }
 
 /// Guards against a burst of one team that takes the others' share: three teams offer 12 % of the
--- a/crates/routing/src/class_queue.rs
+++ b/crates/routing/src/class_queue.rs
@@ -155,8 +155,9 @@
     }
 
     /// Returns the expected work that is served before a new request of `team`: its own queue, and
-    /// of every other team at most what that team's weight entitles it to meanwhile.
-    pub fn work_ahead(&self, team: &str, weight: u32, cost: Duration) -> Duration {
+    /// of every other team that waits what that team's weight entitles it to meanwhile, if its queue
+    /// lasts. `steady` says that queues are refilled as fast as they are served.
+    pub fn work_ahead(&self, team: &str, weight: u32, cost: Duration, steady: bool) -> Duration {
         let index = self.names.get(team).copied();
         let own = index.map(|index| &self.flows[index]);
         let work = own.map_or(Duration::ZERO, |flow| flow.work);
@@ -168,7 +169,8 @@
             .map(|(start, _, other)| {
                 let flow = &self.flows[*other];
                 let share = (turn - start).saturating_mul(u64::from(flow.weight));
-                flow.work.min(Duration::from_nanos(share))
+                let share = Duration::from_nanos(share);
+                if steady { share } else { flow.work.min(share) }
             })
             .sum();
         work + others
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -64,6 +64,8 @@
     /// Slots in use by others when the view was last corrected.
     pub others: u32,
     pub other_connections: u32,
+    /// Average over the last reports of the slots in use by others.
+    pub usual_others: f64,
     /// When the view was last corrected.
     pub seen: Instant,
     /// Ends of the slot time that is charged for errors which came back early.
@@ -93,6 +95,7 @@
             own: 0,
             others: 0,
             other_connections: 0,
+            usual_others: 0.0,
             seen: now,
             penalties: Vec::new(),
             health: Health::new(),
@@ -143,6 +146,8 @@
         // A lower incarnation is a late announcement that the agent still passes on.
         self.serving = report.serving && !self.left && report.upstream == self.upstream;
         self.others = report.slots.saturating_sub(self.own);
+        // Half: about two reports, since one shows a single moment.
+        self.usual_others += 0.5 * (f64::from(self.others) - self.usual_others);
         self.other_connections = report.connections.saturating_sub(self.own);
         self.seen = now;
         let (runs, failures) = (report.runs, report.failures);
--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -11,9 +11,11 @@
 
 /// Shortest time after which a slot of another entry is presumed free.
 const HOLD_MIN: Duration = Duration::from_millis(10);
-/// The same for the most urgent class. Little more than a round trip between failure domains (3 ms),
-/// so that its requests find a slot before another entry refills it with less urgent work.
-const URGENT_HOLD: Duration = Duration::from_millis(5);
+/// The same for the most urgent class, by how many mean services its first request has waited. 5 ms
+/// is little more than a round trip between failure domains (3 ms); 1 ms finds every slot before
+/// another entry refills it with less urgent work, at the price of more refused attempts.
+const URGENT_HOLDS: [(u32, Duration); 2] =
+    [(4, Duration::from_millis(1)), (1, Duration::from_millis(5))];
 /// After this long a probe may also be a request that is not idempotent.
 const PROBE_PATIENCE: Duration = Duration::from_secs(5);
 /// How much worse than an ejected upstream another one must be to take its place.
@@ -197,15 +199,16 @@
     }
 
     /// Chooses an upstream for a request: a probe if one is due, else the less loaded of two random
-    /// ones. `avoid` names the agent of the last failed attempt.
+    /// ones. `urgent` is when a request of the most urgent class was submitted; `avoid` names the
+    /// agent of the last failed attempt.
     pub fn choose(
         &mut self,
         idempotent: bool,
-        urgent: bool,
+        urgent: Option<Instant>,
         avoid: Option<&str>,
         now: Instant,
     ) -> Option<Choice> {
-        let hold = self.hold(urgent);
+        let hold = self.hold(urgent, now);
         let mut rng = self.rng.fork();
         let usable = |member: &&Member| {
             member.is_present(now, &self.settings) && self.has_connection(member, now, hold)
@@ -240,14 +243,12 @@
         chosen(best, Reason::LeastLoaded)
     }
 
-    /// Returns the mean service of the pool.
-    pub fn mean(&self) -> Duration {
-        self.hold
-    }
-
-    /// Returns the time after which a slot of another entry is presumed free.
-    fn hold(&self, urgent: bool) -> Duration {
-        if urgent { URGENT_HOLD.min(self.hold) } else { self.hold }
+    /// Returns the time after which a slot of another entry is presumed free. `urgent` is when a
+    /// waiting request of the most urgent class was submitted.
+    fn hold(&self, urgent: Option<Instant>, now: Instant) -> Duration {
+        let Some(submitted) = urgent else { return self.hold };
+        let due = |(means, _): &&(u32, Duration)| submitted + self.hold * *means <= now;
+        URGENT_HOLDS.iter().find(due).map_or(self.hold, |(_, hold)| self.hold.min(*hold))
     }
 
     fn has_connection(&self, member: &Member, now: Instant, hold: Duration) -> bool {
@@ -377,17 +378,18 @@
     }
 
     /// Returns the slots that this entry can expect to use: those of all upstreams in use without
-    /// those that others hold.
-    pub fn capacity(&self, now: Instant) -> u32 {
-        let (mut sum, mut any) = (0, false);
+    /// those that others usually hold. Corrections by refused attempts do not count: they come when
+    /// others hold most.
+    pub fn capacity(&self, now: Instant) -> f64 {
+        let (mut sum, mut any) = (0.0, false);
         for member in self.present(now) {
             any = true;
             if !member.health.is_out() {
-                sum += self.limit.saturating_sub(member.others);
+                sum += (f64::from(self.limit) - member.usual_others).max(0.0);
             }
         }
         // Others may hold every slot for the moment; this entry will still get its turn.
-        sum.max(u32::from(any && self.limit > 0))
+        if any && self.limit > 0 { sum.max(1.0) } else { 0.0 }
     }
 
     /// Returns the slots that are free as far as this entry knows.
@@ -400,8 +402,13 @@
 
     /// Returns when `tick` has something to do, or, while requests wait, when a slot may be
     /// presumed free.
-    pub fn next_wake(&self, waiting: bool, urgent: bool, now: Instant) -> Option<Instant> {
-        let hold = self.hold(urgent);
+    pub fn next_wake(
+        &self,
+        waiting: bool,
+        urgent: Option<Instant>,
+        now: Instant,
+    ) -> Option<Instant> {
+        let hold = self.hold(urgent, now);
         let times = self.members.values().flat_map(|member| {
             let silent = member.open.then(|| member.silent_at(&self.settings));
             let ejected = match member.health.stage {
@@ -413,7 +420,10 @@
             let penalty = member.penalties.iter().min().copied().filter(|_| waiting);
             [silent, ejected, aged, penalty]
         });
-        times.flatten().filter(|time| *time > now).min()
+        let paces = urgent.iter().flat_map(|submitted| {
+            URGENT_HOLDS.iter().map(|(means, _)| *submitted + self.hold * *means)
+        });
+        times.flatten().chain(paces).filter(|time| *time > now).min()
     }
 }
 
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -87,9 +87,10 @@
     pub fn push(&mut self, id: u64, request: &mut Pending, expiry: Instant, now: Instant) {
         let class = usize::from(request.class);
         if self.classes[class].len() == 0 {
+            let pause = now.saturating_duration_since(self.emptied[class]);
             self.filled[class] = now;
             // A short break, for example because all requests were refused, is no service.
-            if now.saturating_duration_since(self.emptied[class]) > self.settings.ageing {
+            if pause > self.settings.ageing {
                 self.served[class] = now;
             }
         }
@@ -129,12 +130,10 @@
         Some(starved.map_or((first, false), |class| (class, true)))
     }
 
-    /// Returns when a request of `class` that was submitted at the given time becomes urgent: one
-    /// of the most urgent of several classes, after the mean service. Until then own attempts that
-    /// end usually make room, without attempts that are refused as full.
-    pub fn urgent_at(&self, class: usize, submitted: Instant) -> Option<Instant> {
-        let urgent = self.urgent.is_some_and(|urgent| usize::from(urgent) == class);
-        urgent.then(|| submitted + self.members.mean())
+    /// Reports whether `class` is the most urgent of several. Its requests try presumed slots of
+    /// other entries sooner once they have waited; before, own attempts that end make room.
+    pub fn is_urgent(&self, class: usize) -> bool {
+        self.urgent.map(usize::from) == Some(class)
     }
 
     /// Returns the first class with waiting requests and the request that is next in it.
@@ -173,12 +172,12 @@
         self.rated = now;
     }
 
-    /// Reports whether requests of `class` have waited without a break for longer than `limit`. Such
-    /// a queue only delays what it holds; a shorter one would keep the slots just as busy.
-    pub fn is_standing(&self, class: u8, limit: Duration, now: Instant) -> bool {
-        let class = usize::from(class);
+    /// Reports whether requests of `class` have waited without a break for over `limit`. Such
+    /// a queue only delays what it holds; a shorter one would keep the slots just as busy. The most
+    /// urgent of several classes never counts, since it can still gain slots from other entries.
+    pub fn is_standing(&self, class: usize, limit: Duration, now: Instant) -> bool {
         let filled = now.saturating_duration_since(self.filled[class]);
-        self.classes[class].len() > 0 && filled > limit
+        !self.is_urgent(class) && self.classes[class].len() > 0 && filled > limit
     }
 
     /// Replaces the slot time that was charged for an attempt by the actual one.
@@ -201,38 +200,42 @@
         now: Instant,
     ) -> Option<Duration> {
         let capacity = self.members.capacity(now);
-        if capacity == 0 {
+        if capacity == 0.0 {
             return None;
         }
         let class = usize::from(class);
         let weight = self.weights.get(team).copied().unwrap_or(1);
         let higher: Duration = self.classes[..class].iter().map(ClassQueue::work).sum();
-        let ahead = higher + self.classes[class].work_ahead(team, weight, cost);
+        let long = self.is_standing(class, RATE_WINDOW, now);
+        let own = self.classes[class].work_ahead(team, weight, cost, long);
         let mean = self.service.mean().unwrap_or(Duration::ZERO);
         let free = self.members.free(now);
-        let blocked = ahead.saturating_sub(mean * free);
+        let blocked = (higher + own).saturating_sub(mean * free);
         if free > 0 && blocked.is_zero() {
             return Some(Duration::ZERO);
         }
         // More urgent requests keep arriving while this one waits, and take their part of the
-        // slots; ageing leaves at least its share.
+        // slots. The running attempts free one slot in about the mean service over the slots.
         self.decay_rates(now);
-        let capacity = f64::from(capacity);
+        // While requests wait all slots that can be had are used, so what was used is the capacity.
+        let used: f64 = self.rates.iter().sum();
+        let capacity = if long { capacity.min(used.max(1.0)) } else { capacity };
         let urgent: f64 = self.rates[..class].iter().sum();
-        let left = (capacity - urgent).max(capacity / f64::from(self.settings.aged_share.max(1)));
-        // The running attempts free one slot in about the mean service over the slots.
-        let wait = (blocked + mean).as_secs_f64() / left;
-        Some(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+        let by_priority = quotient(blocked + mean, capacity - urgent);
+        // A starved class does not wait for more urgent ones, but has only its ageing share.
+        let share = capacity / f64::from(self.settings.aged_share.max(1));
+        let served = now.saturating_duration_since(self.served[class]);
+        let starved = self.settings.ageing.saturating_sub(served);
+        let by_ageing = starved.saturating_add(quotient(own + mean, share));
+        Some(by_priority.min(by_ageing))
     }
 
     /// Returns when `poll` next has something to do for this pool, if no event comes first.
-    /// `urgent` says when the head of the queue becomes urgent, if it does.
+    /// `urgent` is when the head of the queue was submitted, if its class is urgent.
     pub fn next_wake(&self, urgent: Option<Instant>, now: Instant) -> Option<Instant> {
         let expiry = self.expiries.first().map(|(expiry, _)| *expiry);
-        let waiting = !self.expiries.is_empty();
-        let member = self.members.next_wake(waiting, urgent.is_some_and(|at| at <= now), now);
-        let urgent = urgent.filter(|at| *at > now);
-        expiry.into_iter().chain(member).chain(urgent).min()
+        let member = self.members.next_wake(!self.expiries.is_empty(), urgent, now);
+        expiry.into_iter().chain(member).min()
     }
 
     /// Returns the state for status output.
@@ -252,6 +255,12 @@
     }
 }
 
+/// Returns the time in which `slots` do `work`.
+fn quotient(work: Duration, slots: f64) -> Duration {
+    let seconds = work.as_secs_f64() / slots.max(f64::MIN_POSITIVE);
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
 fn class_view(class: usize, queue: &ClassQueue) -> ClassView {
     ClassView {
         class: class as u8,
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -178,7 +178,7 @@
         let wait = pool.wait(class, &request.team, cost, now).ok_or(Reason::NoUpstream)?;
         let service = state.service.allowance(limit);
         let room = limit.saturating_sub(service);
-        let room = if pool.is_standing(class, limit, now) { room / 2 } else { room };
+        let room = if pool.is_standing(class.into(), limit, now) { room / 2 } else { room };
         // A route without attempts for a while lets one request through although its service seems
         // too long: otherwise a wrong estimate would never be corrected.
         let trial = state.service.mean().is_some_and(|mean| mean >= limit)
@@ -262,7 +262,7 @@
         }
         let avoid = request.avoid.as_deref();
         let idempotent = request.idempotent;
-        let urgent = pool.urgent_at(class, request.submitted).is_some_and(|at| at <= now);
+        let urgent = pool.is_urgent(class).then_some(request.submitted);
         let choice = pool.members.choose(idempotent, urgent, avoid, now);
         let Some(Choice { agent, probe, reason }) = choice else { return false };
         pool.pop(class, aged, request, now);
@@ -445,7 +445,8 @@
         let backoff = self.backoffs.first().map(|(until, _)| *until);
         let urgent = |pool: &PoolState| {
             let (class, id) = pool.head()?;
-            pool.urgent_at(class, self.requests.get(&id)?.submitted)
+            let request = self.requests.get(&id)?;
+            pool.is_urgent(class).then_some(request.submitted)
         };
         let pools = self.pools.values().filter_map(|pool| pool.next_wake(urgent(pool), now));
         pools.chain(backoff).min()
--- a/crates/routing/src/snapshot.rs
+++ b/crates/routing/src/snapshot.rs
@@ -17,7 +17,7 @@
     /// Name.
     pub name: String,
     /// Slots that this entry can expect to use.
-    pub capacity: u32,
+    pub capacity: f64,
     /// Classes with waiting requests, most urgent first.
     pub classes: Vec<ClassView>,
     /// Upstreams in order of the agents' names.
