Prefer the reserved workers of a claimed instance among equals

Cause: a claim on other free workers has to move its reservation first; a hold that overtakes the move is refused, and a retry on the same workers did not set the reservation again.

Change: among choices of equal loss the reserved workers win; a retry tells the agents the reservation again; losses are computed once per victim.

--- a/crates/placement/src/placer/admission.rs
+++ b/crates/placement/src/placer/admission.rs
@@ -180,6 +180,7 @@
             end: self.now,
             shadowed: false,
             wary: false,
+            instance: None,
         };
         if self.is_proportional(&need) {
             return Ok(());
--- a/crates/placement/src/placer/choice.rs
+++ b/crates/placement/src/placer/choice.rs
@@ -30,6 +30,9 @@
     pub shadowed: bool,
     /// Skip workers on which the job failed.
     pub wary: bool,
+    /// Instance that the job claims; its reserved workers are preferred among equals, since other
+    /// ones have to be reserved first.
+    pub instance: Option<usize>,
 }
 
 /// Workers and victims for a job that may evict.
@@ -238,8 +241,11 @@
                 continue;
             }
             let Some((loss, victims)) = self.victims(need, worker, allowed) else { continue };
-            let tight = i64::from(room(ix) - whole.accelerators);
-            let cost = (loss * 1000.0) as i64 + tight;
+            let at_home =
+                need.instance.is_some_and(|one| self.instances[one].members.contains(&ix));
+            let away = if at_home { 0 } else { 64 };
+            let tight = i64::from(room(ix) - whole.accelerators).min(63) + away;
+            let cost = (loss * 1000.0) as i64 * 128 + tight;
             costs.push((ix, cost, victims));
         }
         let set = |ix: usize| match whole.locality {
@@ -261,10 +267,10 @@
             victims.dedup();
             let lost: f64 = victims.iter().map(|victim| self.loss(*victim)).sum();
             let freed: u64 = victims.iter().map(|victim| self.job(*victim).total()).sum();
-            let tight: i64 = used.iter().map(|one| one.1.min(64)).sum();
+            let tight: i64 = used.iter().map(|one| one.1 % 128).sum();
             // Accelerators freed beyond the shape are fragments left elsewhere.
             let damage = freed.saturating_sub(u64::from(need.shape.total())) as i64;
-            let cost = (lost * 1e6) as i64 + damage * 1000 + tight;
+            let cost = (lost * 1e9) as i64 + damage * 100_000 + tight;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let workers = set.iter().map(|one| one.0).collect();
                 best = Some((cost, Choice { workers, victims, lost }));
@@ -314,12 +320,14 @@
             return None;
         }
         // Drops victims that a later, larger one made unnecessary.
-        for (_, job) in able.iter().rev() {
+        let several = if gone.len() > 1 { &able[..] } else { &[] };
+        for (_, job) in several.iter().rev() {
             let rest: Vec<usize> = gone.iter().copied().filter(|other| other != job).collect();
             if rest.len() < gone.len() && fits(&rest) {
                 gone = rest;
             }
         }
-        Some((gone.iter().map(|job| self.loss(*job)).sum(), gone))
+        let lost = able.iter().filter(|(_, job)| gone.contains(job)).map(|(loss, _)| loss).sum();
+        Some((lost, gone))
     }
 }
--- a/crates/placement/src/placer/claims.rs
+++ b/crates/placement/src/placer/claims.rs
@@ -48,6 +48,7 @@
         let room = |worker: usize| self.workers[worker].uncovered() + own(worker);
         let any = |_: usize| true;
         let mut need = self.need(ix, true);
+        need.instance = Some(instance);
         let choice = self.choose_evicting(&need, whole, &room, &any).or_else(|| {
             need.wary = false;
             self.choose_evicting(&need, whole, &room, &any)
@@ -63,9 +64,13 @@
             new.sort_unstable();
             old == new
         };
-        if same {
+        if same && self.job(ix).tries == 0 {
             self.instances[instance].members = choice.workers.clone();
         } else {
+            // After a failed try the agents are told again: the reservation may be what was missing.
+            for worker in &choice.workers {
+                self.workers[*worker].reserved.retain(|reserved| reserved.instance != instance);
+            }
             self.set_members(instance, &choice.workers, "claim takes other workers of its shape");
         }
         let workers = &choice.workers[..self.job(ix).spec.shape.workers as usize];
@@ -94,6 +99,7 @@
             end: self.now + self.remaining(ix),
             shadowed: false,
             wary: true,
+            instance: None,
         }
     }
 }
--- a/crates/placement/tests/reclaim.rs
+++ b/crates/placement/tests/reclaim.rs
@@ -203,6 +203,24 @@
     }
 }
 
+/// Guards against a claim that is refused again and again because an agent missed its reservation.
+#[test]
+fn claim_retry_sets_reservation_again() {
+    let one = shape(4, 1, Locality::Worker);
+    let mut world = World::new(with_guarantee(pool(4, &[&[1]]), "one", "a", one, 1));
+    let agent = world.agents[0].0.clone();
+    let first = world.submit(claim("urgent", "a", "one", one));
+    let sets = |actions: &[Action]| {
+        actions.iter().filter(|action| matches!(action, Action::SetReservation { .. })).count()
+    };
+    assert_eq!(sets(&first), 0, "the reservation stands already");
+    let reason = "no reservation".to_owned();
+    world.answer("urgent", &agent, HoldResult::Refused { reason, seen: 0 });
+    let again = world.advance(Duration::from_millis(100));
+    let place = |action: &Action| matches!(action, Action::Place { .. });
+    assert!(sets(&again) == 1 && again.iter().any(place), "{again:?}");
+}
+
 /// Guards against a guarantee that is lost without notice, or not restored.
 #[test]
 fn guarantee_risk_named_and_restored() {
