--- a/crates/bench/src/replay/core.rs
+++ b/crates/bench/src/replay/core.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_placement::{
-    Action, Event, GangEnd, HoldResult, JobSpec, Placer, PreemptMode, WorkerReport,
+    Action, Event, GangEnd, HoldResult, InstanceStatus, JobSpec, Placer, PreemptMode, WorkerReport,
 };
 use skylarkpulley_tables::Pool;
 use skylarkpulley_types::AgentId;
@@ -92,11 +92,11 @@
         self.send(Event::Submit(self.specs[job].clone()), now);
     }
 
-    fn has_instance(&self, job: usize) -> Option<bool> {
+    fn unclaimed(&self, job: usize) -> Option<usize> {
         let prefix = format!("{}/", self.specs[job].claim.as_ref()?);
         let status = self.placer.status();
-        let mut all = status.instances.iter();
-        Some(all.any(|one| one.name.starts_with(&prefix) && one.claim.is_none()))
+        let open = |one: &&InstanceStatus| one.name.starts_with(&prefix) && one.claim.is_none();
+        Some(status.instances.iter().filter(open).count())
     }
 
     fn cancel(&mut self, job: usize, now: Millis) {
