Look at claims with an instance left before other claims

Cause: one pass looked at the first 64 waiting claims; 64 claims on a guarantee without an unclaimed instance kept a claim on another guarantee waiting.

Change: a pass looks first at the claims for which an instance is left.

Conclusion: claims do not wait behind claims of other guarantees.

--- a/crates/placement/src/placer/queue.rs
+++ b/crates/placement/src/placer/queue.rs
@@ -1,7 +1,7 @@
 //! Order of the waiting jobs, backfill and defragmentation.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::ops::Bound;
 use std::time::{Duration, Instant};
 
@@ -161,10 +161,7 @@
     fn pass(&mut self) {
         self.changed = false;
         self.fresh.clear();
-        let claims: Vec<usize> = self.claims.iter().take(SEARCHES).map(|(_, ix)| *ix).collect();
-        for ix in claims {
-            self.attempt_queued(ix);
-        }
+        self.pass_claims();
         let mut heads = BinaryHeap::new();
         for (queue, jobs) in &self.queues {
             if let Some((_, ix)) = jobs.first() {
@@ -201,6 +198,28 @@
         }
     }
 
+    /// Looks at the claims; those for which an instance is left are not kept waiting by others.
+    fn pass_claims(&mut self) {
+        let open: HashSet<&str> = self
+            .instances
+            .iter()
+            .filter(|instance| instance.claim.is_none())
+            .map(|instance| instance.guarantee.as_str())
+            .collect();
+        let has_instance = |ix: &usize| {
+            let claim = self.job(*ix).spec.claim.as_deref();
+            claim.is_some_and(|claim| open.contains(claim))
+        };
+        let claims = self.claims.iter().map(|(_, ix)| *ix);
+        let (mut ready, mut rest): (Vec<usize>, Vec<usize>) = claims.partition(has_instance);
+        self.changed = ready.len() > SEARCHES;
+        ready.truncate(SEARCHES);
+        rest.truncate(SEARCHES);
+        for ix in ready.into_iter().chain(rest) {
+            self.attempt_queued(ix);
+        }
+    }
+
     fn attempt_queued(&mut self, ix: usize) -> Outcome {
         if self.job(ix).not_before > self.now {
             return Outcome::Skipped;
--- a/crates/placement/tests/reclaim.rs
+++ b/crates/placement/tests/reclaim.rs
@@ -203,6 +203,25 @@
     }
 }
 
+/// Guards against a claim that waits behind many claims for which no instance is left.
+#[test]
+fn claim_not_behind_waiting_claims() {
+    let one = shape(4, 1, Locality::Worker);
+    let base = with_guarantee(pool(4, &[&[3]]), "busy", "a", one, 1);
+    let mut world = World::new(with_guarantee(base, "open", "b", one, 1));
+    for ix in 0..200 {
+        let spec = claim(&format!("a{ix}"), "a", "busy", one);
+        world.submit(JobSpec { class: 0, preemption: Preemption::Never, ..spec });
+        world.run(&format!("a{ix}"));
+    }
+    world.submit_and_run(job("filler", "a", 4, 1));
+    let epoch = world.epochs["filler"];
+    let end = GangEnd::Finished;
+    world.placer.handle(Event::GangEnded { job: "filler".to_owned(), epoch, end }, world.now);
+    world.submit(JobSpec { class: 9, ..claim("b", "b", "open", one) });
+    assert_eq!(world.state("b"), "holding");
+}
+
 /// Guards against a claim that is refused again and again because an agent missed its reservation.
 #[test]
 fn claim_retry_sets_reservation_again() {
