--- a/crates/keys/tests/table/table.rs
+++ b/crates/keys/tests/table/table.rs
@@ -258,6 +258,17 @@
     assert_eq!(bench.reserve(1, &key, "b"), Some(KeyReply::Unknown));
 }
 
+/// Guards against an owner that seals its range because a newer epoch has taken over its witness.
+#[test]
+fn fence_of_newer_epoch_deposes() {
+    let mut bench = Bench::new(Limits::default());
+    bench.assign(5, 2, 1, 1, &[1]);
+    bench.rest.clear();
+    bench.assign(4, 0, 1, 1, &[0]);
+    assert_eq!((bench.rest.as_slice(), bench.tables[0].serving()), (&[][..], vec![]));
+    assert_eq!(bench.tick(0, 60 * SECOND), []);
+}
+
 /// Guards against a seal that is forgotten in a takeover, or kept after the lost keys have expired
 /// or an operator has released the range, and against a journal that is not used.
 #[test]
