Test second tries, early deaths of entries and views that differ

Cause: the rule that stops the lower of two epochs had no test, nor had a job whose accepting entry dies at once, or entries that take pools over while others still propose.

Conclusion: the lower epoch is stopped and the job is done once.

--- a/crates/demo/tests/gangs/takeover.rs
+++ b/crates/demo/tests/gangs/takeover.rs
@@ -6,8 +6,121 @@
 use skylarkpulley_agent::Agent;
 use skylarkpulley_entry::Entry;
 
+use skylarkpulley_proto::{AgentClients, PROTOCOL, Secret, v1};
+
 use crate::world::{World, job};
 
+/// Starts one more try of the job on `workers`, as an entry with another view would.
+async fn propose(world: &World, id: &str, epoch: u64, workers: &[usize]) {
+    let agents: Vec<&Agent> = workers
+        .iter()
+        .map(|worker| world.deployment.workers[*worker].agent.program().expect("it is up"))
+        .collect();
+    let secret = &world.deployment.workers[0].settings.secret;
+    let clients = AgentClients::new(Secret::new(secret).expect("a secret"));
+    let client = |agent: &Agent| clients.client(&agent.control().to_string()).expect("a client");
+    let member = |agent: &&Agent| v1::Member {
+        agent: Some(agent.id().into()),
+        control: agent.control().to_string(),
+    };
+    let members: Vec<v1::Member> = agents.iter().map(member).collect();
+    for agent in &agents {
+        let hold = v1::HoldRequest {
+            protocol: PROTOCOL,
+            gang: id.to_owned(),
+            epoch,
+            accelerators: 8,
+            class: 5,
+            incarnation: agent.id().incarnation,
+            memory_mib: 1024,
+            preemptible: true,
+            proposer: "entry-with-another-view".to_owned(),
+            ..v1::HoldRequest::default()
+        };
+        let reply = client(agent).hold(hold).await.expect("an answer").into_inner();
+        assert_eq!(reply.state(), v1::hold_reply::State::Held, "{reply:?}");
+    }
+    let task = br#"{"accelerators": 8, "run_ms": 6000}"#.to_vec();
+    for agent in &agents {
+        let commit = v1::CommitRequest {
+            gang: id.to_owned(),
+            epoch,
+            members: members.clone(),
+            task: task.clone(),
+            memory_mib: 1024,
+        };
+        let reply = client(agent).commit(commit).await.expect("an answer").into_inner();
+        assert!(reply.committed, "{reply:?}");
+    }
+}
+
+/// Guards against a job that runs twice because two entries have placed it on different workers,
+/// whichever of the two tries has the higher epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_try_stopped() {
+    let mut world = World::start(2).await;
+    let (preferred, other) = (world.preferred(), world.other());
+    for higher in [true, false] {
+        let id = world.submit(other, &job(8, 2, 6000)).await;
+        world.until_state(other, &id, JobState::Running).await;
+        let own = world.running(&id);
+        let free: Vec<usize> = (0..world.deployment.workers.len())
+            .filter(|worker| !own.contains(worker))
+            .take(2)
+            .collect();
+        // The entry's own epochs go on from the higher one afterwards.
+        let epoch = if higher { 1_000_000 } else { 1 };
+        propose(&world, &id, epoch, &free).await;
+        let expected = if higher { &free } else { &own };
+        let both = |world: &World| world.running(&id).len() > 2;
+        world.until("both tries run", both).await;
+        let one = |world: &World| world.running(&id) == *expected;
+        world.until("one try is left", one).await;
+        let lines = world.client(preferred).explain(&id).await.expect("records").lines;
+        let fenced = lines.iter().any(|line| line.event == "command-fenced");
+        assert!(fenced, "no event: {lines:#?}");
+        world.until_done(other, &id).await;
+        world.pass(Duration::from_millis(1500)).await;
+        assert_eq!(world.running(&id), Vec::<usize>::new(), "it is run again");
+    }
+}
+
+/// Guards against a job that is lost because the entry that acknowledged it dies with the only copy
+/// outside the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn accepting_entry_killed() {
+    let mut world = World::start(2).await;
+    for _ in 0..3 {
+        let (preferred, other) = (world.preferred(), world.other());
+        let id = world.submit(other, &job(8, 2, 300)).await;
+        world.replace_entry(other).await;
+        world.until_done(preferred, &id).await;
+    }
+}
+
+/// Guards against jobs that are lost or run twice while entries that come up take pools over from
+/// entries that do not know of them yet, so that two entries propose.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_added_jobs_run_once() {
+    let mut world = World::start(1).await;
+    let mut jobs = Vec::new();
+    for _ in 0..4 {
+        world.deployment.add_entry().await.expect("an entry");
+        for entry in [0, world.deployment.entries.len() - 1] {
+            let short = job(8, 2, 500);
+            // A new entry refuses jobs until it has the configuration.
+            if let Ok(id) = world.try_submit(entry, &short).await {
+                jobs.push(id);
+            }
+        }
+        world.pass(Duration::from_millis(300)).await;
+    }
+    assert!(jobs.len() >= 4, "{jobs:?}");
+    for id in jobs {
+        world.until_done(0, &id).await;
+    }
+}
+
 /// Guards against a second start, or a job that can no longer be seen or cancelled, after the entry
 /// that placed it has died.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/demo/tests/gangs/world.rs
+++ b/crates/demo/tests/gangs/world.rs
@@ -100,11 +100,20 @@
     }
 
     pub async fn submit(&mut self, entry: usize, job: &SubmitRequest) -> String {
-        let reply = self.client(entry).submit(job).await.expect("an answer");
-        let SubmitReply::Accepted { id, .. } = reply else { panic!("refused: {reply:?}") };
+        self.try_submit(entry, job).await.expect("an accepted job")
+    }
+
+    /// Returns the error of a job that is not accepted.
+    pub async fn try_submit(
+        &mut self,
+        entry: usize,
+        job: &SubmitRequest,
+    ) -> Result<String, String> {
+        let reply = self.client(entry).submit(job).await.map_err(|error| error.to_string())?;
+        let SubmitReply::Accepted { id, .. } = reply else { return Err(format!("{reply:?}")) };
         let workers = job.shape.workers as usize;
         self.watched.insert(id.clone(), Watched { cancelled: false, workers });
-        id
+        Ok(id)
     }
 
     /// Cancels the job; from the answer on it may only stop.
