--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -6,8 +6,9 @@
 
 /// How long the result of an attempt is kept for an entry that sends the attempt again over a new
 /// connection, counted from the end of the attempt or of its time budget, whichever is later. An
-/// entry stops sending when the budget is used up.
-const RETENTION: Duration = Duration::from_secs(60);
+/// entry stops sending when the budget is used up. The owner of an idempotency key asks about an
+/// attempt for up to 10 minutes; an attempt that was forgotten by then would count as not run.
+const RETENTION: Duration = Duration::from_secs(660);
 
 /// Bounds the memory of recorded answers. The record of an attempt stays when its answer is
 /// dropped: an attempt that was forgotten would run again when it is sent again.
