Bring back upstreams that were only silent or paused

Cause: read against the entry that uses the core. It reports a run refused as not serving with Attempt::Leaving, which took the upstream out of use until its next incarnation, although its announcement may only have expired; and it does not close a session on Decision::Silent, after which every report on that session was ignored for good.

Change: a refused run takes the upstream out of use until the next report; only the Leaving message binds to the incarnation. A silent session that was not closed comes back with a report whose sending time is recent.

A late report can bring a leaving upstream back until the next one, at most a second; its agent refuses runs meanwhile.

Conclusion: neither fault takes an upstream out of use for good.

--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -13,7 +13,8 @@
     Errored,
     /// The agent had no free slot or connection. The request was not run.
     Full,
-    /// The agent or its upstream is leaving or not serving. The request was not run.
+    /// The agent or its upstream is leaving or not serving. The request was not run, and the
+    /// upstream gets no work until a report says that it serves.
     Leaving,
     /// The agent or upstream could not be reached. The request was not run.
     Unreachable,
--- a/crates/routing/src/decision.rs
+++ b/crates/routing/src/decision.rs
@@ -35,7 +35,8 @@
         /// The agent.
         agent: AgentId,
     },
-    /// The agent's session is silent and has to be closed.
+    /// The agent's session is silent and has to be closed. If it is not, a report with a recent
+    /// sending time brings it back.
     Silent {
         /// The agent.
         agent: AgentId,
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -51,6 +51,8 @@
     pub session: u64,
     /// False once the session is closed or silent.
     pub open: bool,
+    /// The session is silent but was not closed.
+    pub silent: bool,
     /// When the session was last known to be alive.
     pub heard: Instant,
     pub serving: bool,
@@ -88,6 +90,7 @@
             domain: hello.domain.clone(),
             session: hello.session,
             open: true,
+            silent: false,
             heard: now,
             serving: false,
             upstream: 0,
@@ -131,13 +134,20 @@
         true
     }
 
-    /// Applies a report; returns false if it is late and changes nothing.
-    pub fn report(&mut self, report: &Report, now: Instant) -> bool {
-        if !self.open || report.sequence <= self.sequence {
+    /// Applies a report; returns false if it is late and changes nothing. A silent session comes
+    /// back only with a report that proves by its sending time that it is recent.
+    pub fn report(&mut self, report: &Report, now: Instant, silence: Duration) -> bool {
+        let alive = self.open || self.silent && report.sent.is_some();
+        if !alive || report.sequence <= self.sequence {
             return false;
         }
+        let sent = self.sending_time(report.sent, now);
+        if !self.open && sent + silence <= now {
+            return false;
+        }
+        (self.open, self.silent) = (true, false);
         self.sequence = report.sequence;
-        self.heard = self.heard.max(self.sending_time(report.sent, now));
+        self.heard = self.heard.max(sent);
         if report.upstream > self.upstream {
             // An upstream that left before its first report is not a later one.
             self.left &= self.upstream == 0;
--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -95,12 +95,13 @@
 
     /// Applies a report of a session.
     pub fn report(&mut self, agent: &AgentId, session: u64, report: &Report, now: Instant) -> bool {
+        let silence = self.settings.silence;
         let Some(member) = self.current(agent) else { return false };
         if member.session != session {
             return false;
         }
-        let (before, upstream) = (member.serving, member.upstream);
-        if !member.report(report, now) {
+        let (before, upstream, open) = (member.serving, member.upstream, member.open);
+        if !member.report(report, now, silence) {
             return false;
         }
         let stopped = before && !member.serving;
@@ -108,6 +109,9 @@
             // A restarted upstream need not wait for the end of the ejection.
             member.health.probe(now);
         }
+        if !open {
+            self.events.push(Decision::Joined { agent: agent.clone() });
+        }
         if stopped {
             self.events.push(Decision::Leaving { agent: agent.clone() });
         }
@@ -131,6 +135,7 @@
             return false;
         }
         member.open = false;
+        member.silent = false;
         member.serving = false;
         true
     }
@@ -147,6 +152,7 @@
             member.penalties.retain(|end| *end > now);
             if member.open && now >= member.silent_at(&self.settings) {
                 member.open = false;
+                member.silent = true;
                 member.serving = false;
                 let agent = member.agent.clone();
                 self.events.push(Decision::Silent { agent, session: member.session });
@@ -295,7 +301,9 @@
                 return;
             }
             Attempt::Leaving => {
-                if member.leave() {
+                // Until the next report only: an upstream whose announcement expired may come back
+                // with the same incarnation.
+                if std::mem::take(&mut member.serving) {
                     self.events.push(Decision::Leaving { agent: ended.agent.clone() });
                 }
                 return;
