--- a/crates/routing/tests/suite/properties.rs
+++ b/crates/routing/tests/suite/properties.rs
@@ -145,7 +145,7 @@
         if result == Attempt::Leaving && sent.agent == self.current(&sent) {
             self.refusing[slot(&sent)] = true;
         }
-        let settle = self.rig.submitted >= sent.id && self.class(sent.id) == 0;
+        let settle = self.waiting.get(&sent.id).is_some_and(|(class, _)| *class == 0);
         match self.rig.finish(&sent, result) {
             Next::Ended { outcome, .. } => self.end(sent.id, outcome)?,
             Next::Retry { .. } | Next::Requeued { .. } => {
@@ -163,10 +163,6 @@
         }
     }
 
-    fn class(&self, id: u64) -> usize {
-        self.waiting.get(&id).map_or(usize::MAX, |(class, _)| *class)
-    }
-
     fn current(&self, sent: &Sent) -> skylarkpulley_types::AgentId {
         agent(slot(sent), self.incarnations[slot(sent)])
     }
@@ -285,12 +281,6 @@
     name[6..].parse().expect("agent name")
 }
 
-/// Runs `property` on `cases` inputs from a fixed seed.
-fn check(cases: u64, size: usize, property: fn(Vec<Step>) -> TestResult) {
-    let generator = Gen::from_size_and_seed(size, 11);
-    QuickCheck::new().rng(generator).tests(cases).quickcheck(property as fn(Vec<Step>) -> _);
-}
-
 /// Guards all interleavings against: a request in two places, that ends twice or never, that runs
 /// after its refusal or a second time, is reported as not run although it may have run; more
 /// attempts than slots; work for upstreams that are gone; a lost order within a team.
@@ -304,7 +294,8 @@
         };
         run(&mut model).map_or_else(TestResult::error, |()| TestResult::passed())
     }
-    check(400, 400, property);
+    let generator = Gen::from_size_and_seed(400, 11);
+    QuickCheck::new().rng(generator).tests(400).quickcheck(property as fn(Vec<Step>) -> TestResult);
 }
 
 /// Guards against a less urgent class that is served before a more urgent one, and against team
