--- a/crates/routing/tests/suite/properties.rs
+++ b/crates/routing/tests/suite/properties.rs
@@ -58,6 +58,8 @@
     incarnations: [u64; UPSTREAMS],
     sessions: [u64; UPSTREAMS],
     usable: [bool; UPSTREAMS],
+    /// Refused a run as not serving and has not reported since.
+    refusing: [bool; UPSTREAMS],
     last: HashMap<(usize, usize), u64>,
 }
 
@@ -76,6 +78,7 @@
             incarnations: [1; UPSTREAMS],
             sessions: [1; UPSTREAMS],
             usable: [true; UPSTREAMS],
+            refusing: [false; UPSTREAMS],
             last: HashMap::new(),
         }
     }
@@ -140,9 +143,9 @@
             self.maybe_run.insert(sent.id);
         }
         if result == Attempt::Leaving && sent.agent == self.current(&sent) {
-            self.usable[slot(&sent)] = false;
+            self.refusing[slot(&sent)] = true;
         }
-        let settle = self.rig.submitted >= sent.id && self.class(sent.id) == 0;
+        let settle = self.waiting.get(&sent.id).is_some_and(|(class, _)| *class == 0);
         match self.rig.finish(&sent, result) {
             Next::Ended { outcome, .. } => self.end(sent.id, outcome)?,
             Next::Retry { .. } | Next::Requeued { .. } => {
@@ -160,10 +163,6 @@
         }
     }
 
-    fn class(&self, id: u64) -> usize {
-        self.waiting.get(&id).map_or(usize::MAX, |(class, _)| *class)
-    }
-
     fn current(&self, sent: &Sent) -> skylarkpulley_types::AgentId {
         agent(slot(sent), self.incarnations[slot(sent)])
     }
@@ -195,6 +194,7 @@
     fn report(&mut self, index: usize, slots: u8) {
         let agent = agent(index, self.incarnations[index]);
         let slots = u32::from(slots) % 3;
+        self.refusing[index] = false;
         self.rig.report(&agent, self.sessions[index], true, 1, slots);
     }
 
@@ -204,7 +204,7 @@
         let agent = agent(index, self.incarnations[index]);
         assert!(self.rig.hello(&agent, self.sessions[index]));
         self.rig.report(&agent, self.sessions[index], true, 1, 0);
-        self.usable[index] = true;
+        (self.usable[index], self.refusing[index]) = (true, false);
     }
 
     fn poll(&mut self) -> Result<(), String> {
@@ -241,7 +241,7 @@
             return Err(format!("{id} is in two places"));
         }
         let slot = slot(&sent);
-        if !self.usable[slot] || sent.agent != self.current(&sent) {
+        if !self.usable[slot] || self.refusing[slot] || sent.agent != self.current(&sent) {
             return Err(format!("{} gets no new work", sent.agent));
         }
         let used = self.running.iter().filter(|other| other.agent.name == sent.agent.name).count();
@@ -281,12 +281,6 @@
     name[6..].parse().expect("agent name")
 }
 
-/// Runs `property` on `cases` inputs from a fixed seed.
-fn check(cases: u64, size: usize, property: fn(Vec<Step>) -> TestResult) {
-    let generator = Gen::from_size_and_seed(size, 11);
-    QuickCheck::new().rng(generator).tests(cases).quickcheck(property as fn(Vec<Step>) -> _);
-}
-
 /// Guards all interleavings against: a request in two places, that ends twice or never, that runs
 /// after its refusal or a second time, is reported as not run although it may have run; more
 /// attempts than slots; work for upstreams that are gone; a lost order within a team.
@@ -300,7 +294,8 @@
         };
         run(&mut model).map_or_else(TestResult::error, |()| TestResult::passed())
     }
-    check(400, 400, property);
+    let generator = Gen::from_size_and_seed(400, 11);
+    QuickCheck::new().rng(generator).tests(400).quickcheck(property as fn(Vec<Step>) -> TestResult);
 }
 
 /// Guards against a less urgent class that is served before a more urgent one, and against team
