Check jobs against pool edits that happened while they ran

Cause: the random sequences were extended by pool edits and by reports of running tasks with excess memory. They found: a job that ran during an edit was placed again on a guarantee it no longer fits; a grant adopted for an edited instance, or granted by another entry, could overlap a reservation; room freed by such an adoption was not used for instances at risk.

Change: a job is checked again before it is queued after an edit; reservations leave a worker on which they overlap with firm grants; a gang without a job is dropped when it ends.

--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -143,6 +143,8 @@
     pub wait: String,
     /// Known only from reports.
     pub stub: bool,
+    /// Edit of the pool against which the job was checked.
+    pub edit: u64,
 }
 
 impl Job {
@@ -169,6 +171,7 @@
             key: 0,
             wait: String::new(),
             stub: false,
+            edit: 0,
             spec,
         }
     }
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -132,6 +132,8 @@
     teams: HashMap<String, usize>,
     uses: Vec<Use>,
     described: u64,
+    /// Number of the pool's current edit.
+    edit: u64,
     estimates: Estimates,
     timers: BTreeSet<(Instant, Timer)>,
     /// Gangs that ended recently, which older reports may still list.
@@ -177,6 +179,7 @@
             teams: HashMap::new(),
             uses: Vec::new(),
             described: 0,
+            edit: 1,
             estimates: Estimates::default(),
             timers: BTreeSet::new(),
             ended: HashMap::new(),
@@ -202,6 +205,7 @@
             return;
         }
         self.pool = pool.clone();
+        self.edit += 1;
         self.take_shares();
         self.rebuild_instances();
         self.review_refused();
@@ -636,7 +640,8 @@
                 }
                 self.remove_job(ix);
             }
-            _ if stopping == Some(After::Remove) => self.remove_job(ix),
+            // A job known only from reports is queued when it is submitted.
+            _ if stopping == Some(After::Remove) || self.job(ix).stub => self.remove_job(ix),
             GangEnd::Failed { worker } => self.task_failed(ix, worker, &members, &probed),
             GangEnd::LeaseLapsed | GangEnd::Stopped => {
                 let backoff = Duration::from_millis(self.rng.u64(0..100));
--- a/crates/placement/src/placer/admission.rs
+++ b/crates/placement/src/placer/admission.rs
@@ -30,6 +30,7 @@
         }
         self.epoch = self.epoch.max(spec.epoch);
         let ix = self.add_job(Job::new(spec, self.now));
+        self.job_mut(ix).edit = self.edit;
         self.enqueue(ix);
     }
 
@@ -84,17 +85,28 @@
     /// Refuses waiting jobs that can never run on the edited pool.
     pub(super) fn review_waiting(&mut self) {
         for ix in 0..self.jobs.len() {
-            let Some(job) = self.jobs[ix].as_ref().filter(|job| job.is_waiting()) else { continue };
-            let spec = job.spec.clone();
-            if let Err((reason, remedy)) = self.check(&spec) {
-                self.remove_job(ix);
-                let job = spec.id.clone();
-                self.out.push(Action::Refuse { job, reason: reason.clone(), remedy });
-                self.remember(spec, reason);
+            if self.jobs[ix].as_ref().is_some_and(Job::is_waiting) {
+                self.review(ix);
             }
         }
     }
 
+    /// Checks a waiting job against the current edit of the pool; refuses it when it cannot run.
+    pub(super) fn review(&mut self, ix: usize) -> bool {
+        if self.job(ix).edit == self.edit {
+            return true;
+        }
+        let spec = self.job(ix).spec.clone();
+        let Err((reason, remedy)) = self.check(&spec) else {
+            self.job_mut(ix).edit = self.edit;
+            return true;
+        };
+        self.remove_job(ix);
+        self.out.push(Action::Refuse { job: spec.id.clone(), reason: reason.clone(), remedy });
+        self.remember(spec, reason);
+        false
+    }
+
     fn check(&self, spec: &JobSpec) -> Result<(), Refusal> {
         let pool = &self.pool;
         if pool.team(&spec.team).is_none() {
--- a/crates/placement/src/placer/queue.rs
+++ b/crates/placement/src/placer/queue.rs
@@ -114,7 +114,8 @@
     }
 
     pub(super) fn requeue_due(&mut self, ix: usize) {
-        if self.job(ix).is_waiting() && self.now >= self.job(ix).not_before {
+        let due = self.job(ix).is_waiting() && self.now >= self.job(ix).not_before;
+        if due && self.review(ix) {
             self.enqueue(ix);
         }
     }
--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -229,6 +229,7 @@
         if let Some(name) = &grant.instance {
             self.adopt_claim(ix, job, name);
         }
+        self.resolve_overlap(ix);
         self.refresh(ix);
     }
 
@@ -247,6 +248,7 @@
                 self.job_mut(job).members.retain(|member| member.0 != ix);
                 self.account(job, true);
                 self.workers[ix].grants.retain(|grant| grant.job != job);
+                self.plan = true;
                 if self.job(job).members.is_empty() {
                     self.release(job);
                     self.remove_job(job);
--- a/crates/placement/src/placer/reservations.rs
+++ b/crates/placement/src/placer/reservations.rs
@@ -356,6 +356,23 @@
         }
         self.job_mut(job).instance = Some(ix);
         self.claim(ix, job);
+        // Workers that the instance left may be what another one waits for.
+        self.plan = true;
+        self.resolve_overlap(worker);
+    }
+
+    /// Moves reservations away from a worker on which another entry granted firm work.
+    pub(super) fn resolve_overlap(&mut self, worker: usize) {
+        let over = |one: &Worker| one.firm() + one.reserved() > one.accelerators;
+        if !self.settled || !over(&self.workers[worker]) {
+            return;
+        }
+        self.displace_worker(worker, "another entry granted the worker to firm work");
+        if over(&self.workers[worker]) {
+            // Only rests of claimed instances are left; there is no room for them here.
+            self.workers[worker].reserved.clear();
+        }
+        self.refresh(worker);
     }
 
     /// Drops partly adopted reservations once the placer has settled.
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -178,6 +178,47 @@
     assert!(actions.iter().any(refused), "{actions:?}");
 }
 
+/// Guards against a job that runs during a pool edit and is placed again although it no longer
+/// fits its guarantee.
+#[test]
+fn apply_pool_reviews_requeued_job() {
+    let guaranteed = |accelerators| {
+        let shape = shape(accelerators, 1, Locality::Worker);
+        with_guarantee(pool(4, &[&[2]]), "one", "a", shape, 1)
+    };
+    let mut world = World::new(guaranteed(3));
+    world.submit_and_run(JobSpec { claim: Some("one".to_owned()), ..job("j", "a", 3, 1) });
+    world.placer.apply_pool(&guaranteed(2));
+    world.decide();
+    assert_eq!(world.state("j"), "running");
+    world.end("j", GangEnd::LeaseLapsed);
+    let actions = world.advance(secs(1));
+    let refused = |action: &Action| matches!(action, Action::Refuse { job, .. } if job == "j");
+    assert!(actions.iter().any(refused), "{actions:?}");
+}
+
+/// Guards against a gang known only from reports that is started again without its job.
+#[test]
+fn takeover_unknown_gang_not_requeued() {
+    let mut world = World::new(pool(4, &[&[2]]));
+    let agent = world.agents[0].0.clone();
+    let grant = ReportedGrant {
+        job: "theirs".to_owned(),
+        epoch: 5,
+        accelerators: 2,
+        preemptible: true,
+        running: true,
+        ..ReportedGrant::default()
+    };
+    let report = WorkerReport { grants: vec![grant], reservations: Vec::new() };
+    world.send(Event::WorkerReport { agent, report });
+    assert_eq!(world.status("theirs").state, "running");
+    world.lose(0);
+    let actions = world.advance(secs(5));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Place { .. })), "{actions:?}");
+    assert_eq!(world.state("theirs"), "gone");
+}
+
 /// Guards against a worker that fails everything at once and, being always free, attracts all work;
 /// and against a quarantine without a way back.
 #[test]
--- a/crates/placement/tests/sequences.rs
+++ b/crates/placement/tests/sequences.rs
@@ -39,6 +39,7 @@
     spec.run_time = Duration::from_secs(1 + u64::from(step.c));
     spec.class = step.c % 4;
     spec.cores = u32::from(step.b % 8) * spec.shape.accelerators;
+    spec.memory_mib = 1000 * u64::from(step.b / 64);
     spec.preemption = match step.c / 4 % 4 {
         0 => Preemption::Never,
         1 => Preemption::Stop,
@@ -93,13 +94,25 @@
         }
         (16, _, _) => {
             let agent = world.agents[worker].0.clone();
-            let grants = world.held.get(&agent).cloned().unwrap_or_default();
+            let mut grants = world.held.get(&agent).cloned().unwrap_or_default();
+            for grant in &mut grants {
+                grant.running = true;
+                grant.memory_mib = u64::from(step.c) * 20;
+            }
             let report = WorkerReport { grants, reservations: Vec::new() };
             world.send(Event::WorkerReport { agent, report });
         }
         (17, _, _) => {
             world.advance(Duration::from_secs(u64::from(step.c) * 2));
         }
+        (18, _, _) => {
+            // An operator edits the guarantees.
+            let mut pool = small_pool(f64::from(step.c % 11) / 10.0);
+            pool.guarantees[0].shape.accelerators = 2 + u32::from(step.a % 3);
+            pool.guarantees[1].count = u32::from(step.b % 4);
+            world.placer.apply_pool(&pool);
+            world.decide();
+        }
         _ => {
             world.advance(Duration::from_millis(u64::from(step.c) * 20));
         }
@@ -113,7 +126,7 @@
     with_guarantee(pool, "small", "b", shape(2, 1, Locality::Worker), 2)
 }
 
-/// Guards against any sequence of submissions, answers, failures, drains and late reports that
+/// Guards against any sequence of submissions, answers, failures, drains, edits and late reports that
 /// grants an accelerator twice, splits a gang or gives a reservation away.
 #[test]
 fn placer_random_sequences() {
