--- /dev/null
+++ b/crates/entry/tests/job_book.rs
@@ -0,0 +1,91 @@
+//! Merging of job records that entries change independently of each other.
+
+use std::time::Instant;
+
+use job_book::JobBook;
+use job_record::JobRecord;
+use skylarkpulley_admin::{JobState, Preemption, SubmitRequest};
+use skylarkpulley_types::{Locality, Shape};
+
+#[expect(dead_code, reason = "the entry uses the rest")]
+#[path = "../src/job_book.rs"]
+mod job_book;
+#[expect(dead_code, reason = "the entry uses the rest")]
+#[path = "../src/job_record.rs"]
+mod job_record;
+
+fn record(revision: u64, state: JobState) -> JobRecord {
+    let request = SubmitRequest {
+        claim: None,
+        cores: 1,
+        kind: "rebuild".to_owned(),
+        memory_mib: 1,
+        preemption: Preemption::Stop,
+        route: "rebuild".to_owned(),
+        run_time_ms: 1000,
+        shape: Shape::new(1, 1, Locality::Worker),
+        team: "campus".to_owned(),
+        urgent: false,
+    };
+    JobRecord { revision, state, ..JobRecord::new("job", "rebuilds", 5, request) }
+}
+
+/// Guards against a cancelled or finished job that comes back to life, and against entries that end
+/// up with different states, when two entries change a job before they hear of each other.
+#[test]
+fn merge_order_irrelevant() {
+    let now = Instant::now();
+    for (a, b, expected) in [
+        ((2, JobState::Running), (1, JobState::Queued), JobState::Running),
+        ((2, JobState::Cancelled), (2, JobState::Running), JobState::Cancelled),
+        ((2, JobState::Cancelled), (7, JobState::Running), JobState::Cancelled),
+        ((2, JobState::Done), (7, JobState::Queued), JobState::Done),
+        ((3, JobState::Done), (3, JobState::Cancelled), JobState::Cancelled),
+        ((3, JobState::Running), (3, JobState::Starting), JobState::Running),
+    ] {
+        for (first, second) in [(a, b), (b, a)] {
+            let mut book = JobBook::new();
+            book.merge(record(first.0, first.1), now);
+            book.merge(record(second.0, second.1), now);
+            let held = book.get("job").expect("the job");
+            assert_eq!(held.record.state, expected, "{first:?}, then {second:?}");
+        }
+    }
+}
+
+/// Guards against a row in the store that is overwritten by an older record, or stays older than
+/// what its readers know.
+#[test]
+fn merge_row_newer_kept() {
+    let now = Instant::now();
+    for (own, row, expected, unsaved) in [
+        ((4, JobState::Running), (2, JobState::Queued), JobState::Running, true),
+        ((2, JobState::Queued), (4, JobState::Done), JobState::Done, false),
+        ((4, JobState::Running), (2, JobState::Cancelled), JobState::Cancelled, false),
+        ((2, JobState::Running), (2, JobState::Running), JobState::Running, false),
+    ] {
+        let mut book = JobBook::new();
+        book.submit(record(own.0, own.1), now);
+        book.merge_row(record(row.0, row.1), 9, now);
+        let held = book.get("job").expect("the job");
+        let seen = (held.record.state, held.unsaved, held.version);
+        assert_eq!(seen, (expected, unsaved, 9), "{own:?} with row {row:?}");
+    }
+}
+
+/// Guards against a change that is not copied to a peer, or copied under an old position.
+#[test]
+fn copies_after_latest_only() {
+    let now = Instant::now();
+    let mut book = JobBook::new();
+    book.submit(record(1, JobState::Queued), now);
+    let submitted = book.changes();
+    book.edit("job", now, |record| record.state = JobState::Starting);
+    let (copies, reached) = book.copies_after(submitted, now);
+    assert_eq!((copies.len(), reached), (1, book.changes()));
+    assert_eq!(book.copies_after(0, now).0.len(), 1, "a job is copied once");
+    assert_eq!(book.copies_after(reached, now).0.len(), 0);
+    book.edit("job", now, |record| record.state = JobState::Done);
+    book.edit("job", now, |record| record.state = JobState::Queued);
+    assert_eq!(book.get("job").expect("the job").record.state, JobState::Done, "an end is final");
+}
