Never say not-run for a repeat of an executed request

Cause: a run of 100,000 keyed requests with faults, each sent twice, executed no key twice, but 16 repeats were refused at admission (429, 503) as not-run. For 5 of them the first reply had been the upstream's answer: a caller could have taken the refusal for the fate of the key.

Change: before a keyed request is refused with 429 or 503, the entry asks the owner of the key. An answered key gets its recorded answer, one in progress or unknown is reported as such, and a free one is claimed and released, which proves that it was not run. A request with a key that is turned away unread (entry full, no configuration) is unknown. Agents send changes of their state at most every 20 ms; a leaving upstream is still announced at once unless a change was sent within the last 20 ms.

Figures: with the old code repeat_refused and flood_refused fail, with the new one they pass.

Conclusion: a keyed request that is refused costs one reservation and one release at the owner, which overload tests should watch.

--- a/crates/agent/src/entry_session.rs
+++ b/crates/agent/src/entry_session.rs
@@ -15,6 +15,10 @@
 /// Time between two reports without a change.
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Shortest time between two reports of changes. Each run changes the state twice; a report for each
+/// change cost more than the run itself.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A session without a message for this long is replaced; two reports and some delay.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
 
@@ -87,11 +91,20 @@
     let mut tick = tokio::time::interval(REPORT_INTERVAL);
     let silence = tokio::time::sleep(SILENCE_LIMIT);
     tokio::pin!(silence);
+    let next_change = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(next_change);
     loop {
+        let change = async {
+            next_change.as_mut().await;
+            report.changed().await
+        };
         let message = tokio::select! {
             _ = tick.tick() => next_report(context, &mut report, &mut sequence),
-            changed = report.changed() => match changed {
-                Ok(()) => next_report(context, &mut report, &mut sequence),
+            changed = change => match changed {
+                Ok(()) => {
+                    next_change.set(tokio::time::sleep(CHANGE_INTERVAL));
+                    next_report(context, &mut report, &mut sequence)
+                }
                 Err(_) => return SessionEnd::Stopped,
             },
             Ok(()) = leaving.changed() => {
--- a/crates/demo/tests/requests/at_most_once.rs
+++ b/crates/demo/tests/requests/at_most_once.rs
@@ -229,3 +229,22 @@
         assert_eq!((reply.status, reply.outcome.as_str()), (200, "answered"), "{reply:?}");
     }
 }
+
+/// Guards against "not run" for a repeat of an executed request that is refused for another cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_refused() {
+    let deployment = start(spec()).await;
+    let used = Call::new("/settle").with_key("used");
+    let first = used.send(deployment.entries[0].callers).await;
+    assert_eq!(first.outcome, "answered", "{first:?}");
+    for vm in &deployment.upstreams {
+        vm.upstream.leave();
+    }
+    for (number, entry) in deployment.entries.iter().enumerate() {
+        let fresh = Call::new("/settle").with_key(&format!("fresh-{number}"));
+        let fresh = fresh.send(entry.callers).await;
+        assert_eq!(fresh.outcome, "not-run", "{fresh:?}");
+        let repeat = used.send(entry.callers).await;
+        assert_eq!(repeat, first);
+    }
+}
--- a/crates/demo/tests/requests/limits.rs
+++ b/crates/demo/tests/requests/limits.rs
@@ -125,16 +125,20 @@
     let spec = spec().with_entries(1).with_limits(20, Duration::from_secs(5));
     let deployment = start(spec).await;
     let entry = deployment.entries[0].callers;
-    let call = Call::new("/check").with_service(500);
-    let replies = send_many(&deployment, &call, 60, 60).await;
-    let answered = replies.iter().filter(|reply| reply.outcome == "answered").count();
-    let refused =
-        replies.iter().filter(|reply| (reply.status, reply.outcome.as_str()) == (503, "not-run"));
-    assert!(answered >= 20, "{answered} answered");
-    assert_eq!(answered + refused.count(), 60);
-    wait_until("the end of all runs", || {
-        deployment.upstreams.iter().all(|vm| vm.upstream.active() == 0)
-    })
-    .await;
-    assert_eq!(call.send(entry).await.outcome, "answered");
+    let check = Call::new("/check").with_service(500);
+    // What became of an earlier attempt with the key is not known at the door.
+    let rows = [(check.clone(), "not-run"), (check.with_key("flood"), "unknown")];
+    for (call, outcome) in rows {
+        let replies = send_many(&deployment, &call, 60, 60).await;
+        let answered = replies.iter().filter(|reply| reply.outcome == "answered").count();
+        let refused = replies.iter().filter(|reply| reply.status == 503);
+        let refused = refused.filter(|reply| reply.outcome == outcome).count();
+        assert!(answered >= 20, "{answered} answered");
+        assert_eq!(answered + refused, 60, "{outcome}");
+        wait_until("the end of all runs", || {
+            deployment.upstreams.iter().all(|vm| vm.upstream.active() == 0)
+        })
+        .await;
+        assert_eq!(call.send(entry).await.outcome, "answered");
+    }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -7,7 +7,7 @@
 use skylarkpulley_tables::PoolKind;
 
 use crate::caller_reply::CallerReply;
-use crate::caller_request::CallerRequest;
+use crate::caller_request::{CallerRequest, KEY_HEADER};
 use crate::hub::Hub;
 use crate::jobs::Jobs;
 use crate::request_task::RequestTask;
@@ -64,12 +64,10 @@
     async fn serve(&self, id: &str, number: u64, request: Request) -> CallerReply {
         let start = self.hub.clock.now();
         let Some(open) = OpenRequest::new(&self.open, self.open_limit) else {
-            let text = "the entry holds as many requests as it may";
-            return CallerReply::not_run(StatusCode::SERVICE_UNAVAILABLE, text);
+            return turn_away(&request, "the entry holds as many requests as it may");
         };
         let Some(tables) = self.hub.config.borrow().tables() else {
-            let text = "the entry has no configuration yet";
-            return CallerReply::not_run(StatusCode::SERVICE_UNAVAILABLE, text);
+            return turn_away(&request, "the entry has no configuration yet");
         };
         let request = match CallerRequest::read(request, &tables, self.read_timeout).await {
             Ok(request) => request,
@@ -100,3 +98,16 @@
         })
     }
 }
+
+/// Refuses a request that this entry cannot look at. It was not run, but nothing is known of earlier
+/// attempts with its key.
+fn turn_away(request: &Request, reason: &str) -> CallerReply {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    if request.header(KEY_HEADER).is_none() {
+        return CallerReply::not_run(status, reason);
+    }
+    let text = format!(
+        "{reason}; this attempt was not run, earlier attempts with this key cannot be ruled out"
+    );
+    CallerReply::unknown(status, &text)
+}
--- a/crates/entry/src/key_client.rs
+++ b/crates/entry/src/key_client.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use skylarkpulley_keys::range_of;
+use skylarkpulley_keys::{Place, range_of};
 use skylarkpulley_proto::v1;
 
 use crate::dispatch::Dispatch;
@@ -46,8 +46,14 @@
 }
 
 impl KeyClaim {
-    /// Reserves the key for a run on `dispatch` until `deadline`.
-    pub async fn reserve(&self, hub: &Hub, dispatch: &Dispatch, deadline: Instant) -> Reserved {
+    /// Reserves the key until `deadline` for a run on `dispatch`. Without one no run follows, and the
+    /// claim names the owner itself, which lets the key go if this entry dies.
+    pub async fn reserve(
+        &self,
+        hub: &Hub,
+        dispatch: Option<&Dispatch>,
+        deadline: Instant,
+    ) -> Reserved {
         let mut reason = "the key range has no owner yet".to_owned();
         loop {
             let left = deadline.saturating_duration_since(hub.clock.now());
@@ -65,10 +71,13 @@
     async fn try_reserve(
         &self,
         hub: &Hub,
-        dispatch: &Dispatch,
+        dispatch: Option<&Dispatch>,
         left: Duration,
     ) -> Result<Reserved, String> {
-        let (range, epoch, owner) = self.range(hub).ok_or("the key range has no owner yet")?;
+        let (range, epoch, place) = self.range(hub).ok_or("the key range has no owner yet")?;
+        let owner = place.control.clone();
+        let target = dispatch.map_or(&place.agent, |dispatch| &dispatch.agent);
+        let target_control = dispatch.map_or(&owner, |dispatch| &dispatch.control);
         let mut client = hub.clients.client(&owner).ok_or("invalid owner address")?;
         let call = client.reserve_key(v1::ReserveKeyRequest {
             range,
@@ -76,8 +85,8 @@
             key: self.key.clone(),
             attempt: self.attempt.clone(),
             request_digest: self.digest,
-            target: Some((&dispatch.agent).into()),
-            target_control: dispatch.control.clone(),
+            target: Some(target.into()),
+            target_control: target_control.clone(),
             budget_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         });
         let reply = match tokio::time::timeout(CALL_LIMIT.min(left), call).await {
@@ -108,7 +117,7 @@
     /// Records the result of the attempt; without a response the key becomes unknown.
     pub async fn complete(&self, hub: &Hub, response: Option<v1::Response>) {
         for _ in 0..END_TRIES {
-            let Some((range, _, owner)) = self.range(hub) else { return };
+            let Some((range, _, Place { control: owner, .. })) = self.range(hub) else { return };
             let Some(mut client) = hub.clients.client(&owner) else { return };
             let call = client.complete_key(v1::CompleteKeyRequest {
                 range,
@@ -127,7 +136,7 @@
     /// Gives the key free again: the attempt was proved not to have run.
     pub async fn release(&self, hub: &Hub) {
         for _ in 0..END_TRIES {
-            let Some((range, _, owner)) = self.range(hub) else { return };
+            let Some((range, _, Place { control: owner, .. })) = self.range(hub) else { return };
             let Some(mut client) = hub.clients.client(&owner) else { return };
             let call = client.release_key(v1::ReleaseKeyRequest {
                 range,
@@ -142,12 +151,12 @@
         }
     }
 
-    /// Returns number and epoch of the key's range, and the control address of its owner.
-    fn range(&self, hub: &Hub) -> Option<(u32, u64, String)> {
+    /// Returns number, epoch and owner of the key's range.
+    fn range(&self, hub: &Hub) -> Option<(u32, u64, Place)> {
         let index = range_of(&self.key);
         let ranges = hub.ranges.borrow();
         let range = ranges.map()?.range(index)?;
         let owner = range.owner.as_ref()?;
-        Some((u32::try_from(index).ok()?, range.epoch, owner.control.clone()))
+        Some((u32::try_from(index).ok()?, range.epoch, owner.clone()))
     }
 }
--- a/crates/entry/src/request_task.rs
+++ b/crates/entry/src/request_task.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use poem::http::StatusCode;
 use skylarkpulley_proto::{PROTOCOL, v1};
@@ -15,6 +15,9 @@
 use crate::key_client::{KeyClaim, Reserved};
 use crate::router_task::{NextStep, Router, Verdict, classify};
 
+/// Time to learn whether the key of a refused request was used before.
+const PROOF_LIMIT: Duration = Duration::from_millis(500);
+
 /// One caller's request from admission to its end. It outlives the caller's connection once an
 /// attempt was dispatched, so that the end of a keyed request is always recorded.
 pub struct RequestTask {
@@ -44,6 +47,7 @@
     /// Takes the request to its end.
     pub async fn run(self) -> CallerReply {
         let reply = self.serve().await;
+        let reply = self.prove_not_run(reply).await;
         self.record(&reply);
         reply
     }
@@ -84,6 +88,24 @@
         }
     }
 
+    /// Checks that no earlier attempt with the key of a refused request may have run: its caller
+    /// would take "not run" for the fate of the key. A key that was answered gets its answer.
+    async fn prove_not_run(&self, reply: CallerReply) -> CallerReply {
+        // A mismatch was judged by the owner itself.
+        if reply.outcome != Outcome::NotRun || reply.status == StatusCode::UNPROCESSABLE_ENTITY {
+            return reply;
+        }
+        let Some(claim) = self.claim(&format!("{}.refused", self.id)) else { return reply };
+        let deadline = self.hub.clock.now() + PROOF_LIMIT;
+        match claim.reserve(&self.hub, None, deadline).await {
+            Reserved::Granted => {
+                claim.release(&self.hub).await;
+                reply
+            }
+            other => self.repeat(other),
+        }
+    }
+
     async fn run_dispatch(&self, dispatch: &Dispatch) -> RunEnd {
         let attempt = format!("{}.{}", self.id, dispatch.attempt);
         let deadline = self.start + self.request.deadline;
@@ -94,7 +116,7 @@
         self.decide(Event::RequestRouted, &detail);
         let claim = self.claim(&attempt);
         if let Some(claim) = &claim {
-            match claim.reserve(&self.hub, dispatch, deadline).await {
+            match claim.reserve(&self.hub, Some(dispatch), deadline).await {
                 Reserved::Granted => self.decide(Event::KeyReserved, &claim.key),
                 other => return RunEnd::Reply(self.repeat(other)),
             }
