--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,7 +5,9 @@
 
 use skylarkpulley_proto::v1::agent_server::AgentServer;
 use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret, v1};
-use skylarkpulley_store::{HttpSettings, HttpStore, Store};
+use skylarkpulley_store::{
+    CircuitSettings, GuardedStore, HttpSettings, HttpStore, LimiterSettings, Store,
+};
 use skylarkpulley_tables::PoolKind;
 use skylarkpulley_telemetry::{Decisions, Event, Metrics};
 use skylarkpulley_types::{AgentId, Clock};
@@ -63,7 +65,7 @@
         };
         let listener = bind(settings.control).await?;
         let control = listener.local_addr().unwrap_or(settings.control);
-        let store = open_store(&settings)?;
+        let store = open_store(&settings, &clock, id.incarnation)?;
         let decisions = Arc::new(Decisions::new(DECISION_LIMIT));
         let clients = Arc::new(AgentClients::new(secret.clone()));
         let keys = Keys::new(&id, Arc::clone(&clients), store, Arc::clone(&clock));
@@ -241,11 +243,20 @@
     TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
 }
 
-fn open_store(settings: &Settings) -> Result<Option<Arc<dyn Store>>, StartError> {
+fn open_store(
+    settings: &Settings,
+    clock: &Arc<dyn Clock>,
+    seed: u64,
+) -> Result<Option<Arc<dyn Store>>, StartError> {
     let Some(url) = &settings.store else { return Ok(None) };
     let store = HttpStore::new(url, HttpSettings::default())
         .map_err(|error| StartError::Store { url: url.clone(), detail: error.to_string() })?;
-    Ok(Some(Arc::new(store)))
+    // The journal writes one batch every 500 ms.
+    let limiter = LimiterSettings { burst: 4, rate: 2.0, ..LimiterSettings::default() };
+    let circuit = CircuitSettings::default();
+    let clock = Arc::clone(clock);
+    let guarded = GuardedStore::with_settings(Arc::new(store), clock, seed, limiter, circuit);
+    Ok(Some(Arc::new(guarded)))
 }
 
 /// Microseconds since 1970: higher than that of any earlier run on the same VM, as long as the VM's
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -7,7 +7,7 @@
 use poem::listener::TcpAcceptor;
 use skylarkpulley_proto::v1::entry_server::EntryServer;
 use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret};
-use skylarkpulley_store::{HttpSettings, HttpStore, Store};
+use skylarkpulley_store::{CircuitState, GuardedStore, HttpSettings, HttpStore, Store};
 use skylarkpulley_telemetry::{Event, Metrics};
 use skylarkpulley_types::Clock;
 use tokio::net::TcpListener;
@@ -66,13 +66,17 @@
         let store = HttpStore::new(&settings.store, HttpSettings::default()).map_err(|error| {
             StartError::Store { url: settings.store.clone(), detail: error.to_string() }
         })?;
-        let store: Arc<dyn Store> = Arc::new(store);
+        let guarded = GuardedStore::new(Arc::new(store), Arc::clone(&clock), new_incarnation());
+        let states = guarded.states();
+        let store: Arc<dyn Store> = Arc::new(guarded);
         let listeners = Listeners {
             admin: bind(settings.admin).await?,
             callers: bind(settings.callers).await?,
             control: bind(settings.control).await?,
         };
-        Ok(Self::assemble(settings, clock, secret, metrics, store, listeners))
+        let mut entry = Self::assemble(settings, clock, secret, metrics, store, listeners);
+        entry.tasks.spawn(watch_store(Arc::clone(&entry.hub), states));
+        Ok(entry)
     }
 
     fn assemble(
@@ -236,6 +240,21 @@
     }
 }
 
+/// Records when the store goes down and when it answers again.
+async fn watch_store(hub: Arc<Hub>, mut states: watch::Receiver<CircuitState>) {
+    let mut down = false;
+    while states.changed().await.is_ok() {
+        let state = *states.borrow_and_update();
+        let event = match (down, state) {
+            (false, CircuitState::Down) => Event::StoreUnavailable,
+            (true, CircuitState::Up) => Event::StoreRestored,
+            _ => continue,
+        };
+        down = !down;
+        hub.decisions.record(hub.clock.now(), event, "store", &state.to_string());
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
 }
--- a/crates/entry/src/pool_placer.rs
+++ b/crates/entry/src/pool_placer.rs
@@ -585,7 +585,7 @@
     let task = serde_json::json!({
         "accelerators": record.request.shape.accelerators,
         "kind": record.request.kind,
-        "memory_mib": record.request.memory_mib,
+        "memory": record.request.memory_mib,
         "resume_ms": record.progress_ms,
         "run_ms": record.request.run_time_ms,
         "team": record.request.team,
