Notice callers that leave and callers that never end their headers

Cause: the HTTP server neither drops the handler of a request whose caller is gone nor limits the time for headers. A request whose caller had closed its connection kept its place in the queue and ran (new test, 2 runs where 1 was allowed); a caller could hold a connection for good (slow_headers_refused, in KNOWN-RED.txt until now).

Change: callers' connections are accepted by a wrapper that notices the end of the stream and limits the time from the first byte of a request to its handler.

--- /dev/null
+++ b/crates/demo/tests/cancel.rs
@@ -0,0 +1,56 @@
+//! A caller that closes its connection.
+
+use std::time::{Duration, Instant};
+
+use skylarkpulley_demo::{Deployment, DeploymentSpec};
+
+const ROUTES: &str = r#"
+[[route]]
+name = "slow"
+path = "/slow"
+pool = "service"
+priority = 0
+idempotent = true
+deadline = "30s"
+"#;
+
+const POOLS: &str = r#"
+[[pool]]
+name = "service"
+kind = "upstream"
+slots = 1
+connections = 8
+[[pool.team]]
+name = "a"
+weight = 1
+"#;
+
+/// Guards against a request that keeps its place in the queue, and later runs, although nobody
+/// waits for its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn queued_request_cancelled() {
+    let spec = DeploymentSpec::new(ROUTES, POOLS)
+        .with_entries(1)
+        .with_upstreams(1)
+        .with_service(Duration::from_secs(3));
+    let deployment = Deployment::start(spec).await.expect("the deployment starts");
+    let url = deployment.url("/slow");
+    let send = move |timeout: Duration| {
+        let request = reqwest::Client::new().post(&url).header("skylarkpulley-team", "a");
+        request.timeout(timeout).send()
+    };
+    let first = tokio::spawn(send(Duration::from_secs(20)));
+    deployment
+        .wait_status("the first request running", |status| status.upstreams[0].busy == 1)
+        .await
+        .expect("it runs");
+    assert!(send(Duration::from_millis(500)).await.is_err(), "the second caller gives up");
+    let given_up = Instant::now();
+    deployment
+        .wait_status("an empty queue", |status| status.queues.is_empty())
+        .await
+        .expect("the queue is empty");
+    let spent = given_up.elapsed();
+    first.await.expect("no panic").expect("the first request is answered");
+    assert_eq!(deployment.upstreams[0].upstream.runs(), 1, "left after {spent:?}");
+}
--- a/crates/demo/tests/requests/limits.rs
+++ b/crates/demo/tests/requests/limits.rs
@@ -101,7 +101,6 @@
 
 /// Guards against a connection that is held for good by a caller that never ends its headers.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red, see KNOWN-RED.txt"]
 async fn slow_headers_refused() {
     let deployment = start(spec().with_limits(10_000, Duration::from_millis(500))).await;
     let answer =
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -6,6 +6,7 @@
 use poem::{Endpoint, Request, Response};
 use skylarkpulley_tables::PoolKind;
 
+use crate::caller_connections::CallerConnections;
 use crate::caller_reply::CallerReply;
 use crate::caller_request::{CallerRequest, KEY_HEADER};
 use crate::hub::Hub;
@@ -15,6 +16,8 @@
 
 /// Answers callers over HTTP.
 pub struct Callers {
+    /// Connections of callers.
+    pub connections: CallerConnections,
     /// Shared state of the entry.
     pub hub: Arc<Hub>,
     /// Prefix of request ids, unique to this run of the process.
@@ -56,6 +59,7 @@
     async fn call(&self, request: Request) -> poem::Result<Response> {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.prefix);
+        let _busy = self.connections.begin(request.remote_addr());
         Ok(self.serve(&id, number, request).await.into_response(&id))
     }
 }
@@ -69,6 +73,7 @@
         let Some(tables) = self.hub.config.borrow().tables() else {
             return turn_away(&request, "the entry has no configuration yet");
         };
+        let remote = request.remote_addr().clone();
         let request = match CallerRequest::read(request, &tables, self.read_timeout).await {
             Ok(request) => request,
             Err(reply) => return reply,
@@ -87,11 +92,17 @@
         // The task goes on when the caller closes its connection; the guard takes the request out
         // of the queue if it still waits there.
         let cancel = CancelOnDrop::new(&self.router, number);
-        let reply = tokio::spawn(async move {
+        let running = tokio::spawn(async move {
             let _open = open;
             task.run().await
-        })
-        .await;
+        });
+        let reply = tokio::select! {
+            reply = running => reply,
+            () = self.connections.gone(&remote) => {
+                let text = "the caller closed its connection";
+                return CallerReply::unknown(StatusCode::BAD_REQUEST, text);
+            }
+        };
         cancel.disarm();
         reply.unwrap_or_else(|_| {
             CallerReply::unknown(StatusCode::INTERNAL_SERVER_ERROR, "the request's task failed")
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use poem::Server;
-use poem::listener::TcpAcceptor;
 use skylarkpulley_proto::v1::entry_server::EntryServer;
 use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret};
 use skylarkpulley_store::{CircuitState, GuardedStore, HttpSettings, HttpStore, Store};
@@ -17,6 +16,7 @@
 use tonic::service::interceptor::InterceptedService;
 
 use crate::admin_server::{Admin, serve_admin};
+use crate::caller_connections::{CallerAcceptor, CallerConnections};
 use crate::callers::Callers;
 use crate::config_task::ConfigTask;
 use crate::control_service::ControlService;
@@ -214,7 +214,10 @@
         jobs: Jobs,
         incarnation: u64,
     ) {
+        let connections = CallerConnections::new(settings.read_timeout);
+        let acceptor = CallerAcceptor::new(listener, connections.clone());
         let callers = Callers {
+            connections,
             hub: Arc::clone(&self.hub),
             jobs,
             open: Arc::clone(&self.open),
@@ -227,7 +230,6 @@
         let mut stop = self.stop.subscribe();
         let timeout = self.drain_timeout;
         self.tasks.spawn(async move {
-            let Ok(acceptor) = TcpAcceptor::from_tokio(listener) else { return };
             let stopped = async move {
                 let _ = stop.wait_for(|stop| *stop).await;
             };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin_server;
 mod attempt;
+mod caller_connections;
 mod caller_reply;
 mod caller_request;
 mod callers;
