Drain members at their agents; share what programs need to start

Cause: drain answered "not found" for upstreams, and a drained worker was known only to the entry that was asked; agent and entry had the same start code and the same error type.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::agent_server::AgentServer;
 use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret, v1};
 use skylarkpulley_store::{
@@ -18,6 +19,7 @@
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Server;
 
+use crate::Settings;
 use crate::announce_server::serve_announcements;
 use crate::entry_session::{SessionContext, hello};
 use crate::gangs_task::Gangs;
@@ -26,7 +28,6 @@
 use crate::service::AgentService;
 use crate::sessions::run_sessions;
 use crate::state_task::{StateParts, run_state};
-use crate::{Settings, StartError};
 
 /// Decisions that are kept for `explain`; at about 200 bytes each, 1 MB.
 const DECISION_LIMIT: usize = 5_000;
@@ -56,13 +57,10 @@
     /// # Errors
     /// [`StartError`] names the listener or setting that cannot be used.
     pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Self, StartError> {
-        let secret = Secret::new(&settings.secret).map_err(StartError::secret)?;
+        let secret =
+            Secret::new(&settings.secret).map_err(|source| StartError::Secret { source })?;
         let id = AgentId::new(&settings.name, new_incarnation());
-        let metrics = match settings.metrics {
-            Some(address) => Metrics::with_address("agent", address)
-                .map_err(|source| StartError::Metrics { address, source })?,
-            None => Metrics::new(),
-        };
+        let metrics = open_metrics("agent", settings.metrics)?;
         let listener = bind(settings.control).await?;
         let control = listener.local_addr().unwrap_or(settings.control);
         let store = open_store(&settings, &clock, id.incarnation)?;
@@ -239,10 +237,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
-}
-
 fn open_store(
     settings: &Settings,
     clock: &Arc<dyn Clock>,
@@ -258,10 +252,3 @@
     let guarded = GuardedStore::with_settings(Arc::new(store), clock, seed, limiter, circuit);
     Ok(Some(Arc::new(guarded)))
 }
-
-/// Microseconds since 1970: higher than that of any earlier run on the same VM, as long as the VM's
-/// clock is not set back by more than the time between two starts.
-fn new_incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,7 +5,6 @@
 mod announce_server;
 mod attempts;
 mod entry_session;
-mod error;
 mod gang_convert;
 mod gangs_task;
 mod http_run;
@@ -20,6 +19,6 @@
 mod worker_client;
 
 pub use agent::Agent;
-pub use error::StartError;
 pub use settings::Settings;
+pub use skylarkpulley_process::StartError;
 pub use upstream::{AnnouncedState, Announcement, Upstream};
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -4,7 +4,7 @@
 use skylarkpulley_keys::Attempt;
 use skylarkpulley_proto::v1::agent_server::Agent;
 use skylarkpulley_proto::{MIN_PROTOCOL, v1};
-use skylarkpulley_telemetry::Decisions;
+use skylarkpulley_telemetry::{Decisions, Event};
 use skylarkpulley_types::{AgentId, Clock};
 use tonic::{Request, Response, Status};
 
@@ -162,6 +162,21 @@
         Ok(Response::new(v1::StopReply { known }))
     }
 
+    async fn drain(&self, _: Request<v1::DrainRequest>) -> Reply<v1::DrainReply> {
+        let mut remaining = 0;
+        if let Some(runner) = self.runner.clone() {
+            remaining += runner.state().borrow().slots_used;
+            tokio::spawn(async move { runner.drain().await });
+        }
+        if let Some(gangs) = self.gangs.clone() {
+            remaining += u32::try_from(gangs.state().borrow().grants.len()).unwrap_or(u32::MAX);
+            tokio::spawn(async move { gangs.drain().await });
+        }
+        let text = format!("an operator drains it, {remaining} still run");
+        self.decisions.record(self.clock.now(), Event::AgentLeaving, &self.agent.name, &text);
+        Ok(Response::new(v1::DrainReply { remaining }))
+    }
+
     async fn explain(&self, request: Request<v1::ExplainRequest>) -> Reply<v1::ExplainReply> {
         let id = request.into_inner().id;
         let lines = self.decisions.explain(&id, self.clock.now());
--- a/crates/entry/src/admin_server.rs
+++ b/crates/entry/src/admin_server.rs
@@ -20,8 +20,8 @@
 use crate::jobs::{Jobs, SubmitOutcome};
 use crate::status::StatusTask;
 
-/// Time for the records of one agent.
-const EXPLAIN_LIMIT: Duration = Duration::from_millis(800);
+/// Time for a call to one agent.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
 
 /// What the operators' interface reaches.
 #[derive(Clone)]
@@ -151,9 +151,23 @@
 
 #[handler]
 async fn drain(Data(admin): Data<&Admin>, Path(member): Path<String>) -> Response {
-    match admin.jobs.drain(&member).await {
-        Some(remaining) => reply(StatusCode::OK, &DrainReply { member, remaining }),
-        None => error(StatusCode::NOT_FOUND, &format!("no worker \"{member}\"")),
+    let agents = admin.status.controls().await;
+    let Some((_, control)) = agents.into_iter().find(|(name, _)| *name == member) else {
+        return error(StatusCode::NOT_FOUND, &format!("no member \"{member}\""));
+    };
+    // The placer moves work away from a drained worker; the agent refuses new work in any case.
+    admin.jobs.drain(&member).await;
+    let Some(mut client) = admin.hub.clients.client(&control) else {
+        return error(StatusCode::BAD_GATEWAY, "the agent's address is not valid");
+    };
+    let call = client.drain(v1::DrainRequest {});
+    match tokio::time::timeout(CALL_LIMIT, call).await {
+        Ok(Ok(drained)) => {
+            let remaining = drained.into_inner().remaining;
+            reply(StatusCode::OK, &DrainReply { member, remaining })
+        }
+        Ok(Err(failure)) => error(StatusCode::BAD_GATEWAY, failure.message()),
+        Err(_) => error(StatusCode::BAD_GATEWAY, "the agent did not answer"),
     }
 }
 
@@ -183,7 +197,7 @@
 async fn ask_agent(hub: &Hub, process: String, control: String, id: &str) -> Vec<ExplainLine> {
     let Some(mut client) = hub.clients.client(&control) else { return Vec::new() };
     let call = client.explain(v1::ExplainRequest { id: id.to_owned() });
-    let Ok(Ok(reply)) = tokio::time::timeout(EXPLAIN_LIMIT, call).await else {
+    let Ok(Ok(reply)) = tokio::time::timeout(CALL_LIMIT, call).await else {
         return Vec::new();
     };
     let line = |line: v1::ExplainLine| ExplainLine {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use poem::Server;
+use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::entry_server::EntryServer;
 use skylarkpulley_proto::{AgentClients, MESSAGE_LIMIT, Secret};
 use skylarkpulley_store::{CircuitState, GuardedStore, HttpSettings, HttpStore, Store};
@@ -15,6 +16,7 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 
+use crate::Settings;
 use crate::admin_server::{Admin, serve_admin};
 use crate::caller_connections::{CallerAcceptor, CallerConnections};
 use crate::callers::Callers;
@@ -26,7 +28,6 @@
 use crate::ranges_task::RangesTask;
 use crate::router_task::Router;
 use crate::status::StatusTask;
-use crate::{Settings, StartError};
 
 /// After readiness is withdrawn, time for the platform's balancer to stop sending new connections.
 const BALANCER_DELAY: Duration = Duration::from_millis(500);
@@ -58,11 +59,7 @@
     pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Self, StartError> {
         let secret =
             Secret::new(&settings.secret).map_err(|source| StartError::Secret { source })?;
-        let metrics = match settings.metrics {
-            Some(address) => Metrics::with_address("entry", address)
-                .map_err(|source| StartError::Metrics { address, source })?,
-            None => Metrics::new(),
-        };
+        let metrics = open_metrics("entry", settings.metrics)?;
         let store = HttpStore::new(&settings.store, HttpSettings::default()).map_err(|error| {
             StartError::Store { url: settings.store.clone(), detail: error.to_string() }
         })?;
@@ -256,13 +253,3 @@
         hub.decisions.record(hub.clock.now(), event, "store", &state.to_string());
     }
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
-}
-
-/// Microseconds since 1970; makes request ids and job ids of different runs differ.
-fn new_incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,7 +12,6 @@
 mod control_service;
 mod dispatch;
 mod entry;
-mod error;
 mod gang_calls;
 mod hub;
 mod job_book;
@@ -31,5 +30,5 @@
 mod status;
 
 pub use entry::Entry;
-pub use error::StartError;
 pub use settings::Settings;
+pub use skylarkpulley_process::StartError;
--- a/crates/entry/src/error.rs
+++ b/crates/process/src/error.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, Error};
 use skylarkpulley_proto::SecretError;
 
-/// Why an entry cannot start.
+/// Why a program cannot start.
 #[derive(Debug, Display, Error)]
 pub enum StartError {
     /// A listener cannot be opened.
