Set TCP_NODELAY on the control listeners

Cause: the server option has no effect on connections that are passed in, so small replies waited up to 40 ms for a delayed acknowledgement (41 ms between two steps of the first keyed request of a fresh deployment).

Change: the listeners' own stream sets the option.

Ruled out: other listeners, whose streams set the option.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -15,9 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use crate::Settings;
 use crate::announce_server::serve_announcements;
@@ -192,10 +192,10 @@
         let router = Server::builder()
             .http2_keepalive_interval(Some(Duration::from_secs(1)))
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
-            .tcp_nodelay(true)
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            let incoming = TcpListenerStream::new(listener);
+            // Without it, replies to a new connection wait 40 ms for a delayed acknowledgement.
+            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
             let stopped = async {
                 let _ = stopped.await;
             };
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -13,8 +13,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
+use tonic::transport::server::TcpIncoming;
 
 use crate::Settings;
 use crate::admin_server::{Admin, serve_admin};
@@ -193,10 +193,10 @@
         let router = tonic::transport::Server::builder()
             .http2_keepalive_interval(Some(Duration::from_secs(1)))
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
-            .tcp_nodelay(true)
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            let incoming = TcpListenerStream::new(listener);
+            // Without it, replies to a new connection wait 40 ms for a delayed acknowledgement.
+            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
             if let Err(error) = router.serve_with_incoming(incoming).await {
                 tracing::error!(%error, "the control listener failed");
             }
