--- /dev/null
+++ b/crates/coordination/src/convert.rs
@@ -0,0 +1,236 @@
+use std::time::Duration;
+
+use skylarkpulley_jobs::{
+    EndKind, JobState, Orders, RefusalKind, Room, RunEnd, RunRefusal, RunReport, StartOrder,
+    TaskId, WorkerReport, WorkerStatus,
+};
+use skylarkpulley_proto::v1;
+
+fn run(task: &TaskId, run: u32) -> v1::TaskRun {
+    v1::TaskRun { task: task.to_string(), run, checkpoint: String::new(), percent: 0 }
+}
+
+/// Encodes a report.
+pub fn encode_report(report: &WorkerReport) -> v1::WorkerUpdate {
+    v1::WorkerUpdate {
+        agent: report.agent.clone(),
+        ended: report.ended.iter().map(encode_end).collect(),
+        ended_through: report.ended_through,
+        lapsed: report.lapsed,
+        left: false,
+        listed: report.listed,
+        refused: report.refused.iter().map(encode_refusal).collect(),
+        running: report
+            .running
+            .iter()
+            .map(|found| v1::TaskRun {
+                checkpoint: found.checkpoint.clone(),
+                percent: u32::from(found.percent),
+                ..run(&found.task, found.run)
+            })
+            .collect(),
+        sequence: 0,
+        worker: report.worker.as_ref().map(encode_status),
+    }
+}
+
+fn encode_end(end: &RunEnd) -> v1::TaskEnd {
+    let kind = match end.kind {
+        EndKind::Done => v1::TaskEndKind::Done,
+        EndKind::Failed => v1::TaskEndKind::Failed,
+        EndKind::Stopped | EndKind::Fenced => v1::TaskEndKind::Stopped,
+        EndKind::Lapsed => v1::TaskEndKind::Lapsed,
+        EndKind::Broken => v1::TaskEndKind::Broken,
+        EndKind::Alone => v1::TaskEndKind::Alone,
+    };
+    v1::TaskEnd {
+        task: end.task.to_string(),
+        run: end.run,
+        kind: kind.into(),
+        checkpoint: end.checkpoint.clone(),
+    }
+}
+
+fn encode_refusal(refusal: &RunRefusal) -> v1::TaskRefusal {
+    let kind = match refusal.kind {
+        RefusalKind::Room => v1::TaskRefusalKind::Room,
+        RefusalKind::Old => v1::TaskRefusalKind::Old,
+        RefusalKind::Invalid => v1::TaskRefusalKind::Invalid,
+        RefusalKind::Unhealthy => v1::TaskRefusalKind::Unhealthy,
+        RefusalKind::Permit => v1::TaskRefusalKind::Permit,
+        RefusalKind::Fenced => v1::TaskRefusalKind::Fenced,
+    };
+    v1::TaskRefusal { task: refusal.task.to_string(), run: refusal.run, kind: kind.into() }
+}
+
+fn encode_status(status: &WorkerStatus) -> v1::WorkerDescription {
+    v1::WorkerDescription {
+        id: status.id.clone(),
+        boot: status.boot,
+        pool: status.pool.clone(),
+        domain: status.domain.clone(),
+        rack: status.rack.clone(),
+        labels: status.labels.clone(),
+        accelerators: status.room.accelerators,
+        cores: status.room.cores,
+        memory: status.room.memory,
+        draining: status.draining,
+        remaining_ms: status.remaining.map_or(0, |left| millis(left) + 1),
+    }
+}
+
+/// Decodes a report; entries that cannot be read are logged and left out.
+pub fn decode_report(update: v1::WorkerUpdate) -> WorkerReport {
+    WorkerReport {
+        agent: update.agent,
+        ended: update.ended.into_iter().filter_map(decode_end).collect(),
+        ended_through: update.ended_through,
+        lapsed: update.lapsed,
+        listed: update.listed,
+        refused: update.refused.into_iter().filter_map(decode_refusal).collect(),
+        running: update.running.into_iter().filter_map(decode_run).collect(),
+        worker: update.worker.map(decode_status),
+    }
+}
+
+fn task_id(name: &str) -> Option<TaskId> {
+    match name.parse() {
+        Ok(task) => Some(task),
+        Err(error) => {
+            tracing::warn!(%error, "entry of a report left out");
+            None
+        }
+    }
+}
+
+fn decode_run(found: v1::TaskRun) -> Option<RunReport> {
+    Some(RunReport {
+        checkpoint: found.checkpoint,
+        percent: u8::try_from(found.percent).unwrap_or(100),
+        run: found.run,
+        task: task_id(&found.task)?,
+    })
+}
+
+fn decode_end(end: v1::TaskEnd) -> Option<RunEnd> {
+    let kind = match end.kind() {
+        v1::TaskEndKind::Done => EndKind::Done,
+        v1::TaskEndKind::Failed => EndKind::Failed,
+        v1::TaskEndKind::Stopped => EndKind::Stopped,
+        v1::TaskEndKind::Lapsed => EndKind::Lapsed,
+        v1::TaskEndKind::Broken => EndKind::Broken,
+        v1::TaskEndKind::Alone => EndKind::Alone,
+        v1::TaskEndKind::Unspecified => {
+            tracing::warn!(task = end.task, "end without a kind left out");
+            return None;
+        }
+    };
+    Some(RunEnd { checkpoint: end.checkpoint, kind, run: end.run, task: task_id(&end.task)? })
+}
+
+fn decode_refusal(refusal: v1::TaskRefusal) -> Option<RunRefusal> {
+    let kind = match refusal.kind() {
+        v1::TaskRefusalKind::Room => RefusalKind::Room,
+        v1::TaskRefusalKind::Old => RefusalKind::Old,
+        v1::TaskRefusalKind::Invalid => RefusalKind::Invalid,
+        v1::TaskRefusalKind::Unhealthy => RefusalKind::Unhealthy,
+        v1::TaskRefusalKind::Permit => RefusalKind::Permit,
+        v1::TaskRefusalKind::Fenced => RefusalKind::Fenced,
+        v1::TaskRefusalKind::Unspecified => {
+            tracing::warn!(task = refusal.task, "refusal without a kind left out");
+            return None;
+        }
+    };
+    Some(RunRefusal { kind, run: refusal.run, task: task_id(&refusal.task)? })
+}
+
+fn decode_status(worker: v1::WorkerDescription) -> WorkerStatus {
+    WorkerStatus {
+        boot: worker.boot,
+        domain: worker.domain,
+        draining: worker.draining,
+        id: worker.id,
+        labels: worker.labels,
+        pool: worker.pool,
+        rack: worker.rack,
+        remaining: worker.remaining_ms.checked_sub(1).map(Duration::from_millis),
+        room: Room {
+            accelerators: worker.accelerators,
+            cores: worker.cores,
+            memory: worker.memory,
+        },
+    }
+}
+
+/// Encodes orders; the caller adds epoch, acknowledgement and lease.
+pub fn encode_orders(orders: &Orders) -> v1::CoordinatorUpdate {
+    v1::CoordinatorUpdate {
+        worker: orders.worker.clone(),
+        boot: orders.boot,
+        ended_through: orders.ended_through,
+        keep: orders.keep.iter().map(|(task, number)| run(task, *number)).collect(),
+        start: orders
+            .start
+            .iter()
+            .map(|order| v1::TaskStart {
+                task: order.task.to_string(),
+                run: order.run,
+                payload: order.payload.clone(),
+                checkpoint: order.checkpoint.clone(),
+            })
+            .collect(),
+        stop: orders.stop.iter().map(|(task, number)| run(task, *number)).collect(),
+        ..v1::CoordinatorUpdate::default()
+    }
+}
+
+/// Decodes orders.
+pub fn decode_orders(update: v1::CoordinatorUpdate) -> Orders {
+    let runs = |runs: Vec<v1::TaskRun>| {
+        runs.into_iter().filter_map(|found| Some((task_id(&found.task)?, found.run))).collect()
+    };
+    let start = update.start.into_iter().filter_map(|order| {
+        Some(StartOrder {
+            checkpoint: order.checkpoint,
+            payload: order.payload,
+            run: order.run,
+            task: task_id(&order.task)?,
+        })
+    });
+    Orders {
+        boot: update.boot,
+        ended_through: update.ended_through,
+        keep: runs(update.keep),
+        start: start.collect(),
+        stop: runs(update.stop),
+        worker: update.worker,
+    }
+}
+
+/// Returns the name of a state between entries.
+pub fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
+
+/// Returns the state with this name.
+pub fn state_named(name: &str) -> Option<JobState> {
+    let states = [
+        JobState::Queued,
+        JobState::Running,
+        JobState::Completed,
+        JobState::Failed,
+        JobState::Cancelled,
+    ];
+    states.into_iter().find(|state| state_name(*state) == name)
+}
+
+/// Returns whole milliseconds.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/coordination/src/entry.rs
@@ -0,0 +1,420 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use skylarkpulley_jobs::{JobTables, Limits};
+use skylarkpulley_proto::v1::coordination_server::CoordinationServer;
+use skylarkpulley_proto::{MESSAGE_LIMIT, v1};
+use skylarkpulley_store::{TransactError, Transactor};
+use skylarkpulley_telemetry::Event;
+use skylarkpulley_types::Clock;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::boot_time::boot_time;
+use crate::calls::JobService;
+use crate::convert::millis;
+use crate::journal::Journal;
+use crate::leader::{Leader, LeaderMessage, LeaderTimes, LeadershipEnd};
+use crate::leader_record::LeaderRecord;
+use crate::leadership::Leadership;
+use crate::peer::PeerClients;
+use crate::service::{CoordinationService, Shared};
+use crate::tables_task::{TablesAge, TablesSource, follow_tables};
+
+/// Time between two pings to the leader.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for one ping.
+const PING_LIMIT: Duration = Duration::from_millis(500);
+
+/// Pings in a row without an answer after which the leader is suspected; each uses a new
+/// connection, since an open one may be silent while new ones work.
+const PING_FAILURES: u32 = 2;
+
+/// A leader that the store has not confirmed for this long cannot write; one confirmation interval,
+/// and the time of a call to a slow store.
+const LEADER_STALE: Duration = Duration::from_millis(2800);
+
+/// Time that a leader gets to confirm itself after the store has answered this entry.
+const CONFIRM_GRACE: Duration = Duration::from_millis(500);
+
+/// Longest random delay before a takeover, so that two entries rarely try at once.
+const TAKEOVER_JITTER: Duration = Duration::from_millis(200);
+
+/// Pause after the store gave no answer.
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Messages that may wait for the leader.
+const INBOX: usize = 1024;
+
+/// Silence after which the tables are not known to be the newest.
+const TABLES_STALE: Duration = Duration::from_secs(5);
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Address of the listener for other entries and agents.
+    pub control: SocketAddr,
+    /// Limits of the coordinator.
+    pub limits: Limits,
+    /// Name of the VM.
+    pub name: String,
+    /// Leases are extended only while the store confirmed the leadership within this time.
+    pub confirm: Duration,
+    /// For how long leases may be extended.
+    pub lease: Duration,
+}
+
+/// One entry: follows the leader, or leads.
+pub struct Entry {
+    age: watch::Receiver<TablesAge>,
+    service: JobService,
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    tables: watch::Receiver<JobTables>,
+}
+
+impl Entry {
+    /// Starts the tasks of an entry on an open `listener`.
+    pub fn start(
+        settings: EntrySettings,
+        listener: TcpListener,
+        store: Arc<dyn Transactor>,
+        source: Arc<dyn TablesSource>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let (inbox_sender, inbox) = watch::channel(None);
+        let (leadership_sender, leadership) = watch::channel(Leadership::default());
+        let (tables_sender, tables) = watch::channel(JobTables::default());
+        let (age_sender, age) = watch::channel(TablesAge { confirmed: None });
+        let (stop, stopped) = watch::channel(false);
+        let (newer, newer_receiver) = mpsc::channel(4);
+        let (seen_epoch, seen) = watch::channel(0);
+        let peers = Arc::new(PeerClients::new());
+        let shared = Arc::new(Shared {
+            confirmed_ms: Arc::new(AtomicU64::new(0)),
+            inbox: inbox.clone(),
+            leaving: AtomicBool::new(false),
+            leadership: leadership.clone(),
+            newer,
+            seen_epoch,
+            sessions: AtomicU64::new(1),
+            tables: tables.clone(),
+        });
+        tokio::spawn(follow_tables(
+            source,
+            peers.clone(),
+            tables_sender,
+            age_sender,
+            newer_receiver,
+        ));
+        let service = CoordinationServer::new(CoordinationService::new(shared.clone()))
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT);
+        tokio::spawn(async move {
+            let incoming = TcpListenerStream::new(listener);
+            if let Err(error) = Server::builder()
+                .tcp_nodelay(true)
+                .add_service(service)
+                .serve_with_incoming(incoming)
+                .await
+            {
+                tracing::error!(%error, "control listener ended");
+            }
+        });
+        let role = Role {
+            clock,
+            inbox: inbox_sender,
+            leadership: leadership_sender,
+            peers: peers.clone(),
+            seen,
+            settings,
+            shared: shared.clone(),
+            stop: stopped,
+            store,
+            tables: tables.clone(),
+        };
+        tokio::spawn(role.run());
+        let service = JobService::new(inbox, leadership, peers);
+        Self { age, service, shared, stop, tables }
+    }
+
+    /// Returns the interface for callers' requests.
+    pub fn service(&self) -> JobService {
+        self.service.clone()
+    }
+
+    /// Returns the tables in force.
+    pub fn tables(&self) -> watch::Receiver<JobTables> {
+        self.tables.clone()
+    }
+
+    /// Reports whether callers are served well here: the tables are known, and so is a leader that
+    /// answers.
+    pub fn is_ready(&self) -> bool {
+        if self.shared.leaving.load(Ordering::Relaxed) || self.tables.borrow().version == 0 {
+            return false;
+        }
+        let leadership = self.service.leadership();
+        let fresh = self.age.borrow().confirmed.is_some_and(|at| at.elapsed() < TABLES_STALE);
+        // While the leader is reachable it names newer tables, also when the store does not answer.
+        (fresh || leadership.reachable) && !leadership.address.is_empty()
+    }
+
+    /// Gives the leadership up and makes the entry not ready; open calls go on.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        self.stop.send_replace(true);
+    }
+}
+
+/// Why an entry looks at the leader's record again.
+enum Followed {
+    /// Another leadership may have begun.
+    Changed,
+    /// The leader does not answer or cannot write.
+    Suspect(String),
+}
+
+struct Role {
+    clock: Arc<dyn Clock>,
+    inbox: watch::Sender<Option<mpsc::Sender<LeaderMessage>>>,
+    leadership: watch::Sender<Leadership>,
+    peers: Arc<PeerClients>,
+    seen: watch::Receiver<u64>,
+    settings: EntrySettings,
+    shared: Arc<Shared>,
+    stop: watch::Receiver<bool>,
+    store: Arc<dyn Transactor>,
+    tables: watch::Receiver<JobTables>,
+}
+
+impl Role {
+    async fn run(mut self) {
+        loop {
+            let (record, version) = match LeaderRecord::read(self.store.as_ref()).await {
+                Ok(found) => found,
+                Err(error) => {
+                    tracing::debug!(%error, "leader's record not read");
+                    tokio::time::sleep(STORE_PAUSE).await;
+                    continue;
+                }
+            };
+            let leaving = *self.stop.borrow();
+            let vacant = record.epoch == 0 || record.name == self.settings.name;
+            if vacant && !leaving {
+                self.take_over(&record, version).await;
+                continue;
+            }
+            if record.epoch == 0 {
+                tokio::time::sleep(STORE_PAUSE).await;
+                continue;
+            }
+            self.leadership.send_replace(Leadership {
+                address: record.address.clone(),
+                epoch: record.epoch,
+                own: false,
+                reachable: true,
+            });
+            match self.follow(&record).await {
+                Followed::Changed => {}
+                Followed::Suspect(reason) => {
+                    self.leadership.send_modify(|leadership| leadership.reachable = false);
+                    let event = Event::LeaderSuspected;
+                    tracing::warn!(
+                        code = event.code(),
+                        event = event.name(),
+                        leader = record.name,
+                        epoch = record.epoch,
+                        reason
+                    );
+                    if *self.stop.borrow() {
+                        tokio::time::sleep(STORE_PAUSE).await;
+                    } else {
+                        self.replace(&record).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes over from a suspected leader unless another entry has done so.
+    async fn replace(&mut self, suspect: &LeaderRecord) {
+        let jitter = millis(TAKEOVER_JITTER);
+        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..=jitter))).await;
+        match LeaderRecord::read(self.store.as_ref()).await {
+            Ok((record, version)) if record.epoch == suspect.epoch => {
+                self.take_over(&record, version).await;
+            }
+            Ok(_) => {}
+            Err(error) => {
+                tracing::debug!(%error, "no takeover without the store");
+                tokio::time::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+
+    async fn follow(&mut self, record: &LeaderRecord) -> Followed {
+        let mut failures = 0;
+        loop {
+            let request = v1::PingRequest {
+                name: self.settings.name.clone(),
+                address: self.settings.control.to_string(),
+                epoch: record.epoch,
+                tables_version: self.tables.borrow().version,
+            };
+            let reply = match self.peers.client(&record.address) {
+                Some(mut client) => {
+                    tokio::time::timeout(PING_LIMIT, client.ping(request)).await.ok()
+                }
+                None => return Followed::Suspect("its address is not valid".to_owned()),
+            };
+            let Some(Ok(reply)) = reply else {
+                failures += 1;
+                self.peers.replace(&record.address);
+                if failures >= PING_FAILURES {
+                    return Followed::Suspect(format!("{failures} pings without an answer"));
+                }
+                continue;
+            };
+            failures = 0;
+            let reply = reply.into_inner();
+            if let Some(followed) = self.judge(record, &reply).await {
+                return followed;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(PING_INTERVAL) => {}
+                Ok(()) = self.seen.changed() => {
+                    if *self.seen.borrow() > record.epoch {
+                        return Followed::Changed;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn judge(&mut self, record: &LeaderRecord, reply: &v1::PingReply) -> Option<Followed> {
+        if reply.tables_version > self.tables.borrow().version {
+            // A full queue means that a fetch is already under way.
+            let _ = self.shared.newer.try_send(record.address.clone());
+        }
+        if reply.epoch > record.epoch {
+            return Some(Followed::Changed);
+        }
+        if !reply.leads && reply.leaving {
+            return Some(Followed::Suspect("it is shutting down".to_owned()));
+        }
+        if !reply.leads && reply.epoch == record.epoch {
+            return Some(Followed::Suspect("it does not lead any more".to_owned()));
+        }
+        let age = Duration::from_millis(reply.store_age_ms);
+        if !reply.leads || age < LEADER_STALE {
+            return None;
+        }
+        // The store may be down for all; only an entry that reaches it takes over.
+        match LeaderRecord::read(self.store.as_ref()).await {
+            Ok((found, _)) if found.epoch > record.epoch => Some(Followed::Changed),
+            Ok(_) => {
+                tokio::time::sleep(CONFIRM_GRACE).await;
+                self.still_stale(record).await
+            }
+            Err(_) => None,
+        }
+    }
+
+    async fn still_stale(&self, record: &LeaderRecord) -> Option<Followed> {
+        let request = v1::PingRequest {
+            name: self.settings.name.clone(),
+            address: self.settings.control.to_string(),
+            epoch: record.epoch,
+            tables_version: self.tables.borrow().version,
+        };
+        let mut client = self.peers.client(&record.address)?;
+        let reply = tokio::time::timeout(PING_LIMIT, client.ping(request)).await.ok()?.ok()?;
+        let age = Duration::from_millis(reply.into_inner().store_age_ms);
+        (age >= LEADER_STALE).then(|| {
+            Followed::Suspect(format!("the store has not confirmed it for {} ms", age.as_millis()))
+        })
+    }
+
+    async fn take_over(&mut self, record: &LeaderRecord, version: u64) {
+        let name = &self.settings.name;
+        let address = self.settings.control.to_string();
+        let taken = Journal::take_over(self.store.clone(), name, &address, record, version).await;
+        let journal = match taken {
+            Ok(Some(journal)) => journal,
+            Ok(None) => return,
+            Err(error) => {
+                tracing::warn!(%error, epoch = record.epoch + 1, "takeover without an outcome");
+                tokio::time::sleep(STORE_PAUSE).await;
+                return;
+            }
+        };
+        if let Err(error) = self.lead(journal).await {
+            tracing::warn!(%error, "jobs not loaded");
+            tokio::time::sleep(STORE_PAUSE).await;
+        }
+    }
+
+    async fn lead(&mut self, journal: Journal) -> Result<(), TransactError> {
+        let since = Instant::now();
+        let epoch = journal.epoch();
+        self.shared.confirmed_ms.store(millis(boot_time()), Ordering::Relaxed);
+        let tables = self.tables.borrow().clone();
+        let times = LeaderTimes { confirm: self.settings.confirm, lease: self.settings.lease };
+        let leader = Leader::load(
+            &journal,
+            self.clock.clone(),
+            self.settings.limits,
+            times,
+            tables,
+            self.shared.confirmed_ms.clone(),
+        )
+        .await?;
+        let (sender, inbox) = mpsc::channel(INBOX);
+        self.inbox.send_replace(Some(sender));
+        self.leadership.send_replace(Leadership {
+            address: self.settings.control.to_string(),
+            epoch,
+            own: true,
+            reachable: true,
+        });
+        let event = Event::LeadershipTaken;
+        let took = millis(since.elapsed());
+        tracing::info!(code = event.code(), event = event.name(), epoch, took);
+        let mut seen = self.seen.clone();
+        let leading = leader.run(journal, inbox, self.tables.clone(), self.stop.clone());
+        let end = tokio::select! {
+            end = leading => end,
+            () = wait_above(&mut seen, epoch) => LeadershipEnd::Deposed,
+        };
+        self.inbox.send_replace(None);
+        self.leadership.send_modify(|leadership| {
+            leadership.own = false;
+            leadership.address = String::new();
+        });
+        let event = Event::LeadershipEnded;
+        tracing::info!(code = event.code(), event = event.name(), epoch, reason = ?end);
+        if end == LeadershipEnd::Stopped {
+            // Lets another entry take the record before it is read again.
+            tokio::time::sleep(PING_INTERVAL).await;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until a peer has named an epoch above `epoch`.
+async fn wait_above(seen: &mut watch::Receiver<u64>, epoch: u64) {
+    loop {
+        if *seen.borrow_and_update() > epoch {
+            return;
+        }
+        if seen.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/journal.rs
@@ -0,0 +1,179 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylarkpulley_jobs::{RowChange, RowKind};
+use skylarkpulley_store::{Applied, Page, RecordKey, TransactError, Transaction, Transactor};
+
+use crate::boot_time::boot_time;
+use crate::leader_record::LeaderRecord;
+
+/// First pause before a write without an outcome is sent again; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between two tries; the store allows hundreds of calls a second, but each is paid.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CommitEnd {
+    /// It is stored.
+    Stored,
+    /// Another entry leads; the write will never apply.
+    Deposed,
+}
+
+/// The rows of the coordinator in the store, written by one leader at a time.
+///
+/// Each write expects the leader's record at the version that the writer left it at, and replaces
+/// it. A write whose answer is lost is sent again: if the first one was applied, the second one
+/// conflicts with the writer's own sequence number, and if it is applied late, it conflicts.
+#[derive(Clone)]
+pub struct Journal {
+    confirmed: Duration,
+    record: LeaderRecord,
+    store: Arc<dyn Transactor>,
+    version: u64,
+}
+
+impl Journal {
+    /// Takes the leadership over from the holder of `record` at `version`. `None` when another
+    /// entry was faster.
+    ///
+    /// # Errors
+    /// [`TransactError`] when the store gave no outcome.
+    pub async fn take_over(
+        store: Arc<dyn Transactor>,
+        name: &str,
+        address: &str,
+        record: &LeaderRecord,
+        version: u64,
+    ) -> Result<Option<Self>, TransactError> {
+        let next = LeaderRecord {
+            address: address.to_owned(),
+            epoch: record.epoch + 1,
+            name: name.to_owned(),
+            sequence: 0,
+        };
+        let confirmed = boot_time();
+        let transaction = Transaction {
+            expect: vec![(LeaderRecord::key(), version)],
+            puts: vec![(LeaderRecord::key(), next.encode().into())],
+            ..Transaction::default()
+        };
+        match store.apply(&transaction).await? {
+            Applied::Done { version } => Ok(Some(Self { confirmed, record: next, store, version })),
+            Applied::Conflict { .. } => Ok(None),
+        }
+    }
+
+    /// Returns the epoch of this leadership.
+    pub fn epoch(&self) -> u64 {
+        self.record.epoch
+    }
+
+    /// Returns the boot time at which a call was sent that confirmed the leadership.
+    pub fn confirmed(&self) -> Duration {
+        self.confirmed
+    }
+
+    /// Reads all rows of one kind.
+    ///
+    /// # Errors
+    /// [`TransactError`] when the store does not answer.
+    pub async fn load(&self, kind: RowKind) -> Result<Vec<(String, Vec<u8>)>, TransactError> {
+        let mut rows = Vec::new();
+        let mut after = String::new();
+        loop {
+            let Page { more, records } = self.store.scan(table(kind), &after).await?;
+            if let Some(last) = records.last() {
+                after.clone_from(&last.key.key);
+            }
+            let last = records.is_empty() || !more;
+            rows.extend(records.into_iter().map(|row| (row.key.key, row.value.to_vec())));
+            if last {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// Stores `rows`; returns when they are stored or can never be.
+    pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitEnd) {
+        let next = LeaderRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let sent = boot_time();
+            let outcome = self.store.apply(&self.transaction(&next, &rows)).await;
+            match outcome {
+                Ok(Applied::Done { version }) => {
+                    self.version = version;
+                    self.record = next;
+                    self.confirmed = sent;
+                    return (self, CommitEnd::Stored);
+                }
+                Ok(Applied::Conflict { found }) => {
+                    let current = found.iter().find(|record| record.key == LeaderRecord::key());
+                    let Some(current) = current else { return (self, CommitEnd::Deposed) };
+                    let Ok(record) = LeaderRecord::decode(current) else {
+                        return (self, CommitEnd::Deposed);
+                    };
+                    if record == next {
+                        self.version = current.version;
+                        self.record = next;
+                        self.confirmed = sent;
+                        return (self, CommitEnd::Stored);
+                    }
+                    if record != self.record {
+                        return (self, CommitEnd::Deposed);
+                    }
+                    // The version in an answer may be later than that of the write.
+                    self.version = current.version;
+                    continue;
+                }
+                Err(error) => {
+                    tracing::warn!(%error, rows = rows.len(), "write has no outcome yet");
+                }
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Confirms the leadership by a read.
+    ///
+    /// # Errors
+    /// [`TransactError`] when the store does not answer.
+    pub async fn confirm(mut self) -> (Self, Result<CommitEnd, TransactError>) {
+        let sent = boot_time();
+        match LeaderRecord::read(self.store.as_ref()).await {
+            Ok((record, _)) if record.epoch == self.record.epoch => {
+                self.confirmed = sent;
+                (self, Ok(CommitEnd::Stored))
+            }
+            Ok(_) => (self, Ok(CommitEnd::Deposed)),
+            Err(error) => (self, Err(error)),
+        }
+    }
+
+    fn transaction(&self, next: &LeaderRecord, rows: &[RowChange]) -> Transaction {
+        let mut transaction = Transaction {
+            expect: vec![(LeaderRecord::key(), self.version)],
+            puts: vec![(LeaderRecord::key(), next.encode().into())],
+            ..Transaction::default()
+        };
+        for row in rows {
+            let key = RecordKey::new(table(row.kind), &row.key);
+            match &row.value {
+                Some(value) => transaction.puts.push((key, value.clone().into())),
+                None => transaction.deletes.push(key),
+            }
+        }
+        transaction
+    }
+}
+
+fn table(kind: RowKind) -> &'static str {
+    match kind {
+        RowKind::Job => "jobs",
+        RowKind::Progress => "progress",
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/leader.rs
@@ -0,0 +1,462 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use skylarkpulley_jobs::{
+    Coordinator, DecisionKind, JobTables, Limits, Moment, RowKind, Submission, WorkerReport,
+};
+use skylarkpulley_proto::v1;
+use skylarkpulley_store::TransactError;
+use skylarkpulley_telemetry::Event;
+use skylarkpulley_types::Clock;
+use tokio::sync::{mpsc, oneshot, watch};
+use tonic::Status;
+
+use crate::boot_time::boot_time;
+use crate::calls::{JobAnswer, JobCall};
+use crate::convert::{encode_orders, millis};
+use crate::journal::{CommitEnd, Journal};
+
+/// Time between two looks at what is due with time.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Time without a write after which the leadership is confirmed by a read.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// A write without an outcome for this long means that the store is down: new work is refused at
+/// once instead of being held. A slow store takes up to about a second.
+const STORE_STUCK: Duration = Duration::from_millis(1200);
+
+/// When callers should come back while the store is down.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// Times of the leadership, which the safety of leases rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderTimes {
+    /// Leases are extended only while the store confirmed the leadership within this time.
+    pub confirm: Duration,
+    /// For how long leases may be extended.
+    pub lease: Duration,
+}
+
+/// Input of the leader.
+pub enum LeaderMessage {
+    /// A caller's request.
+    Call {
+        /// The request.
+        call: JobCall,
+        /// Where the answer goes.
+        reply: oneshot::Sender<JobAnswer>,
+    },
+    /// An agent has opened a session.
+    Open {
+        /// Number of the session.
+        session: u64,
+        /// Where its updates go.
+        outbound: mpsc::Sender<Result<v1::CoordinatorUpdate, Status>>,
+    },
+    /// A report of an agent.
+    Report {
+        /// Number of the session.
+        session: u64,
+        /// Number of the message.
+        sequence: u64,
+        /// The content.
+        report: Box<WorkerReport>,
+        /// Whether the worker is gone for good.
+        left: bool,
+    },
+    /// A session has ended.
+    Close {
+        /// Number of the session.
+        session: u64,
+    },
+}
+
+struct Session {
+    acked: u64,
+    outbound: mpsc::Sender<Result<v1::CoordinatorUpdate, Status>>,
+    worker: String,
+}
+
+struct Waiting {
+    answer: JobAnswer,
+    id: String,
+    reply: oneshot::Sender<JobAnswer>,
+    since: Instant,
+    submitted: bool,
+    version: u64,
+}
+
+enum StoreCall {
+    Commit(CommitEnd),
+    Confirm(Result<CommitEnd, TransactError>),
+}
+
+/// Runs the coordinator while this entry leads.
+pub struct Leader {
+    clock: Arc<dyn Clock>,
+    confirmed_ms: Arc<AtomicU64>,
+    confirmed: Duration,
+    core: Coordinator,
+    epoch: u64,
+    last_call: Instant,
+    sessions: HashMap<u64, Session>,
+    store_since: Option<Instant>,
+    times: LeaderTimes,
+    waiting: Vec<Waiting>,
+}
+
+/// Why the leadership ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeadershipEnd {
+    /// Another entry leads.
+    Deposed,
+    /// The entry was told to stop leading.
+    Stopped,
+}
+
+impl Leader {
+    /// Loads the rows of a leadership that has just begun.
+    ///
+    /// # Errors
+    /// [`TransactError`] when the store does not answer.
+    pub async fn load(
+        journal: &Journal,
+        clock: Arc<dyn Clock>,
+        limits: Limits,
+        times: LeaderTimes,
+        tables: JobTables,
+        confirmed_ms: Arc<AtomicU64>,
+    ) -> Result<Self, TransactError> {
+        let jobs = journal.load(RowKind::Job).await?;
+        let mut progress: HashMap<String, Vec<u8>> =
+            journal.load(RowKind::Progress).await?.into_iter().collect();
+        let now = moment(clock.as_ref());
+        let mut core = Coordinator::new(limits, tables, now);
+        for (key, value) in jobs {
+            let state = progress.remove(&key);
+            if let Err(error) = core.restore(&key, &value, state.as_deref(), now) {
+                tracing::error!(%error, "job left out");
+            }
+        }
+        let last_call = clock.now();
+        Ok(Self {
+            clock,
+            confirmed: journal.confirmed(),
+            confirmed_ms,
+            core,
+            epoch: journal.epoch(),
+            last_call,
+            sessions: HashMap::new(),
+            store_since: None,
+            times,
+            waiting: Vec::new(),
+        })
+    }
+
+    /// Leads until another entry does or `stop` turns true.
+    pub async fn run(
+        mut self,
+        journal: Journal,
+        mut inbox: mpsc::Receiver<LeaderMessage>,
+        mut tables: watch::Receiver<JobTables>,
+        mut stop: watch::Receiver<bool>,
+    ) -> LeadershipEnd {
+        let mut idle = Some(journal);
+        let mut call: Option<BoxFuture<'static, (Journal, StoreCall)>> = None;
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => {
+                        self.take(message);
+                        // Decides once for a burst of messages.
+                        while let Ok(message) = inbox.try_recv() {
+                            self.take(message);
+                        }
+                    }
+                    None => return LeadershipEnd::Stopped,
+                },
+                (journal, outcome) = async { call.as_mut().expect("a call is open").await },
+                    if call.is_some() =>
+                {
+                    call = None;
+                    self.store_since = None;
+                    self.note_confirmed(&journal);
+                    let deposed = match outcome {
+                        StoreCall::Commit(end) => {
+                            if end == CommitEnd::Stored {
+                                self.core.end_commit();
+                            }
+                            end == CommitEnd::Deposed
+                        }
+                        StoreCall::Confirm(Ok(end)) => end == CommitEnd::Deposed,
+                        StoreCall::Confirm(Err(error)) => {
+                            tracing::warn!(%error, "leadership not confirmed");
+                            false
+                        }
+                    };
+                    if deposed {
+                        return LeadershipEnd::Deposed;
+                    }
+                    idle = Some(journal);
+                }
+                _ = tick.tick() => {
+                    let now = self.now();
+                    self.core.tick(now);
+                    self.refuse_stuck();
+                }
+                Ok(()) = tables.changed() => {
+                    let tables = tables.borrow_and_update().clone();
+                    self.core.set_tables(&tables);
+                }
+                Ok(()) = stop.changed() => {
+                    if *stop.borrow() && call.is_none() {
+                        return LeadershipEnd::Stopped;
+                    }
+                }
+            }
+            if *stop.borrow() && call.is_none() {
+                return LeadershipEnd::Stopped;
+            }
+            if self.core.is_plan_due() {
+                let now = self.now();
+                self.core.place(now);
+            }
+            if let Some(journal) = idle.take() {
+                self.next_store_call(journal, &mut idle, &mut call);
+            }
+            self.answer_waiting();
+            self.log_decisions();
+            self.push_orders();
+        }
+    }
+
+    fn now(&self) -> Moment {
+        moment(self.clock.as_ref())
+    }
+
+    fn note_confirmed(&mut self, journal: &Journal) {
+        self.confirmed = journal.confirmed();
+        self.confirmed_ms.store(millis(self.confirmed), Ordering::Relaxed);
+    }
+
+    fn next_store_call(
+        &mut self,
+        journal: Journal,
+        idle: &mut Option<Journal>,
+        call: &mut Option<BoxFuture<'static, (Journal, StoreCall)>>,
+    ) {
+        let now = self.clock.now();
+        if let Some(rows) = self.core.begin_commit() {
+            self.store_since = Some(now);
+            self.last_call = now;
+            let commit = journal.commit(rows);
+            *call = Some(commit.map(|(journal, end)| (journal, StoreCall::Commit(end))).boxed());
+            return;
+        }
+        if now.saturating_duration_since(self.last_call) < CONFIRM_INTERVAL {
+            *idle = Some(journal);
+            return;
+        }
+        self.last_call = now;
+        let confirm = journal.confirm();
+        *call = Some(confirm.map(|(journal, end)| (journal, StoreCall::Confirm(end))).boxed());
+    }
+
+    fn take(&mut self, message: LeaderMessage) {
+        let now = self.now();
+        match message {
+            LeaderMessage::Call { call, reply } => self.take_call(now, call, reply),
+            LeaderMessage::Open { session, outbound } => {
+                self.sessions
+                    .insert(session, Session { acked: 0, outbound, worker: String::new() });
+            }
+            LeaderMessage::Report { session, sequence, report, left } => {
+                self.take_report(now, session, sequence, &report, left);
+            }
+            LeaderMessage::Close { session } => {
+                if let Some(closed) = self.sessions.remove(&session)
+                    && !self.sessions.values().any(|other| other.worker == closed.worker)
+                {
+                    self.core.end_session(&closed.worker);
+                }
+            }
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        now: Moment,
+        number: u64,
+        sequence: u64,
+        report: &WorkerReport,
+        left: bool,
+    ) {
+        if let Some(status) = report.worker.as_ref().filter(|_| left) {
+            self.core.remove_worker(now, &status.id, status.boot);
+        } else {
+            self.core.report(now, report);
+        }
+        let Some(session) = self.sessions.get_mut(&number) else { return };
+        session.acked = sequence;
+        if let Some(status) = &report.worker {
+            session.worker.clone_from(&status.id);
+        }
+        self.push(number);
+    }
+
+    fn push(&mut self, number: u64) {
+        let fresh = boot_time().saturating_sub(self.confirmed) < self.times.confirm;
+        let Some(session) = self.sessions.get(&number) else { return };
+        let mut update = encode_orders(&self.core.orders(&session.worker));
+        update.epoch = self.epoch;
+        update.acked = session.acked;
+        update.leads = fresh;
+        update.lease_ms = if fresh { millis(self.times.lease) } else { 0 };
+        // A session that does not take its updates is ended by its silence limit.
+        if session.outbound.try_send(Ok(update)).is_err() {
+            tracing::debug!(worker = session.worker, "update not taken");
+        }
+    }
+
+    fn push_orders(&mut self) {
+        let touched = self.core.take_touched();
+        let numbers: Vec<u64> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| touched.contains(&session.worker))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            self.push(number);
+        }
+    }
+
+    fn take_call(&mut self, now: Moment, call: JobCall, reply: oneshot::Sender<JobAnswer>) {
+        let stuck = self.is_stuck();
+        let answer = match call {
+            JobCall::Submit(_) | JobCall::Cancel(_) if stuck => {
+                let reason = "the store is down".to_owned();
+                JobAnswer::Refused { reason, retry: STORE_RETRY }
+            }
+            JobCall::Submit(job) => {
+                let id = job.id.clone();
+                match self.core.submit(now, *job) {
+                    Submission::Refused { reason, retry } => JobAnswer::Refused { reason, retry },
+                    Submission::Accepted { version, .. } => {
+                        self.wait(id, version, true, reply);
+                        return;
+                    }
+                }
+            }
+            JobCall::Cancel(id) => match self.core.cancel(now, &id) {
+                Some(version) => {
+                    self.wait(id, version, false, reply);
+                    return;
+                }
+                None => self.absent(),
+            },
+            JobCall::State(id) => match self.core.view(&id) {
+                Some(view) => JobAnswer::State(view.state),
+                None => self.absent(),
+            },
+            JobCall::Pending(route) => {
+                JobAnswer::Pending(u64::try_from(self.core.pending(&route)).unwrap_or(u64::MAX))
+            }
+        };
+        // The caller may have left.
+        let _ = reply.send(answer);
+    }
+
+    /// Says that a job does not exist only while no other entry can have accepted it.
+    fn absent(&self) -> JobAnswer {
+        let age = boot_time().saturating_sub(self.confirmed);
+        if age > CONFIRM_INTERVAL * 2 {
+            return JobAnswer::NotLeading;
+        }
+        JobAnswer::Absent
+    }
+
+    fn wait(
+        &mut self,
+        id: String,
+        version: u64,
+        submitted: bool,
+        reply: oneshot::Sender<JobAnswer>,
+    ) {
+        let since = self.clock.now();
+        let answer = JobAnswer::Done;
+        self.waiting.push(Waiting { answer, id, reply, since, submitted, version });
+    }
+
+    fn is_stuck(&self) -> bool {
+        let now = self.clock.now();
+        self.store_since.is_some_and(|since| now.saturating_duration_since(since) > STORE_STUCK)
+    }
+
+    fn answer_waiting(&mut self) {
+        let mut rest = Vec::new();
+        for waiting in self.waiting.drain(..) {
+            if self.core.is_durable(&waiting.id, waiting.version) {
+                // The caller may have left.
+                let _ = waiting.reply.send(waiting.answer);
+            } else {
+                rest.push(waiting);
+            }
+        }
+        self.waiting = rest;
+    }
+
+    /// Refuses submissions that wait behind a stuck write and were never sent to the store.
+    fn refuse_stuck(&mut self) {
+        if !self.is_stuck() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut rest = Vec::new();
+        for waiting in self.waiting.drain(..) {
+            let old = now.saturating_duration_since(waiting.since) > STORE_STUCK;
+            if old && waiting.submitted && self.core.withdraw(&waiting.id) {
+                let reason = "the store is down".to_owned();
+                let _ = waiting.reply.send(JobAnswer::Refused { reason, retry: STORE_RETRY });
+            } else {
+                rest.push(waiting);
+            }
+        }
+        self.waiting = rest;
+    }
+
+    fn log_decisions(&mut self) {
+        for decision in self.core.take_decisions() {
+            let event = match decision.kind {
+                DecisionKind::Accepted => Event::JobSubmitted,
+                DecisionKind::Refused => Event::JobRefused,
+                DecisionKind::Placed => Event::JobPlaced,
+                DecisionKind::RunEnded => Event::RunEnded,
+                DecisionKind::Stopped => Event::JobPreempted,
+                DecisionKind::Ended => Event::JobEnded,
+                DecisionKind::Quarantined => Event::WorkerQuarantined,
+                DecisionKind::Lost => Event::WorkerLost,
+            };
+            tracing::info!(
+                code = event.code(),
+                event = event.name(),
+                id = decision.id,
+                detail = decision.detail,
+                epoch = self.epoch
+            );
+        }
+    }
+}
+
+/// Returns the time on both clocks.
+pub fn moment(clock: &dyn Clock) -> Moment {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Moment { at: clock.now(), wall_ms: millis(wall) }
+}
--- /dev/null
+++ b/crates/coordination/src/leadership.rs
@@ -0,0 +1,12 @@
+/// What an entry knows of the leadership.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Leadership {
+    /// Control address of the leader; empty while none is known.
+    pub address: String,
+    /// Epoch of the leadership.
+    pub epoch: u64,
+    /// Whether this entry leads.
+    pub own: bool,
+    /// Whether the leader answers.
+    pub reachable: bool,
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,27 @@
+//! Processes around the sans-IO core of `skylarkpulley-jobs`: the entries, one of which leads and
+//! decides, and the agents beside workers.
+//!
+//! One record of the store names the leader. Every write of the leader expects and replaces that
+//! record, so that a write of an earlier leader, or a late one of its own, can never apply.
+
+mod boot_time;
+mod calls;
+mod convert;
+mod entry;
+mod journal;
+mod leader;
+mod leader_record;
+mod leadership;
+mod peer;
+mod service;
+mod session;
+mod tables_task;
+mod worker_control;
+mod worker_task;
+
+pub use calls::{JobAnswer, JobCall, JobService};
+pub use entry::{Entry, EntrySettings};
+pub use leadership::Leadership;
+pub use tables_task::{TablesSource, TablesSourceError};
+pub use worker_control::{WorkerAddress, WorkerControl, WorkerError};
+pub use worker_task::{Announcement, WorkerAgent, WorkerAgentSettings};
--- /dev/null
+++ b/crates/coordination/src/service.rs
@@ -0,0 +1,146 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use skylarkpulley_jobs::JobTables;
+use skylarkpulley_proto::v1;
+use skylarkpulley_proto::v1::coordination_server::Coordination;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::boot_time::boot_time;
+use crate::calls::{JobAnswer, ask, decode_call, encode_answer};
+use crate::convert::{decode_report, millis};
+use crate::leader::LeaderMessage;
+use crate::leadership::Leadership;
+
+/// Updates that may wait for one agent; it ends the session when it hears nothing.
+const OUTBOUND: usize = 16;
+
+/// Longest time that a forwarded call waits here; the entry that forwards it has its own limit.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
+/// What the tasks of one entry share.
+pub struct Shared {
+    /// Boot time in milliseconds at which the store last confirmed the leadership.
+    pub confirmed_ms: Arc<AtomicU64>,
+    /// Input of the leader while this entry leads.
+    pub inbox: watch::Receiver<Option<mpsc::Sender<LeaderMessage>>>,
+    /// Whether the entry is shutting down.
+    pub leaving: AtomicBool,
+    /// What is known of the leadership.
+    pub leadership: watch::Receiver<Leadership>,
+    /// An entry that has newer tables, by address.
+    pub newer: mpsc::Sender<String>,
+    /// Highest epoch that a peer has named.
+    pub seen_epoch: watch::Sender<u64>,
+    /// Number of the next session.
+    pub sessions: AtomicU64,
+    /// Tables in force.
+    pub tables: watch::Receiver<JobTables>,
+}
+
+/// The interface between entries and agents.
+#[derive(Clone)]
+pub struct CoordinationService {
+    shared: Arc<Shared>,
+}
+
+impl CoordinationService {
+    /// Returns the service over the state of an entry.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+#[tonic::async_trait]
+impl Coordination for CoordinationService {
+    type WorkerSessionStream = ReceiverStream<Result<v1::CoordinatorUpdate, Status>>;
+
+    async fn worker_session(
+        &self,
+        request: Request<Streaming<v1::WorkerUpdate>>,
+    ) -> Result<Response<Self::WorkerSessionStream>, Status> {
+        let inbox = self.shared.inbox.borrow().clone();
+        let Some(inbox) = inbox else {
+            return Err(Status::failed_precondition("this entry does not lead"));
+        };
+        let session = self.shared.sessions.fetch_add(1, Ordering::Relaxed);
+        let (outbound, updates) = mpsc::channel(OUTBOUND);
+        let opened = inbox.send(LeaderMessage::Open { session, outbound }).await;
+        if opened.is_err() {
+            return Err(Status::failed_precondition("this entry does not lead"));
+        }
+        tokio::spawn(read_session(session, request.into_inner(), inbox));
+        Ok(Response::new(ReceiverStream::new(updates)))
+    }
+
+    async fn job_call(
+        &self,
+        request: Request<v1::JobCallRequest>,
+    ) -> Result<Response<v1::JobCallReply>, Status> {
+        let Some(call) = decode_call(request.into_inner()) else {
+            return Err(Status::invalid_argument("not a job call"));
+        };
+        let inbox = self.shared.inbox.borrow().clone();
+        let answer = match inbox {
+            Some(inbox) => ask(&inbox, call, CALL_LIMIT).await,
+            None => JobAnswer::NotLeading,
+        };
+        Ok(Response::new(encode_answer(&answer)))
+    }
+
+    async fn ping(
+        &self,
+        request: Request<v1::PingRequest>,
+    ) -> Result<Response<v1::PingReply>, Status> {
+        let request = request.into_inner();
+        let leadership = self.shared.leadership.borrow().clone();
+        self.shared.seen_epoch.send_if_modified(|seen| {
+            let higher = request.epoch > *seen;
+            *seen = (*seen).max(request.epoch);
+            higher
+        });
+        let version = self.shared.tables.borrow().version;
+        if request.tables_version > version {
+            // A full queue means that a fetch is already under way.
+            let _ = self.shared.newer.try_send(request.address);
+        }
+        let confirmed = self.shared.confirmed_ms.load(Ordering::Relaxed);
+        Ok(Response::new(v1::PingReply {
+            epoch: leadership.epoch,
+            leads: leadership.own,
+            store_age_ms: millis(boot_time()).saturating_sub(confirmed),
+            tables_version: version,
+            leaving: self.shared.leaving.load(Ordering::Relaxed),
+        }))
+    }
+
+    async fn fetch_tables(
+        &self,
+        _request: Request<v1::FetchTablesRequest>,
+    ) -> Result<Response<v1::FetchTablesReply>, Status> {
+        let tables = self.shared.tables.borrow().clone();
+        let bytes =
+            serde_json::to_vec(&tables).map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(v1::FetchTablesReply { version: tables.version, tables: bytes }))
+    }
+}
+
+async fn read_session(
+    session: u64,
+    mut updates: Streaming<v1::WorkerUpdate>,
+    inbox: mpsc::Sender<LeaderMessage>,
+) {
+    while let Ok(Some(update)) = updates.message().await {
+        let (sequence, left) = (update.sequence, update.left);
+        let report = Box::new(decode_report(update));
+        let message = LeaderMessage::Report { session, sequence, report, left };
+        if inbox.send(message).await.is_err() {
+            return;
+        }
+    }
+    // The leader may have stopped.
+    let _ = inbox.send(LeaderMessage::Close { session }).await;
+}
--- /dev/null
+++ b/crates/jobs/src/agent.rs
@@ -0,0 +1,481 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::{
+    Orders, RefusalKind, RunEnd, RunRefusal, RunReport, StartOrder, TaskId, WorkerReport,
+    WorkerStatus,
+};
+
+/// A worker's clock may run this much slower than true time; twice the 2% that is stated, so that
+/// rounding cannot matter.
+const DRIFT: f64 = 0.04;
+
+/// Pause before a call that was not answered is sent again. Longer than a round trip, short against
+/// the time in which a gang must be complete.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// A stop that was answered is sent again when the run is still listed after this time.
+const STOP_AGAIN: Duration = Duration::from_millis(1500);
+
+/// A worker that has not answered for this long may have lost its leases.
+const UNREACHED: Duration = Duration::from_millis(1500);
+
+/// Time after the last message of a worker that leaves until its runs count as gone.
+const LEAVING: Duration = Duration::from_millis(500);
+
+/// Time settings of an agent.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentLimits {
+    /// For how long the leases at the worker are extended at once.
+    pub hold: Duration,
+    /// Longest lease that a worker accepts.
+    pub longest: Duration,
+}
+
+/// A call to the worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentAction {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run, or keep it from starting.
+    Stop(TaskId, u32),
+}
+
+/// What a start came to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartAnswer {
+    /// The run is there.
+    Started,
+    /// The worker did nothing and will not start this run.
+    Refused(RefusalKind),
+    /// The lease of the order has passed; the worker did nothing.
+    Late,
+    /// The worker has seen a higher epoch; it did nothing.
+    Outdated,
+    /// No answer; the order may be carried out later.
+    Unanswered,
+}
+
+/// What a worker lists.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Boot that answered.
+    pub boot: u64,
+    /// The worker's clock in milliseconds.
+    pub clock_ms: u64,
+    /// Ends that are not acknowledged, with their numbers.
+    pub ended: Vec<(u64, RunEnd)>,
+    /// Runs.
+    pub running: Vec<RunReport>,
+}
+
+/// Parameters of the next call that extends the leases and lists the runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HoldCall {
+    /// Ends up to this number are durable.
+    pub acked: u64,
+    /// End of the leases on the worker's clock, if they may be extended.
+    pub deadline_ms: Option<u64>,
+    /// Epoch of the coordinator.
+    pub epoch: u64,
+    /// Names the call in [`AgentCore::take_listing`].
+    pub number: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    ms: f64,
+    received: Instant,
+}
+
+/// What is under way for one run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Attempt {
+    /// Listings of calls with a higher number settle the run, once a stop was answered.
+    fenced: Option<u64>,
+    retry: Option<Instant>,
+    starting: bool,
+    stopping: bool,
+    uncertain: bool,
+    verdict: Option<RefusalKind>,
+}
+
+type RunKey = (TaskId, u32);
+
+/// Sans-IO core of the agent of one worker: carries out the coordinator's orders, extends leases no
+/// longer than the coordinator allows, and reports what is certain.
+#[derive(Debug)]
+pub struct AgentCore {
+    attempts: BTreeMap<RunKey, Attempt>,
+    boot: u64,
+    /// Runs of an earlier boot may still be started here; nothing is reported until they are fenced.
+    cleaning: bool,
+    clock: Option<ClockReading>,
+    ended: BTreeMap<u64, RunEnd>,
+    epoch: u64,
+    furthest: Option<f64>,
+    granted: Option<(Instant, Duration)>,
+    holds: u64,
+    left: Option<Instant>,
+    limits: AgentLimits,
+    listed: bool,
+    name: String,
+    orders: Orders,
+    reached: Option<Instant>,
+    refused: BTreeMap<RunKey, RefusalKind>,
+    running: BTreeMap<RunKey, RunReport>,
+    since: Instant,
+    status: Option<WorkerStatus>,
+}
+
+impl AgentCore {
+    /// Returns the core of the agent on the VM `name`.
+    pub fn new(name: &str, limits: AgentLimits, now: Instant) -> Self {
+        Self {
+            attempts: BTreeMap::new(),
+            boot: 0,
+            cleaning: false,
+            clock: None,
+            ended: BTreeMap::new(),
+            epoch: 0,
+            furthest: None,
+            granted: None,
+            holds: 0,
+            left: None,
+            limits,
+            listed: false,
+            name: name.to_owned(),
+            orders: Orders::default(),
+            reached: None,
+            refused: BTreeMap::new(),
+            running: BTreeMap::new(),
+            since: now,
+            status: None,
+        }
+    }
+
+    /// Takes in what the worker says of itself; a report of an earlier boot is ignored.
+    pub fn announce(&mut self, now: Instant, status: &WorkerStatus) {
+        if status.boot < self.boot {
+            return;
+        }
+        self.admit_boot(now, status.boot);
+        let draining = self.status.as_ref().is_some_and(|known| known.draining);
+        self.status = Some(status.clone());
+        if let Some(known) = &mut self.status {
+            // A boot that drains never serves again; a late report must not undo that.
+            known.draining |= draining;
+        }
+    }
+
+    /// Takes in that the worker leaves for good.
+    pub fn leave(&mut self, now: Instant) {
+        self.left.get_or_insert(now);
+    }
+
+    /// Reports whether the worker is gone and its runs with it.
+    pub fn has_left(&self, now: Instant) -> bool {
+        self.left.is_some_and(|left| now >= left + LEAVING)
+    }
+
+    /// Takes in orders of the coordinator. `sent` is when the report was sent that they answer and
+    /// that extends the leases by `lease`.
+    pub fn take_orders(
+        &mut self,
+        epoch: u64,
+        orders: Orders,
+        sent: Option<Instant>,
+        lease: Duration,
+    ) -> bool {
+        if epoch < self.epoch {
+            return false;
+        }
+        self.epoch = epoch;
+        if let Some(sent) = sent
+            && !lease.is_zero()
+            && self.granted.is_none_or(|(at, length)| sent + lease > at + length)
+        {
+            self.granted = Some((sent, lease));
+        }
+        if self.status.as_ref().is_none_or(|status| status.id != orders.worker)
+            || orders.boot != self.boot
+        {
+            return true;
+        }
+        self.ended = self.ended.split_off(&(orders.ended_through + 1));
+        self.orders = orders;
+        let mentioned = self.mentioned();
+        self.refused.retain(|run, _| mentioned.contains(run));
+        true
+    }
+
+    /// Returns the highest epoch seen.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the calls to make now.
+    pub fn actions(&mut self, now: Instant) -> Vec<AgentAction> {
+        if !self.listed {
+            return Vec::new();
+        }
+        let mut actions = self.starts(now);
+        actions.extend(self.stops(now));
+        actions
+    }
+
+    /// Takes in the outcome of a start.
+    pub fn take_start(&mut self, now: Instant, task: &TaskId, run: u32, answer: StartAnswer) {
+        let key = (task.clone(), run);
+        let attempt = self.attempts.entry(key.clone()).or_default();
+        attempt.starting = false;
+        attempt.retry = Some(now + RETRY);
+        match answer {
+            StartAnswer::Started => {
+                self.attempts.remove(&key);
+                let report =
+                    RunReport { checkpoint: String::new(), percent: 0, run, task: task.clone() };
+                self.running.entry(key).or_insert(report);
+            }
+            StartAnswer::Refused(kind) => {
+                // An earlier call without an answer, or a run that has ended here, is settled by a
+                // stop and a listing before the refusal is reported.
+                if attempt.uncertain || kind == RefusalKind::Old {
+                    attempt.verdict = Some(kind);
+                    attempt.retry = None;
+                } else {
+                    self.attempts.remove(&key);
+                    self.refused.insert(key, kind);
+                }
+            }
+            StartAnswer::Late | StartAnswer::Outdated => {}
+            StartAnswer::Unanswered => attempt.uncertain = true,
+        }
+    }
+
+    /// Takes in the outcome of a stop.
+    pub fn take_stop(&mut self, now: Instant, task: &TaskId, run: u32, answered: bool) {
+        let holds = self.holds;
+        let Some(attempt) = self.attempts.get_mut(&(task.clone(), run)) else { return };
+        attempt.stopping = false;
+        attempt.retry = Some(now + if answered { STOP_AGAIN } else { RETRY });
+        if answered {
+            attempt.fenced = Some(holds);
+        }
+    }
+
+    /// Returns the parameters of the next call that extends the leases.
+    pub fn next_hold(&mut self, now: Instant) -> HoldCall {
+        self.holds += 1;
+        HoldCall {
+            acked: if self.orders.boot == self.boot { self.orders.ended_through } else { 0 },
+            deadline_ms: self.deadline(now),
+            epoch: self.epoch,
+            number: self.holds,
+        }
+    }
+
+    /// Returns the end of the leases on the worker's clock; `None` when nothing may be extended.
+    pub fn deadline(&mut self, now: Instant) -> Option<u64> {
+        let (sent, lease) = self.granted?;
+        let clock = self.clock?;
+        let limit = earliest(clock, sent) + lease.as_secs_f64() * 1000.0;
+        let here = earliest(clock, now);
+        let deadline = limit.min(here + self.limits.hold.as_secs_f64() * 1000.0).floor();
+        if deadline <= here {
+            return None;
+        }
+        self.furthest = Some(self.furthest.map_or(deadline, |furthest| furthest.max(deadline)));
+        // Positive and far below 2^53.
+        Some(deadline as u64)
+    }
+
+    /// Takes in what the worker lists, in answer to the call `number`.
+    pub fn take_listing(&mut self, now: Instant, number: u64, listing: &Listing) {
+        if listing.boot < self.boot {
+            return;
+        }
+        self.admit_boot(now, listing.boot);
+        self.reached = Some(now);
+        self.listed = true;
+        self.clock = Some(ClockReading { ms: listing.clock_ms as f64, received: now });
+        self.running =
+            listing.running.iter().map(|run| ((run.task.clone(), run.run), run.clone())).collect();
+        let acked = if self.orders.boot == self.boot { self.orders.ended_through } else { 0 };
+        self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
+        self.settle(number);
+        if self.cleaning && self.attempts.is_empty() && self.running.is_empty() {
+            self.cleaning = false;
+        }
+    }
+
+    /// Reports whether ends wait to be acknowledged, so that a further listing would bring them again.
+    pub fn has_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    /// Reports whether a stop waits for a listing.
+    pub fn is_settling(&self) -> bool {
+        self.attempts.values().any(|attempt| attempt.fenced.is_some())
+    }
+
+    /// Returns the report for the coordinator.
+    pub fn report(&self, now: Instant) -> WorkerReport {
+        let open = self.listed && !self.cleaning;
+        WorkerReport {
+            agent: self.name.clone(),
+            ended: self.ended.values().cloned().collect(),
+            ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
+            lapsed: self.is_lapsed(now),
+            listed: open,
+            refused: self
+                .refused
+                .iter()
+                .map(|((task, run), kind)| RunRefusal {
+                    kind: *kind,
+                    run: *run,
+                    task: task.clone(),
+                })
+                .collect(),
+            running: self.running.values().cloned().collect(),
+            worker: if open { self.status.clone() } else { None },
+        }
+    }
+
+    /// Returns the worker's status, also while it is not reported.
+    pub fn status(&self) -> Option<&WorkerStatus> {
+        self.status.as_ref()
+    }
+
+    /// Reports whether all leases at a worker that cannot be reached have certainly lapsed.
+    fn is_lapsed(&self, now: Instant) -> bool {
+        let last = self.reached.unwrap_or(self.since);
+        if now.saturating_duration_since(last) < UNREACHED {
+            return false;
+        }
+        match (self.furthest, self.clock) {
+            (Some(furthest), Some(clock)) => earliest(clock, now) > furthest,
+            _ => now > self.since + self.limits.longest.mul_f64(1.0 + DRIFT),
+        }
+    }
+
+    fn admit_boot(&mut self, now: Instant, boot: u64) {
+        if boot <= self.boot {
+            return;
+        }
+        if self.boot != 0 {
+            self.cleaning = true;
+            self.attempts.retain(|_, attempt| attempt.uncertain || attempt.starting);
+            for attempt in self.attempts.values_mut() {
+                *attempt =
+                    Attempt { uncertain: true, starting: attempt.starting, ..Attempt::default() };
+            }
+        }
+        self.boot = boot;
+        self.clock = None;
+        self.ended.clear();
+        self.furthest = None;
+        self.left = None;
+        self.listed = false;
+        self.orders = Orders::default();
+        self.reached = None;
+        self.refused.clear();
+        self.running.clear();
+        self.since = now;
+        self.status = None;
+    }
+
+    fn mentioned(&self) -> BTreeSet<RunKey> {
+        let start = self.orders.start.iter().map(|order| (order.task.clone(), order.run));
+        start
+            .chain(self.orders.keep.iter().cloned())
+            .chain(self.orders.stop.iter().cloned())
+            .collect()
+    }
+
+    fn has_ended(&self, key: &RunKey) -> bool {
+        self.ended.values().any(|end| end.task == key.0 && end.run == key.1)
+    }
+
+    fn starts(&mut self, now: Instant) -> Vec<AgentAction> {
+        if self.cleaning {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        for order in self.orders.start.clone() {
+            let key = (order.task.clone(), order.run);
+            if self.running.contains_key(&key)
+                || self.refused.contains_key(&key)
+                || self.has_ended(&key)
+            {
+                continue;
+            }
+            let attempt = self.attempts.entry(key).or_default();
+            let early = attempt.retry.is_some_and(|retry| now < retry);
+            if attempt.starting || attempt.verdict.is_some() || early {
+                continue;
+            }
+            attempt.starting = true;
+            actions.push(AgentAction::Start(order));
+        }
+        actions
+    }
+
+    fn stops(&mut self, now: Instant) -> Vec<AgentAction> {
+        let mentioned = self.mentioned();
+        let known = self.cleaning || !self.orders.worker.is_empty();
+        let strays = self
+            .running
+            .keys()
+            .chain(self.attempts.keys())
+            .filter(|run| known && !mentioned.contains(*run));
+        let refused = self.attempts.iter().filter(|(_, attempt)| attempt.verdict.is_some());
+        let runs: BTreeSet<RunKey> = strays
+            .chain(self.orders.stop.iter())
+            .chain(refused.map(|(run, _)| run))
+            .cloned()
+            .collect();
+        let mut actions = Vec::new();
+        for run in runs {
+            if self.refused.contains_key(&run) || self.has_ended(&run) {
+                continue;
+            }
+            let attempt = self.attempts.entry(run.clone()).or_default();
+            let early = attempt.retry.is_some_and(|retry| now < retry);
+            if attempt.stopping || (early && (attempt.fenced.is_some() || attempt.uncertain)) {
+                continue;
+            }
+            attempt.stopping = true;
+            actions.push(AgentAction::Stop(run.0, run.1));
+        }
+        actions
+    }
+
+    /// Settles the runs whose stop was answered before the call `number` was made.
+    fn settle(&mut self, number: u64) {
+        let mentioned = self.mentioned();
+        let settled: Vec<(RunKey, Attempt)> = self
+            .attempts
+            .iter()
+            .filter(|(run, attempt)| {
+                attempt.fenced.is_some_and(|fenced| fenced < number)
+                    && !attempt.starting
+                    && !self.running.contains_key(*run)
+            })
+            .map(|(run, attempt)| (run.clone(), *attempt))
+            .collect();
+        for (run, attempt) in settled {
+            self.attempts.remove(&run);
+            if !self.has_ended(&run) && mentioned.contains(&run) {
+                self.refused.insert(run, attempt.verdict.unwrap_or(RefusalKind::Fenced));
+            }
+        }
+    }
+}
+
+/// Returns the lowest value that the worker's clock can have shown at `at`.
+fn earliest(clock: ClockReading, at: Instant) -> f64 {
+    let after = at.saturating_duration_since(clock.received).as_secs_f64() * 1000.0;
+    let before = clock.received.saturating_duration_since(at).as_secs_f64() * 1000.0;
+    clock.ms + after * (1.0 - DRIFT) - before * (1.0 + DRIFT)
+}
--- /dev/null
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -0,0 +1,386 @@
+mod commits;
+mod entry;
+mod planning;
+mod reports;
+mod units;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::{
+    EndKind, Fleet, Job, JobState, JobTables, Orders, ProgressRow, RowsError, StartOrder, TaskId,
+    TaskKey,
+};
+use entry::{JobEntry, Placement};
+
+/// The time of an event on both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// Monotonic time.
+    pub at: Instant,
+    /// Time of day, milliseconds since 1970; only for times that callers name.
+    pub wall_ms: u64,
+}
+
+/// Limits of the coordinator, from the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time after the last report of a silent worker when its leases have lapsed, drift included.
+    pub lapse: Duration,
+    /// Open jobs of one pool above which new ones are refused.
+    pub open_jobs: usize,
+    /// Time within which a guaranteed job must start.
+    pub reclaim: Duration,
+    /// Time that an ended job is remembered.
+    pub retention: Duration,
+    /// Further wait after a takeover: the predecessor may renew leases that long.
+    pub takeover: Duration,
+}
+
+/// Answer to a submission.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Submission {
+    /// The job is in force once [`Coordinator::is_durable`] holds for this version.
+    Accepted {
+        /// Version of the job that must be durable.
+        version: u64,
+        /// Whether the id was known before.
+        repeated: bool,
+    },
+    /// The job was not accepted and never runs.
+    Refused {
+        /// What binds.
+        reason: String,
+        /// When room is expected.
+        retry: Duration,
+    },
+}
+
+/// What callers may see of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct View {
+    /// Durable state.
+    pub state: JobState,
+}
+
+/// State of all jobs and workers of a deployment, and the decisions on them.
+#[derive(Debug)]
+pub struct Coordinator {
+    changed: BTreeSet<String>,
+    decisions: Vec<Decision>,
+    fleet: Fleet,
+    in_flight: Option<Vec<commits::Written>>,
+    jobs: BTreeMap<String, JobEntry>,
+    limits: Limits,
+    plan_due: bool,
+    started: Instant,
+    tables: JobTables,
+    touched: BTreeSet<String>,
+    waiting: BTreeSet<String>,
+}
+
+/// A decision for the log: what was decided about which job or worker, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Inputs and outcome.
+    pub detail: String,
+    /// Job or worker.
+    pub id: String,
+    /// What happened.
+    pub kind: DecisionKind,
+}
+
+/// Kinds of decisions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DecisionKind {
+    /// A job was accepted.
+    Accepted,
+    /// A job was refused.
+    Refused,
+    /// Tasks were placed.
+    Placed,
+    /// A run ended.
+    RunEnded,
+    /// A run was stopped.
+    Stopped,
+    /// A job ended.
+    Ended,
+    /// A worker is in quarantine.
+    Quarantined,
+    /// The runs of a worker are lost.
+    Lost,
+}
+
+impl Coordinator {
+    /// Returns a coordinator without jobs.
+    pub fn new(limits: Limits, tables: JobTables, now: Moment) -> Self {
+        Self {
+            changed: BTreeSet::new(),
+            decisions: Vec::new(),
+            fleet: Fleet::new(),
+            in_flight: None,
+            jobs: BTreeMap::new(),
+            limits,
+            plan_due: true,
+            started: now.at,
+            tables,
+            touched: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    /// Restores one job from its rows after a takeover.
+    ///
+    /// # Errors
+    /// [`RowsError`] when a row cannot be read; the job is then left out.
+    pub fn restore(
+        &mut self,
+        key: &str,
+        job: &[u8],
+        progress: Option<&[u8]>,
+        now: Moment,
+    ) -> Result<(), RowsError> {
+        let error =
+            |error: serde_json::Error| RowsError { key: key.to_owned(), detail: error.to_string() };
+        let job: Job = serde_json::from_slice(job).map_err(error)?;
+        let progress: ProgressRow = match progress {
+            Some(bytes) => serde_json::from_slice(bytes).map_err(error)?,
+            None => ProgressRow::default(),
+        };
+        let entry = JobEntry::restore(job, &progress, now.at);
+        for (task, placement) in entry.placements() {
+            let known = self.fleet.workers.entry(placement.worker.clone());
+            // Several boots of one id cannot all be tracked; the highest one is alive if any is.
+            let worker = known.or_insert_with(|| {
+                crate::FleetWorker::new(&placement.worker, placement.boot, now.at)
+            });
+            worker.status.boot = worker.status.boot.max(placement.boot);
+            let room = entry.room(task.key.step);
+            let (id, run) = (placement.worker.clone(), placement.run);
+            self.fleet.occupy(&id, &task, run, &room);
+        }
+        if !entry.is_ended() {
+            self.waiting.insert(key.to_owned());
+        }
+        self.jobs.insert(key.to_owned(), entry);
+        Ok(())
+    }
+
+    /// Puts a version of the tables in force; a lower one is ignored.
+    pub fn set_tables(&mut self, tables: &JobTables) {
+        if tables.version > self.tables.version {
+            self.tables = tables.clone();
+            self.plan_due = true;
+        }
+    }
+
+    /// Takes in a submission.
+    pub fn submit(&mut self, now: Moment, job: Job) -> Submission {
+        if let Some(entry) = self.jobs.get(&job.id) {
+            return Submission::Accepted { version: entry.accepted_version(), repeated: true };
+        }
+        let open = self
+            .jobs
+            .values()
+            .filter(|entry| entry.job.pool == job.pool && !entry.is_ended() && entry.job.class > 0);
+        if job.class > 0 && open.count() >= self.limits.open_jobs {
+            let retry = self.limits.reclaim;
+            let reason = format!("{} open jobs", self.limits.open_jobs);
+            self.decide(&job.id, DecisionKind::Refused, reason.clone());
+            return Submission::Refused { reason, retry };
+        }
+        let id = job.id.clone();
+        let detail = format!(
+            "route {}, team {}, class {}, {} steps, {} accelerators at once",
+            job.route,
+            job.team,
+            job.class,
+            job.steps.len(),
+            job.accelerators()
+        );
+        self.decide(&id, DecisionKind::Accepted, detail);
+        self.jobs.insert(id.clone(), JobEntry::new(job, now.at));
+        self.waiting.insert(id.clone());
+        let version = self.touch(&id);
+        self.plan_due = true;
+        Submission::Accepted { version, repeated: false }
+    }
+
+    /// Takes back a submission that was never part of a write; `false` when it was.
+    pub fn withdraw(&mut self, id: &str) -> bool {
+        if self.jobs.get(id).is_none_or(|entry| entry.kept) {
+            return false;
+        }
+        let Some(entry) = self.jobs.remove(id) else { return false };
+        for (task, placement) in entry.placements() {
+            let room = entry.room(task.key.step);
+            self.fleet.release(&placement.worker, placement.boot, &task, &room);
+            self.touched.insert(placement.worker.clone());
+        }
+        self.changed.remove(id);
+        self.waiting.remove(id);
+        self.plan_due = true;
+        self.decide(id, DecisionKind::Refused, "withdrawn before it was stored".to_owned());
+        true
+    }
+
+    /// Cancels a job; returns the version that must be durable before the caller is told, or `None`
+    /// when there is no such job.
+    pub fn cancel(&mut self, now: Moment, id: &str) -> Option<u64> {
+        let entry = self.jobs.get_mut(id)?;
+        if entry.is_final() {
+            return Some(entry.version);
+        }
+        entry.cancelled = true;
+        self.stop_all(id, "cancelled by its caller");
+        self.settle(now, id);
+        Some(self.touch(id))
+    }
+
+    /// Returns what callers may see of a job, `None` when there is no such job.
+    pub fn view(&self, id: &str) -> Option<View> {
+        self.jobs.get(id).map(|entry| View { state: entry.visible_state() })
+    }
+
+    /// Returns the number of accepted jobs of `route` for which no task has started.
+    pub fn pending(&self, route: &str) -> usize {
+        self.jobs
+            .values()
+            .filter(|entry| entry.job.route == route && !entry.started && !entry.is_final())
+            .count()
+    }
+
+    /// Reports whether `version` of the job `id` is stored.
+    pub fn is_durable(&self, id: &str, version: u64) -> bool {
+        self.jobs.get(id).is_none_or(|entry| entry.durable >= version)
+    }
+
+    /// Returns the decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Returns the workers whose orders have changed since the last call.
+    pub fn take_touched(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.touched)
+    }
+
+    /// Returns the orders for a worker. A start appears only once its row is durable.
+    pub fn orders(&self, worker: &str) -> Orders {
+        let Some(known) = self.fleet.workers.get(worker) else { return Orders::default() };
+        let mut orders = Orders {
+            boot: known.status.boot,
+            ended_through: known.acked,
+            worker: worker.to_owned(),
+            ..Orders::default()
+        };
+        for (task, run) in &known.runs {
+            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let Some(placement) = entry.placement(&task.key) else { continue };
+            if placement.stop {
+                orders.stop.push((task.clone(), *run));
+                continue;
+            }
+            if placement.seen || entry.durable < placement.version {
+                orders.keep.push((task.clone(), *run));
+                continue;
+            }
+            orders.start.push(StartOrder {
+                checkpoint: placement.checkpoint.clone(),
+                payload: entry.job.payload.clone(),
+                run: *run,
+                task: task.clone(),
+            });
+        }
+        orders
+    }
+
+    /// Returns the ids of all workers.
+    pub fn worker_ids(&self) -> Vec<String> {
+        self.fleet.workers.keys().cloned().collect()
+    }
+
+    /// Marks the end of a worker's session: it gets no new work until it reports again.
+    pub fn end_session(&mut self, worker: &str) {
+        if let Some(known) = self.fleet.workers.get_mut(worker) {
+            known.session = false;
+        }
+    }
+
+    fn decide(&mut self, id: &str, kind: DecisionKind, detail: String) {
+        self.decisions.push(Decision { detail, id: id.to_owned(), kind });
+    }
+
+    /// Marks the durable part of a job as changed and returns its new version.
+    fn touch(&mut self, id: &str) -> u64 {
+        let Some(entry) = self.jobs.get_mut(id) else { return 0 };
+        entry.version += 1;
+        let version = entry.version;
+        self.changed.insert(id.to_owned());
+        version
+    }
+
+    /// Orders all runs of a job to stop.
+    fn stop_all(&mut self, id: &str, reason: &str) {
+        let Some(entry) = self.jobs.get(id) else { return };
+        let keys: Vec<TaskKey> = entry.placements().map(|(task, _)| task.key).collect();
+        for key in keys {
+            self.stop_run(&TaskId::new(id, key), reason);
+        }
+    }
+
+    /// Orders one run to stop, and with it the other members of its gang.
+    fn stop_run(&mut self, task: &TaskId, reason: &str) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let mut workers = Vec::new();
+        for key in entry.members(&task.key) {
+            let Some(placement) = entry.placement_mut(&key) else { continue };
+            if !placement.stop {
+                placement.stop = true;
+                workers.push(placement.worker.clone());
+            }
+        }
+        if workers.is_empty() {
+            return;
+        }
+        self.touched.extend(workers.iter().cloned());
+        self.decide(&task.to_string(), DecisionKind::Stopped, reason.to_owned());
+    }
+
+    /// Releases a run whose end is certain, and takes in how it ended.
+    fn end_run(&mut self, now: Moment, task: &TaskId, kind: Option<EndKind>, checkpoint: &str) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = entry.take_placement(&task.key) else { return };
+        let Placement { worker, boot, run, .. } = placement;
+        let room = entry.room(task.key.step);
+        entry.apply_end(&task.key, run, kind, checkpoint, &worker);
+        let failed = entry.failed;
+        self.fleet.release(&worker, boot, task, &room);
+        self.touched.insert(worker.clone());
+        self.plan_due = true;
+        let detail = format!("run {run} on {worker}: {kind:?}");
+        self.decide(&task.to_string(), DecisionKind::RunEnded, detail);
+        if kind != Some(EndKind::Done) {
+            self.stop_run(task, "another member of its gang ended");
+        }
+        if failed {
+            self.stop_all(&task.job, "a task failed as often as its route allows");
+        }
+        self.waiting.insert(task.job.clone());
+        self.settle(now, &task.job);
+        self.touch(&task.job);
+    }
+
+    /// Ends a job whose last run is over.
+    fn settle(&mut self, now: Moment, id: &str) {
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        if entry.ended_ms.is_some() || !entry.is_final() || entry.placements().next().is_some() {
+            return;
+        }
+        entry.ended_ms = Some(now.wall_ms);
+        entry.ended_at = now.at;
+        let state = entry.state();
+        self.waiting.remove(id);
+        self.decide(id, DecisionKind::Ended, format!("{state:?}"));
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -0,0 +1,500 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::entry::Placement;
+use super::units::Unit;
+use super::{Coordinator, DecisionKind, Moment};
+use crate::reclaim::{Holder, choose_victims};
+use crate::{Candidate, Demand, Room, Suspicion, TaskId, TaskKey, choose_workers};
+
+/// A run whose progress stands still for this long, and a tenth of its estimate more, is moved. A
+/// healthy task of 11 s gains a percent every 110 ms.
+const STALL: Duration = Duration::from_secs(3);
+
+/// Longest wait for a place near the data or on one rack, where the alternative is several times
+/// slower.
+const NEAR_WAIT: Duration = Duration::from_secs(6);
+
+/// Blocked units for which room is kept free; more would leave too much of the pool idle.
+const SHADOWS: usize = 2;
+
+/// Core-seconds that a claim outside its guarantee may cost others. About a tenth of the work of a
+/// typical gang.
+const BORROWED_WASTE: f64 = 100.0;
+
+/// Wait of a job of class 0 outside its guarantee before it may stop other work.
+const BORROWED_WAIT: Duration = Duration::from_millis(1000);
+
+/// Wait of a guaranteed job for work that ends by itself before it stops other work that would be
+/// lost, as a share of the time to reclaim.
+const NATURAL_SHARE: f64 = 0.25;
+
+/// Workers of one pool during one round of planning.
+struct PoolView {
+    candidates: Vec<Candidate>,
+    /// Room that will be free once runs that are ordered to stop have ended.
+    soon: Vec<Room>,
+    shadows: usize,
+}
+
+impl Coordinator {
+    /// Does what is due with time: lapsed workers, runs that stand still, ended jobs, placement.
+    pub fn tick(&mut self, now: Moment) {
+        self.expire_workers(now);
+        self.stop_stalled(now);
+        self.forget_ended(now);
+        self.place(now);
+    }
+
+    /// Places waiting work.
+    pub fn place(&mut self, now: Moment) {
+        self.plan_due = false;
+        let guaranteed = self.guaranteed();
+        let units = self.waiting_units(now, &guaranteed);
+        let mut views: BTreeMap<String, PoolView> = BTreeMap::new();
+        for unit in &units {
+            let Some(entry) = self.jobs.get(&unit.job) else { continue };
+            let pool = entry.job.pool.clone();
+            if !views.contains_key(&pool) {
+                let view = self.pool_view(&pool, now);
+                views.insert(pool.clone(), view);
+            }
+            let Some(view) = views.get_mut(&pool) else { continue };
+            self.place_unit(now, unit, view, &guaranteed);
+        }
+    }
+
+    /// Reports whether something has changed since the last round of planning.
+    pub fn is_plan_due(&self) -> bool {
+        self.plan_due
+    }
+
+    fn pool_view(&self, pool: &str, now: Moment) -> PoolView {
+        let mut view = PoolView { candidates: Vec::new(), soon: Vec::new(), shadows: 0 };
+        for (id, worker) in &self.fleet.workers {
+            if worker.status.pool != pool || !worker.is_open(now.at) {
+                continue;
+            }
+            let mut soon = worker.free();
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                if entry.placement(&task.key).is_some_and(|placement| placement.stop) {
+                    soon.add(&entry.room(task.key.step));
+                }
+            }
+            view.candidates.push(Candidate {
+                free: worker.free(),
+                id: id.clone(),
+                penalty: worker.health.penalty(),
+                rack: worker.status.rack.clone(),
+                same: 0,
+            });
+            view.soon.push(soon);
+        }
+        view
+    }
+
+    fn place_unit(
+        &mut self,
+        now: Moment,
+        unit: &Unit,
+        view: &mut PoolView,
+        guaranteed: &BTreeSet<String>,
+    ) {
+        let Some(first) = unit.keys.first() else { return };
+        let gang = self.jobs.get(&unit.job).is_some_and(|entry| entry.is_gang(first.step));
+        if gang {
+            self.place_group(now, unit, &unit.keys, view, guaranteed);
+            return;
+        }
+        for key in &unit.keys {
+            if !self.place_group(now, unit, std::slice::from_ref(key), view, guaranteed) {
+                return;
+            }
+        }
+    }
+
+    /// Places tasks that start together; `false` when they have to wait.
+    fn place_group(
+        &mut self,
+        now: Moment,
+        unit: &Unit,
+        keys: &[TaskKey],
+        view: &mut PoolView,
+        guaranteed: &BTreeSet<String>,
+    ) -> bool {
+        let Some((demand, allowed)) = self.demand(unit, keys, view) else { return false };
+        if let Some(chosen) = self.find_place(unit, &demand, view, &allowed) {
+            self.assign(now, unit, keys, &demand, view, &chosen);
+            return true;
+        }
+        let soon = with_room(view, &allowed, true);
+        if let Some(chosen) = choose_workers(&demand, &soon) {
+            keep_free(view, &demand, &map_back(&allowed, &chosen));
+            return false;
+        }
+        if self.reclaim(now, unit, &demand, view, &allowed, guaranteed) {
+            return false;
+        }
+        if view.shadows < SHADOWS {
+            view.shadows += 1;
+            self.keep_shadow(now, &demand, view, &allowed);
+        }
+        false
+    }
+
+    /// Returns what the tasks need and the candidates that may run them.
+    fn demand(
+        &self,
+        unit: &Unit,
+        keys: &[TaskKey],
+        view: &PoolView,
+    ) -> Option<(Demand, Vec<usize>)> {
+        let entry = self.jobs.get(&unit.job)?;
+        let key = keys.first()?;
+        let step = entry.job.steps.get(key.step as usize)?;
+        let avoid = entry.tasks.get(key).map(|task| task.avoid.clone()).unwrap_or_default();
+        let labelled = |id: &str| {
+            let Some(label) = &step.label else { return true };
+            self.fleet.workers.get(id).is_some_and(|worker| worker.status.labels.contains(label))
+        };
+        let mut allowed: Vec<usize> = (0..view.candidates.len())
+            .filter(|index| labelled(&view.candidates[*index].id))
+            .collect();
+        let others: Vec<usize> =
+            allowed.iter().copied().filter(|index| view.candidates[*index].id != avoid).collect();
+        if !others.is_empty() {
+            allowed = others;
+        }
+        let mut demand = Demand {
+            count: u32::try_from(keys.len()).ok()?,
+            data_rack: step.data_rack.clone(),
+            room: entry.room(key.step),
+            same_rack: step.same_rack && keys.len() > 1,
+            spread: step.spread,
+        };
+        if demand.same_rack && !self.rack_can_hold(&entry.job.pool, &demand, step.label.as_deref())
+        {
+            demand.same_rack = false;
+        }
+        if step.same_rack && keys.len() == 1 {
+            demand.data_rack = self.sibling_rack(&unit.job, key).or(demand.data_rack);
+        }
+        Some((demand, allowed))
+    }
+
+    /// Reports whether a rack of the pool could hold the whole demand if it were empty.
+    fn rack_can_hold(&self, pool: &str, demand: &Demand, label: Option<&str>) -> bool {
+        self.fleet.racks(pool).values().any(|members| {
+            let slots = members.iter().filter_map(|id| self.fleet.workers.get(*id)).map(|worker| {
+                let labels = &worker.status.labels;
+                if worker.status.draining
+                    || label.is_some_and(|label| !labels.iter().any(|has| has == label))
+                {
+                    return 0;
+                }
+                demand.slots(&worker.status.room, 0)
+            });
+            slots.sum::<u32>() >= demand.count
+        })
+    }
+
+    fn sibling_rack(&self, job: &str, key: &TaskKey) -> Option<String> {
+        let entry = self.jobs.get(job)?;
+        let (_, placement) = entry
+            .placements()
+            .find(|(task, _)| task.key.step == key.step && task.key.occurrence == key.occurrence)?;
+        Some(self.fleet.workers.get(&placement.worker)?.status.rack.clone())
+    }
+
+    /// Chooses workers now; waits for a place near the data while that is the better choice.
+    fn find_place(
+        &self,
+        unit: &Unit,
+        demand: &Demand,
+        view: &PoolView,
+        allowed: &[usize],
+    ) -> Option<Vec<usize>> {
+        let candidates = self.with_same(unit, with_room(view, allowed, false));
+        let chosen = choose_workers(demand, &candidates)?;
+        let near = demand.data_rack.as_deref();
+        let far =
+            near.is_some_and(|near| chosen.iter().any(|index| candidates[*index].rack != near));
+        let possible = near.is_some_and(|near| {
+            self.fleet.workers.values().any(|worker| {
+                worker.known && worker.status.rack == near && worker.status.room.fits(&demand.room)
+            })
+        });
+        if far && possible && unit.waited < NEAR_WAIT {
+            return None;
+        }
+        Some(map_back(allowed, &chosen))
+    }
+
+    /// Counts the tasks of the same step and occurrence on each candidate.
+    fn with_same(&self, unit: &Unit, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+        let (Some(entry), Some(first)) = (self.jobs.get(&unit.job), unit.keys.first()) else {
+            return candidates;
+        };
+        for (task, placement) in entry.placements() {
+            if task.key.step != first.step || task.key.occurrence != first.occurrence {
+                continue;
+            }
+            let found = candidates.iter_mut().find(|candidate| candidate.id == placement.worker);
+            if let Some(candidate) = found {
+                candidate.same += 1;
+            }
+        }
+        candidates
+    }
+
+    fn assign(
+        &mut self,
+        now: Moment,
+        unit: &Unit,
+        keys: &[TaskKey],
+        demand: &Demand,
+        view: &mut PoolView,
+        chosen: &[usize],
+    ) {
+        let version = self.touch(&unit.job);
+        let Some(entry) = self.jobs.get_mut(&unit.job) else { return };
+        let run = keys
+            .iter()
+            .filter_map(|key| entry.tasks.get(key).map(|task| task.run))
+            .max()
+            .unwrap_or(0)
+            + 1;
+        let mut places = Vec::new();
+        for (key, index) in keys.iter().zip(chosen) {
+            let candidate = &mut view.candidates[*index];
+            candidate.free.subtract(&demand.room);
+            view.soon[*index].subtract(&demand.room);
+            let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
+            let Some(task) = entry.tasks.get_mut(key) else { continue };
+            task.run = run;
+            task.placement = Some(Placement {
+                boot: worker.status.boot,
+                checkpoint: task.checkpoint.clone(),
+                percent: 0,
+                progressed: now.at,
+                run,
+                seen: false,
+                since: now.at,
+                stop: false,
+                version,
+                worker: candidate.id.clone(),
+            });
+            places.push((TaskId::new(&unit.job, *key), candidate.id.clone()));
+        }
+        for (task, worker) in &places {
+            self.fleet.occupy(worker, task, run, &demand.room);
+            self.touched.insert(worker.clone());
+        }
+        let workers: Vec<&str> = places.iter().map(|(_, worker)| worker.as_str()).collect();
+        let detail = format!(
+            "step {}, run {run}, rank {}/{}, waited {} ms, on {}",
+            keys.first().map_or(0, |key| key.step),
+            unit.rank.tier,
+            unit.rank.class,
+            unit.waited.as_millis(),
+            workers.join(" ")
+        );
+        self.decide(&unit.job, DecisionKind::Placed, detail);
+    }
+
+    /// Stops other work for `unit` when its rank allows that; `true` when room will be free.
+    fn reclaim(
+        &mut self,
+        now: Moment,
+        unit: &Unit,
+        demand: &Demand,
+        view: &mut PoolView,
+        allowed: &[usize],
+        guaranteed: &BTreeSet<String>,
+    ) -> bool {
+        let protected = unit.rank.tier == 0;
+        if !protected && (unit.rank.class > 0 || unit.waited < BORROWED_WAIT) {
+            return false;
+        }
+        let candidates = self.with_same(unit, with_room(view, allowed, true));
+        let (holders, groups) = self.holders(now, unit, &candidates, guaranteed);
+        let Some(plan) = choose_victims(demand, &candidates, &holders) else { return false };
+        if protected && plan.waste > BORROWED_WASTE {
+            let natural = self.limits.reclaim.mul_f64(NATURAL_SHARE);
+            if unit.waited < natural {
+                keep_free(view, demand, &map_back(allowed, &plan.chosen));
+                return true;
+            }
+        }
+        if !protected && plan.waste > BORROWED_WASTE {
+            return false;
+        }
+        for group in &plan.groups {
+            let reason = format!("room for {} of rank {}", unit.job, unit.rank.tier);
+            self.stop_run(&groups[*group], &reason);
+        }
+        for holder in holders.iter().filter(|holder| plan.groups.contains(&holder.group)) {
+            view.soon[allowed[holder.candidate]].add(&holder.room);
+        }
+        keep_free(view, demand, &map_back(allowed, &plan.chosen));
+        true
+    }
+
+    /// Returns the runs that `unit` may stop, and a task of each group.
+    fn holders(
+        &self,
+        now: Moment,
+        unit: &Unit,
+        candidates: &[Candidate],
+        guaranteed: &BTreeSet<String>,
+    ) -> (Vec<Holder>, Vec<TaskId>) {
+        let mut holders = Vec::new();
+        let mut groups: Vec<TaskId> = Vec::new();
+        let mut numbers: BTreeMap<(String, u32, u32, u32), usize> = BTreeMap::new();
+        for (index, candidate) in candidates.iter().enumerate() {
+            let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let lower = entry.job.class > unit.rank.class || unit.rank.tier == 0;
+                if placement.stop || !lower || guaranteed.contains(&task.job) {
+                    continue;
+                }
+                let gang = entry.is_gang(task.key.step);
+                let single = if gang { u32::MAX } else { task.key.index };
+                let name = (task.job.clone(), task.key.occurrence, task.key.step, single);
+                let group = *numbers.entry(name).or_insert_with(|| {
+                    groups.push(task.clone());
+                    groups.len() - 1
+                });
+                let waste = self.waste(now, task, placement);
+                let members = if gang { entry.members(&task.key).len() } else { 1 };
+                holders.push(Holder {
+                    candidate: index,
+                    group,
+                    room: entry.room(task.key.step),
+                    waste: waste * members as f64,
+                });
+            }
+        }
+        (holders, groups)
+    }
+
+    /// Returns the core-seconds that are lost when a run stops now.
+    fn waste(&self, now: Moment, task: &TaskId, placement: &Placement) -> f64 {
+        let Some(entry) = self.jobs.get(&task.job) else { return 0.0 };
+        let step = entry.job.steps.get(task.key.step as usize);
+        let mut lost = now.at.saturating_duration_since(placement.since).as_secs_f64();
+        if step.is_some_and(|step| step.checkpoints || step.lasting) {
+            lost = lost.min(1.0);
+        }
+        lost * entry.room(task.key.step).weight()
+    }
+
+    /// Keeps room free for a blocked unit on the workers where it will fit first, so that smaller
+    /// work of lower rank does not pass it over for ever.
+    fn keep_shadow(&self, now: Moment, demand: &Demand, view: &mut PoolView, allowed: &[usize]) {
+        let mut ends: Vec<(Duration, usize, Room)> = Vec::new();
+        for (position, index) in allowed.iter().enumerate() {
+            let Some(worker) = self.fleet.workers.get(&view.candidates[*index].id) else {
+                continue;
+            };
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                if !placement.stop {
+                    let left = self.time_left(now, task, placement);
+                    ends.push((left, position, entry.room(task.key.step)));
+                }
+            }
+        }
+        ends.sort_by_key(|(left, position, _)| (*left, *position));
+        let mut candidates = with_room(view, allowed, true);
+        for (_, position, room) in ends {
+            candidates[position].free.add(&room);
+            if let Some(chosen) = choose_workers(demand, &candidates) {
+                keep_free(view, demand, &map_back(allowed, &chosen));
+                return;
+            }
+        }
+    }
+
+    /// Estimates how long a run still takes, from its progress where there is some.
+    fn time_left(&self, now: Moment, task: &TaskId, placement: &Placement) -> Duration {
+        let elapsed = now.at.saturating_duration_since(placement.since);
+        if placement.percent >= 5 {
+            let percent = f64::from(placement.percent.min(100));
+            return elapsed.mul_f64((100.0 - percent) / percent);
+        }
+        let step =
+            self.jobs.get(&task.job).and_then(|entry| entry.job.steps.get(task.key.step as usize));
+        let estimate = step.map_or(0, |step| step.estimate_ms);
+        Duration::from_millis(estimate).saturating_sub(elapsed).max(Duration::from_millis(500))
+    }
+
+    fn stop_stalled(&mut self, now: Moment) {
+        let mut stalled = Vec::new();
+        for (id, worker) in &self.fleet.workers {
+            if !worker.session || now.at.saturating_duration_since(worker.seen) > STALL {
+                continue;
+            }
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
+                let limit = STALL + Duration::from_millis(step.estimate_ms / 10);
+                let idle = now.at.saturating_duration_since(placement.progressed);
+                if placement.seen && !placement.stop && !step.lasting && idle > limit {
+                    stalled.push((id.clone(), task.clone(), idle));
+                }
+            }
+        }
+        for (id, task, idle) in stalled {
+            self.stop_run(&task, &format!("no progress for {} ms on {id}", idle.as_millis()));
+            if let Some(worker) = self.fleet.workers.get_mut(&id) {
+                worker.health.suspect(now.at, &task.job, Suspicion::Stalled);
+                self.decide(&id, DecisionKind::Quarantined, format!("{task} stood still"));
+            }
+        }
+    }
+
+    fn forget_ended(&mut self, now: Moment) {
+        let retention = self.limits.retention;
+        let old: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| entry.is_ended() && now.at > entry.ended_at + retention)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.changed.insert(id);
+        }
+    }
+}
+
+fn with_room(view: &PoolView, allowed: &[usize], soon: bool) -> Vec<Candidate> {
+    allowed
+        .iter()
+        .map(|index| {
+            let mut candidate = view.candidates[*index].clone();
+            if soon {
+                candidate.free = view.soon[*index];
+            }
+            candidate
+        })
+        .collect()
+}
+
+fn map_back(allowed: &[usize], chosen: &[usize]) -> Vec<usize> {
+    chosen.iter().map(|index| allowed[*index]).collect()
+}
+
+/// Takes the room of a demand out of the view without placing it.
+fn keep_free(view: &mut PoolView, demand: &Demand, chosen: &[usize]) {
+    for index in chosen {
+        view.candidates[*index].free.subtract(&demand.room);
+        view.soon[*index].subtract(&demand.room);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/coordinator/units.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::entry::JobEntry;
+use super::{Coordinator, Moment};
+use crate::TaskKey;
+use crate::order::{Claimant, Rank, guaranteed_jobs};
+
+/// Tasks of one step and occurrence that wait for workers.
+#[derive(Clone, Debug)]
+pub struct Unit {
+    /// Id of the job.
+    pub job: String,
+    /// The waiting tasks.
+    pub keys: Vec<TaskKey>,
+    /// Place in the order of service.
+    pub rank: Rank,
+    /// Time since the tasks could have started.
+    pub waited: Duration,
+}
+
+impl Coordinator {
+    /// Returns the jobs that are within their team's guarantee.
+    pub(super) fn guaranteed(&self) -> BTreeSet<String> {
+        let claimants = self.jobs.values().filter(|entry| {
+            entry.job.class == 0 && !entry.is_ended() && entry.job.schedule.is_none()
+        });
+        let claimants = claimants.map(|entry| Claimant {
+            accepted_ms: entry.job.accepted_ms,
+            accelerators: entry.job.accelerators(),
+            job: &entry.job.id,
+            team: &entry.job.team,
+        });
+        guaranteed_jobs(&self.tables, claimants.collect()).into_iter().map(str::to_owned).collect()
+    }
+
+    /// Returns all work that waits, in the order of service.
+    pub(super) fn waiting_units(
+        &mut self,
+        now: Moment,
+        guaranteed: &BTreeSet<String>,
+    ) -> Vec<Unit> {
+        let mut units = Vec::new();
+        let mut idle = Vec::new();
+        for id in &self.waiting {
+            let Some(entry) = self.jobs.get(id) else {
+                idle.push(id.clone());
+                continue;
+            };
+            if entry.is_final() || entry.tasks.values().all(|task| task.done) {
+                idle.push(id.clone());
+                continue;
+            }
+            let tier = u8::from(!guaranteed.contains(id));
+            units.extend(units_of(entry, now, tier));
+        }
+        for id in idle {
+            self.waiting.remove(&id);
+        }
+        units.sort_by(|a, b| (a.rank, &a.job, &a.keys).cmp(&(b.rank, &b.job, &b.keys)));
+        units
+    }
+
+    /// Returns the time of day at which the next occurrence is due.
+    pub fn next_due(&self, now: Moment) -> Option<u64> {
+        self.waiting
+            .iter()
+            .filter_map(|id| {
+                let job = &self.jobs.get(id)?.job;
+                (0..job.occurrences()).filter_map(|k| job.due_ms(k)).find(|due| *due > now.wall_ms)
+            })
+            .min()
+    }
+}
+
+fn units_of(entry: &JobEntry, now: Moment, tier: u8) -> Vec<Unit> {
+    let mut units = Vec::new();
+    for occurrence in 0..entry.job.occurrences() {
+        let due = entry.job.due_ms(occurrence);
+        if due.is_some_and(|due| due > now.wall_ms) {
+            break;
+        }
+        for (step, content) in (0_u32..).zip(&entry.job.steps) {
+            if !content.after.iter().all(|prior| is_step_done(entry, occurrence, *prior)) {
+                continue;
+            }
+            let keys = waiting_keys(entry, occurrence, step, content.count, content.gang);
+            if keys.is_empty() {
+                continue;
+            }
+            let accepted_ms = due.unwrap_or(entry.job.accepted_ms);
+            units.push(Unit {
+                job: entry.job.id.clone(),
+                keys,
+                rank: Rank { tier, class: entry.job.class, accepted_ms },
+                waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms)),
+            });
+        }
+    }
+    units
+}
+
+fn is_step_done(entry: &JobEntry, occurrence: u32, step: usize) -> bool {
+    let Ok(number) = u32::try_from(step) else { return false };
+    let Some(content) = entry.job.steps.get(step) else { return false };
+    (0..content.count).all(|index| {
+        let key = TaskKey { occurrence, step: number, index };
+        entry.tasks.get(&key).is_some_and(|task| task.done)
+    })
+}
+
+/// Returns the tasks of a step that wait; of a gang either all or none.
+fn waiting_keys(
+    entry: &JobEntry,
+    occurrence: u32,
+    step: u32,
+    count: u32,
+    gang: bool,
+) -> Vec<TaskKey> {
+    let keys = (0..count).map(|index| TaskKey { occurrence, step, index });
+    let waiting: Vec<TaskKey> = keys
+        .filter(|key| {
+            entry.tasks.get(key).is_some_and(|task| !task.done && task.placement.is_none())
+        })
+        .collect();
+    if gang && waiting.len() < count as usize {
+        return Vec::new();
+    }
+    waiting
+}
--- /dev/null
+++ b/crates/jobs/src/fleet.rs
@@ -0,0 +1,97 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use crate::{Health, Room, TaskId, WorkerStatus};
+
+/// What the coordinator knows of one worker.
+#[derive(Clone, Debug)]
+pub struct FleetWorker {
+    /// Ends up to this number are durable.
+    pub acked: u64,
+    /// Ends that are applied in memory: their last number and the job versions that must be durable.
+    pub applied: Option<(u64, Vec<(String, u64)>)>,
+    /// Evidence against the worker.
+    pub health: Health,
+    /// Whether the worker has reported in this coordinator's time.
+    pub known: bool,
+    /// Runs that occupy room, with their numbers.
+    pub runs: BTreeMap<TaskId, u32>,
+    /// When the last report that renewed its lease arrived.
+    pub seen: Instant,
+    /// Whether its agent holds a session.
+    pub session: bool,
+    /// The last status.
+    pub status: WorkerStatus,
+    /// Room of the runs.
+    pub used: Room,
+}
+
+impl FleetWorker {
+    /// Returns a worker known only from the rows of its runs, or from its first report.
+    pub fn new(id: &str, boot: u64, seen: Instant) -> Self {
+        Self {
+            acked: 0,
+            applied: None,
+            health: Health::new(),
+            known: false,
+            runs: BTreeMap::new(),
+            seen,
+            session: false,
+            status: WorkerStatus { id: id.to_owned(), boot, ..WorkerStatus::default() },
+            used: Room::default(),
+        }
+    }
+
+    /// Returns the room that no run occupies.
+    pub fn free(&self) -> Room {
+        let mut free = self.status.room;
+        free.subtract(&self.used);
+        free
+    }
+
+    /// Reports whether new work may be placed on the worker.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.known && self.session && !self.status.draining && self.health.is_usable(now)
+    }
+}
+
+/// All workers by id.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The workers.
+    pub workers: BTreeMap<String, FleetWorker>,
+}
+
+impl Fleet {
+    /// Returns a fleet without workers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a run on a worker.
+    pub fn occupy(&mut self, id: &str, task: &TaskId, run: u32, room: &Room) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.runs.insert(task.clone(), run);
+            worker.used.add(room);
+        }
+    }
+
+    /// Ends the count of a run.
+    pub fn release(&mut self, id: &str, boot: u64, task: &TaskId, room: &Room) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.status.boot == boot && worker.runs.remove(task).is_some() {
+            worker.used.subtract(room);
+        }
+    }
+
+    /// Returns the racks of a pool with the workers on them.
+    pub fn racks(&self, pool: &str) -> BTreeMap<&str, BTreeSet<&str>> {
+        let mut racks: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            if worker.known && worker.status.pool == pool {
+                racks.entry(worker.status.rack.as_str()).or_default().insert(id);
+            }
+        }
+        racks
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,183 @@
+use serde::{Deserialize, Serialize};
+
+/// Resources of a worker or needs of a task.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Room {
+    /// Accelerators.
+    pub accelerators: i64,
+    /// Processor time in thousandths of a core.
+    pub cores: i64,
+    /// Memory in MB.
+    pub memory: i64,
+}
+
+impl Room {
+    /// Reports whether `need` fits into this room.
+    pub fn fits(&self, need: &Room) -> bool {
+        self.accelerators >= need.accelerators
+            && self.cores >= need.cores
+            && self.memory >= need.memory
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Room) {
+        self.accelerators += other.accelerators;
+        self.cores += other.cores;
+        self.memory += other.memory;
+    }
+
+    /// Takes `other` away; the result may be negative while a claim waits for room.
+    pub fn subtract(&mut self, other: &Room) {
+        self.accelerators -= other.accelerators;
+        self.cores -= other.cores;
+        self.memory -= other.memory;
+    }
+
+    /// Returns the weight of the room in cores; an accelerator counts as 8 cores.
+    pub fn weight(&self) -> f64 {
+        self.cores as f64 / 1000.0 + self.accelerators as f64 * 8.0
+    }
+}
+
+/// One step of a job: tasks with equal needs.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Step {
+    /// Numbers of the steps whose tasks must all be done first.
+    pub after: Vec<usize>,
+    /// Whether the tasks record checkpoints.
+    pub checkpoints: bool,
+    /// Whether copies of a task may run in parallel.
+    pub copies: bool,
+    /// Number of tasks.
+    pub count: u32,
+    /// Rack near the data; elsewhere tasks are slower.
+    pub data_rack: Option<String>,
+    /// Estimated run time of a task in milliseconds; often wrong.
+    pub estimate_ms: u64,
+    /// Whether the tasks use only room that others leave unused, so that their cores do not count.
+    pub fills: bool,
+    /// Whether the tasks run only together.
+    pub gang: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: String,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// Tasks of a lasting step that may be absent at once because of the system.
+    pub may_miss: u32,
+    /// Needs of one task.
+    pub room: Room,
+    /// Label that a worker must have.
+    pub label: Option<String>,
+    /// Whether the tasks are slower on more than one rack.
+    pub same_rack: bool,
+    /// Most tasks of one occurrence on one worker; 0 means no limit.
+    pub spread: u32,
+    /// Response time below which a serving task must stay, in milliseconds; 0 means none.
+    pub response_ms: u64,
+}
+
+/// Repeated runs of a job at given times.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// First due time, milliseconds since 1970.
+    pub start_ms: u64,
+    /// Time between two occurrences in milliseconds.
+    pub interval_ms: u64,
+    /// Number of occurrences.
+    pub times: u32,
+}
+
+/// A job as submitted; it never changes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Job {
+    /// Time of acceptance, milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// Runs of a task, or of a gang, that may fail before the job fails.
+    pub attempts: u32,
+    /// Priority class, 0 is the most urgent.
+    pub class: u8,
+    /// Chosen by the caller; unique in the deployment.
+    pub id: String,
+    /// Opaque description that tasks receive.
+    pub payload: String,
+    /// Pool whose workers run the tasks.
+    pub pool: String,
+    /// Name of the route.
+    pub route: String,
+    /// Repeated runs, if any.
+    pub schedule: Option<Schedule>,
+    /// Objective for the end: this many times the longest chain of estimates.
+    pub slack: f64,
+    /// Steps in order of their numbers.
+    pub steps: Vec<Step>,
+    /// Latency objective of the route in milliseconds.
+    pub target_ms: u64,
+    /// Team that pays for the job.
+    pub team: String,
+}
+
+impl Job {
+    /// Returns the number of occurrences.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// Returns when `occurrence` is due, milliseconds since 1970; `None` when it is due at once.
+    pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
+        self.schedule.map(|schedule| {
+            schedule.start_ms.saturating_add(u64::from(occurrence) * schedule.interval_ms)
+        })
+    }
+
+    /// Returns the most accelerators that one step uses at once.
+    pub fn accelerators(&self) -> i64 {
+        self.steps
+            .iter()
+            .map(|step| step.room.accelerators * i64::from(step.count))
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the estimated time of the longest chain of steps in milliseconds.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends = vec![0_u64; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate() {
+            let start = step.after.iter().filter_map(|prior| ends.get(*prior)).max();
+            let end = start.copied().unwrap_or(0) + step.estimate_ms;
+            if let Some(slot) = ends.get_mut(number) {
+                *slot = end;
+            }
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Reports whether any step runs until the job is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+}
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobState {
+    /// Accepted; no task has started.
+    #[default]
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have ended as done.
+    Completed,
+    /// A task or a gang has failed as often as the route allows.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+impl JobState {
+    /// Reports whether the state never changes again.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,33 @@
+//! Sans-IO core of the coordinator: jobs with steps and tasks, the state of their runs, the fleet of
+//! workers, and the decisions on waiting, refusing, placing and reclaiming.
+//!
+//! The core takes events with the time at which they happened and returns rows to write and orders
+//! for workers. Orders become visible only after the row that records them is durable. The safety
+//! argument is in `docs/platform.md`.
+
+mod agent;
+mod coordinator;
+mod fleet;
+mod health;
+mod job;
+mod order;
+mod placing;
+mod reclaim;
+mod row;
+mod tables;
+mod task;
+mod worker;
+
+pub use agent::{AgentAction, AgentCore, AgentLimits, HoldCall, Listing, StartAnswer};
+pub use coordinator::{Coordinator, Decision, DecisionKind, Limits, Moment, Submission, View};
+pub use fleet::{Fleet, FleetWorker};
+pub use health::{Health, Suspicion};
+pub use job::{Job, JobState, Room, Schedule, Step};
+pub use placing::{Candidate, Demand, choose_workers};
+pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow};
+pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
+pub use task::{TaskId, TaskIdError, TaskKey};
+pub use worker::{
+    EndKind, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, StartOrder, WorkerReport,
+    WorkerStatus,
+};
--- /dev/null
+++ b/crates/jobs/src/order.rs
@@ -0,0 +1,47 @@
+use std::collections::BTreeMap;
+
+use crate::JobTables;
+
+/// Place of waiting work in the order of service; lower values are served first.
+///
+/// Load pattern: several classes wait at once and owners of guarantees claim beside them. Guaranteed
+/// claims come first, then the classes in the order that teams paid for, and within a class the
+/// oldest, so that large jobs are not passed over for ever.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// 0 for work within its team's guarantee, 1 for other work.
+    pub tier: u8,
+    /// Priority class.
+    pub class: u8,
+    /// Time of acceptance, milliseconds since 1970.
+    pub accepted_ms: u64,
+}
+
+/// Open jobs of class 0 of one team, as far as they count against its guarantee.
+#[derive(Clone, Debug)]
+pub struct Claimant<'a> {
+    /// Time of acceptance, milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// Accelerators that the job needs at once.
+    pub accelerators: i64,
+    /// Id of the job.
+    pub job: &'a str,
+    /// The team.
+    pub team: &'a str,
+}
+
+/// Returns the jobs that are within their team's guarantee, oldest first.
+pub fn guaranteed_jobs<'a>(tables: &JobTables, mut claimants: Vec<Claimant<'a>>) -> Vec<&'a str> {
+    claimants.sort_by(|a, b| (a.accepted_ms, a.job).cmp(&(b.accepted_ms, b.job)));
+    let mut used: BTreeMap<&str, i64> = BTreeMap::new();
+    let mut jobs = Vec::new();
+    for claimant in claimants {
+        let sum = used.entry(claimant.team).or_default();
+        if *sum + claimant.accelerators > tables.guarantee(claimant.team) {
+            continue;
+        }
+        *sum += claimant.accelerators;
+        jobs.push(claimant.job);
+    }
+    jobs
+}
--- /dev/null
+++ b/crates/jobs/src/tables.rs
@@ -0,0 +1,127 @@
+use std::collections::BTreeMap;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Why a version of the tables cannot be used.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum TablesError {
+    /// A route names a pool that does not exist.
+    #[display("route {route:?}: no pool {pool:?}")]
+    MissingPool {
+        /// The route.
+        route: String,
+        /// The pool.
+        pool: String,
+    },
+    /// The document cannot be read.
+    #[display("tables: {detail}")]
+    Malformed {
+        /// What is wrong and where.
+        detail: String,
+    },
+}
+
+/// A row of the table of routes, for jobs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobRoute {
+    /// Runs of a task that may fail.
+    pub attempts: u32,
+    /// Priority class, 0 is the most urgent.
+    pub class: u8,
+    /// Host of the callers' requests.
+    pub host: String,
+    /// Name of the route.
+    pub name: String,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Path prefix.
+    pub path: String,
+    /// Name of the pool.
+    pub pool: String,
+    /// Objective for the end, as a multiple of the longest chain.
+    pub slack: f64,
+    /// Latency objective in milliseconds.
+    pub target_ms: u64,
+}
+
+/// A row of the table of pools.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WorkerPool {
+    /// Whether its workers themselves refuse what does not fit.
+    pub guarded: bool,
+    /// Name of the pool.
+    pub name: String,
+    /// Whether its VMs are off.
+    pub spare: bool,
+}
+
+/// What a team is guaranteed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Guarantee {
+    /// Accelerators for jobs of class 0.
+    pub accelerators: i64,
+}
+
+/// A team with its keys.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TeamEntry {
+    /// What it is guaranteed.
+    pub guarantee: Guarantee,
+    /// Keys of its callers.
+    pub keys: Vec<String>,
+    /// Name of the team.
+    pub name: String,
+}
+
+/// One version of both tables, as the coordinator uses them.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct JobTables {
+    /// Largest body of a submission in bytes.
+    pub body_limit: usize,
+    /// Pools by name.
+    pub pools: BTreeMap<String, WorkerPool>,
+    /// Routes.
+    pub routes: Vec<JobRoute>,
+    /// Teams.
+    pub teams: Vec<TeamEntry>,
+    /// Version; a higher one replaces a lower one.
+    pub version: u64,
+}
+
+impl JobTables {
+    /// Returns the route of a request: same host, longest path prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&JobRoute> {
+        self.routes
+            .iter()
+            .filter(|route| route.host == host && path.starts_with(&route.path))
+            .max_by_key(|route| route.path.len())
+    }
+
+    /// Returns the team that owns `key`.
+    pub fn team(&self, key: &str) -> Option<&TeamEntry> {
+        self.teams.iter().find(|team| team.keys.iter().any(|owned| owned == key))
+    }
+
+    /// Returns the accelerators guaranteed to `team`.
+    pub fn guarantee(&self, team: &str) -> i64 {
+        let found = self.teams.iter().find(|entry| entry.name == team);
+        found.map_or(0, |entry| entry.guarantee.accelerators)
+    }
+
+    /// Checks that every route names a pool.
+    ///
+    /// # Errors
+    /// [`TablesError::MissingPool`] names the first route whose pool does not exist.
+    pub fn check(&self) -> Result<(), TablesError> {
+        for route in &self.routes {
+            if !self.pools.contains_key(&route.pool) {
+                return Err(TablesError::MissingPool {
+                    route: route.name.clone(),
+                    pool: route.pool.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/src/memory_transactor.rs
@@ -0,0 +1,125 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+use crate::{Applied, Page, Record, RecordKey, TransactError, Transaction, Transactor};
+
+/// Records in one page; small, so that tests read several pages.
+const PAGE: usize = 4;
+
+/// What happens to the next transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TransactFault {
+    /// It takes effect, and its answer is lost.
+    LostAnswer,
+    /// It has no answer, and takes effect when [`MemoryTransactor::deliver_late`] is called, if its
+    /// expectations still hold.
+    Late,
+    /// It is refused and nothing is done.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: VecDeque<TransactFault>,
+    late: Vec<Transaction>,
+    records: BTreeMap<RecordKey, (Bytes, u64)>,
+    version: u64,
+}
+
+impl State {
+    fn apply(&mut self, transaction: &Transaction) -> Applied {
+        let current = |key: &RecordKey| self.records.get(key).map_or(0, |(_, version)| *version);
+        if transaction.expect.iter().any(|(key, version)| current(key) != *version) {
+            let found = transaction.expect.iter().filter_map(|(key, _)| self.record(key));
+            return Applied::Conflict { found: found.collect() };
+        }
+        self.version += 1;
+        for (key, value) in &transaction.puts {
+            self.records.insert(key.clone(), (value.clone(), self.version));
+        }
+        for key in &transaction.deletes {
+            self.records.remove(key);
+        }
+        Applied::Done { version: self.version }
+    }
+
+    fn record(&self, key: &RecordKey) -> Option<Record> {
+        let (value, version) = self.records.get(key)?;
+        Some(Record { key: key.clone(), value: value.clone(), version: *version })
+    }
+}
+
+/// In-memory [`Transactor`] with faults, for tests.
+#[derive(Debug, Default)]
+pub struct MemoryTransactor {
+    state: Mutex<State>,
+}
+
+impl MemoryTransactor {
+    /// Returns an empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Queues faults for the next transactions.
+    pub fn inject(&self, faults: &[TransactFault]) {
+        self.lock().faults.extend(faults);
+    }
+
+    /// Carries out the transactions whose answers were withheld.
+    pub fn deliver_late(&self) {
+        let mut state = self.lock();
+        for transaction in std::mem::take(&mut state.late) {
+            state.apply(&transaction);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl Transactor for MemoryTransactor {
+    async fn apply(&self, transaction: &Transaction) -> Result<Applied, TransactError> {
+        let mut state = self.lock();
+        let unanswered = |detail: &str| TransactError::Unanswered { detail: detail.to_owned() };
+        match state.faults.pop_front() {
+            None => Ok(state.apply(transaction)),
+            Some(TransactFault::LostAnswer) => {
+                state.apply(transaction);
+                Err(unanswered("answer lost"))
+            }
+            Some(TransactFault::Late) => {
+                state.late.push(transaction.clone());
+                Err(unanswered("held back"))
+            }
+            Some(TransactFault::Refused) => {
+                Err(TransactError::Refused { detail: "injected".to_owned() })
+            }
+        }
+    }
+
+    async fn read(&self, key: &RecordKey) -> Result<Option<Record>, TransactError> {
+        Ok(self.lock().record(key))
+    }
+
+    async fn scan(&self, table: &str, after: &str) -> Result<Page, TransactError> {
+        let state = self.lock();
+        let from = RecordKey::new(table, after);
+        let mut records: Vec<Record> = state
+            .records
+            .range((Bound::Excluded(from), Bound::Unbounded))
+            .take_while(|(key, _)| key.table == table)
+            .take(PAGE + 1)
+            .filter_map(|(key, _)| state.record(key))
+            .collect();
+        let more = records.len() > PAGE;
+        records.truncate(PAGE);
+        Ok(Page { more, records })
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -49,6 +49,8 @@
     JobRequeued = 305, "job-requeued", "A job lost its workers and waits again.";
     JobPreempted = 306, "job-preempted", "A borrowing job was checkpointed or stopped for an owner.";
     JobWaiting = 307, "job-waiting", "A job could not be placed now.";
+    RunEnded = 308, "run-ended", "A run of a task ended, was refused or was lost.";
+    WorkerLost = 309, "worker-lost", "The runs of a worker are gone for certain and wait again.";
     GuaranteeAtRisk = 310, "guarantee-at-risk", "A guaranteed shape no longer fits on the live workers.";
     GuaranteeRestored = 311, "guarantee-restored", "A guaranteed shape fits again.";
     WorkerQuarantined = 312, "worker-quarantined", "A worker failed tasks of several jobs and receives only probes.";
@@ -61,6 +63,9 @@
     UpstreamEjected = 403, "upstream-ejected", "An upstream was ejected as an outlier.";
     UpstreamReturned = 404, "upstream-returned", "An ejected upstream passed its probe.";
     SessionReplaced = 405, "session-replaced", "A silent or broken session was replaced by a new connection.";
+    LeadershipTaken = 410, "leadership-taken", "This entry leads and has loaded all jobs.";
+    LeadershipEnded = 411, "leadership-ended", "This entry no longer leads.";
+    LeaderSuspected = 412, "leader-suspected", "The leader does not answer or cannot reach the store.";
     ConfigAccepted = 500, "config-accepted", "An edit of the tables was accepted as a new version.";
     ConfigRejected = 501, "config-rejected", "An edit of the tables was rejected; nothing changed.";
     ConfigApplied = 502, "config-applied", "A version of the tables came into force at this process.";
