Wait with a repeat of a submission that may be part of a stuck write

Ruled out: a late write of an earlier leader (the epoch did not change).

Change: while a write is stuck, a submission whose id is known waits for its row; repeats of a withdrawn submission are refused together (before, the second waiter was told that it was stored). Loss and return of the store are logged once instead of four lines a second.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -341,10 +341,9 @@
     fn take_call(&mut self, now: Moment, call: JobCall, reply: oneshot::Sender<JobAnswer>) {
         let stuck = self.is_stuck();
         let answer = match call {
-            JobCall::Submit(_) | JobCall::Cancel(_) if stuck => {
-                let reason = "the store is down".to_owned();
-                JobAnswer::Refused { reason, retry: STORE_RETRY }
-            }
+            // A repeat of a submission that may be part of the stuck write must not be refused.
+            JobCall::Submit(job) if stuck && self.core.view(&job.id).is_none() => store_down(),
+            JobCall::Cancel(_) if stuck => store_down(),
             JobCall::Submit(job) => {
                 let id = job.id.clone();
                 match self.core.submit(now, *job) {
@@ -419,17 +418,22 @@
             return;
         }
         let now = self.clock.now();
-        let mut rest = Vec::new();
-        for waiting in self.waiting.drain(..) {
+        let mut withdrawn = BTreeSet::new();
+        for waiting in &self.waiting {
             let old = now.saturating_duration_since(waiting.since) > STORE_STUCK;
             if old && waiting.submitted && self.core.withdraw(&waiting.id) {
-                let reason = "the store is down".to_owned();
-                let _ = waiting.reply.send(JobAnswer::Refused { reason, retry: STORE_RETRY });
+                withdrawn.insert(waiting.id.clone());
+            }
+        }
+        // Repeats of a withdrawn submission wait for the same row and get the same answer.
+        for waiting in std::mem::take(&mut self.waiting) {
+            if withdrawn.contains(&waiting.id) {
+                // The caller may have left.
+                let _ = waiting.reply.send(store_down());
             } else {
-                rest.push(waiting);
+                self.waiting.push(waiting);
             }
         }
-        self.waiting = rest;
     }
 
     fn log_decisions(&mut self) {
@@ -455,6 +459,10 @@
     }
 }
 
+fn store_down() -> JobAnswer {
+    JobAnswer::Refused { reason: "the store is down".to_owned(), retry: STORE_RETRY }
+}
+
 /// Returns the time on both clocks.
 pub fn moment(clock: &dyn Clock) -> Moment {
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/coordination/src/tables_task.rs
+++ b/crates/coordination/src/tables_task.rs
@@ -46,18 +46,20 @@
     age: watch::Sender<TablesAge>,
     mut newer: mpsc::Receiver<String>,
 ) {
+    let mut reached = true;
     loop {
         let known = tables.borrow().version;
         tokio::select! {
             polled = source.poll(known) => match polled {
                 Ok(found) => {
+                    note_source(&mut reached, true, known, "");
                     age.send_replace(TablesAge { confirmed: Some(Instant::now()) });
                     if let Some(found) = found {
                         put_in_force(&tables, found, "store");
                     }
                 }
                 Err(error) => {
-                    tracing::warn!(%error, version = known, "tables not confirmed");
+                    note_source(&mut reached, false, known, &error.detail);
                     tokio::time::sleep(PAUSE).await;
                 }
             },
@@ -70,6 +72,15 @@
     }
 }
 
+/// Logs that the source was lost or regained.
+fn note_source(reached: &mut bool, now: bool, version: u64, detail: &str) {
+    if std::mem::replace(reached, now) == now {
+        return;
+    }
+    let event = if now { Event::StoreRestored } else { Event::StoreUnavailable };
+    tracing::warn!(code = event.code(), event = event.name(), version, detail);
+}
+
 fn put_in_force(tables: &watch::Sender<JobTables>, found: JobTables, origin: &str) {
     tables.send_if_modified(|current| {
         if found.version <= current.version {
