Let the leases of a silent worker lapse, and pause between stops

Ruled out: quarantine of the worker (the run itself was never released).

Change: no extension and no start while the worker has not answered for 1.5 s; starts and stops have their own pauses. Seven tests of the agent core; report_lapsed_silent and actions_stop_paused fail on the code before.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -93,8 +93,11 @@
 struct Attempt {
     /// Listings of calls with a higher number settle the run, once a stop was answered.
     fenced: Option<u64>,
-    retry: Option<Instant>,
+    /// When the next start may be sent.
+    start_after: Option<Instant>,
     starting: bool,
+    /// When the next stop may be sent.
+    stop_after: Option<Instant>,
     stopping: bool,
     uncertain: bool,
     verdict: Option<RefusalKind>,
@@ -229,7 +232,7 @@
         let key = (task.clone(), run);
         let attempt = self.attempts.entry(key.clone()).or_default();
         attempt.starting = false;
-        attempt.retry = Some(now + RETRY);
+        attempt.start_after = Some(now + RETRY);
         match answer {
             StartAnswer::Started => {
                 self.attempts.remove(&key);
@@ -242,7 +245,6 @@
                 // stop and a listing before the refusal is reported.
                 if attempt.uncertain || kind == RefusalKind::Old {
                     attempt.verdict = Some(kind);
-                    attempt.retry = None;
                 } else {
                     self.attempts.remove(&key);
                     self.refused.insert(key, kind);
@@ -258,7 +260,7 @@
         let holds = self.holds;
         let Some(attempt) = self.attempts.get_mut(&(task.clone(), run)) else { return };
         attempt.stopping = false;
-        attempt.retry = Some(now + if answered { STOP_AGAIN } else { RETRY });
+        attempt.stop_after = Some(now + if answered { STOP_AGAIN } else { RETRY });
         if answered {
             attempt.fenced = Some(holds);
         }
@@ -275,8 +277,12 @@
         }
     }
 
-    /// Returns the end of the leases on the worker's clock; `None` when nothing may be extended.
+    /// Returns the end of the leases on the worker's clock; `None` when nothing may be extended. A
+    /// worker that does not answer is not sent extensions, so that its leases lapse for certain.
     pub fn deadline(&mut self, now: Instant) -> Option<u64> {
+        if !self.is_reached(now) {
+            return None;
+        }
         let (sent, lease) = self.granted?;
         let clock = self.clock?;
         let limit = earliest(clock, sent) + lease.as_secs_f64() * 1000.0;
@@ -349,8 +355,7 @@
 
     /// Reports whether all leases at a worker that cannot be reached have certainly lapsed.
     fn is_lapsed(&self, now: Instant) -> bool {
-        let last = self.reached.unwrap_or(self.since);
-        if now.saturating_duration_since(last) < UNREACHED {
+        if self.is_reached(now) {
             return false;
         }
         match (self.furthest, self.clock) {
@@ -359,6 +364,11 @@
         }
     }
 
+    fn is_reached(&self, now: Instant) -> bool {
+        let last = self.reached.unwrap_or(self.since);
+        now.saturating_duration_since(last) < UNREACHED
+    }
+
     fn admit_boot(&mut self, now: Instant, boot: u64) {
         if boot <= self.boot {
             return;
@@ -398,7 +408,7 @@
     }
 
     fn starts(&mut self, now: Instant) -> Vec<AgentAction> {
-        if self.cleaning {
+        if self.cleaning || !self.is_reached(now) {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -411,7 +421,7 @@
                 continue;
             }
             let attempt = self.attempts.entry(key).or_default();
-            let early = attempt.retry.is_some_and(|retry| now < retry);
+            let early = attempt.start_after.is_some_and(|after| now < after);
             if attempt.starting || attempt.verdict.is_some() || early {
                 continue;
             }
@@ -441,8 +451,8 @@
                 continue;
             }
             let attempt = self.attempts.entry(run.clone()).or_default();
-            let early = attempt.retry.is_some_and(|retry| now < retry);
-            if attempt.stopping || (early && (attempt.fenced.is_some() || attempt.uncertain)) {
+            let early = attempt.stop_after.is_some_and(|after| now < after);
+            if attempt.stopping || early {
                 continue;
             }
             attempt.stopping = true;
--- /dev/null
+++ b/crates/jobs/tests/agent.rs
@@ -0,0 +1,196 @@
+//! The agent of a worker under lost calls, silence and restarts.
+
+use std::time::{Duration, Instant};
+
+use skylarkpulley_jobs::{
+    AgentAction, AgentCore, AgentLimits, EndKind, Listing, Orders, RefusalKind, RunEnd, RunReport,
+    StartAnswer, StartOrder, TaskId, TaskKey, WorkerStatus,
+};
+
+const BOOT: u64 = 1000;
+
+struct Rig {
+    core: AgentCore,
+    now: Instant,
+    origin: Instant,
+}
+
+fn task() -> TaskId {
+    TaskId::new("job", TaskKey { occurrence: 0, step: 0, index: 0 })
+}
+
+fn start_order(run: u32) -> StartOrder {
+    StartOrder { checkpoint: String::new(), payload: String::new(), run, task: task() }
+}
+
+impl Rig {
+    fn new() -> Self {
+        let now = Instant::now();
+        let limits = AgentLimits { hold: Duration::from_secs(6), longest: Duration::from_secs(10) };
+        let mut rig = Self { core: AgentCore::new("vm", limits, now), now, origin: now };
+        rig.announce(BOOT);
+        rig.list(BOOT, &[], &[]);
+        rig
+    }
+
+    fn announce(&mut self, boot: u64) {
+        let status = WorkerStatus { boot, id: "w".to_owned(), ..WorkerStatus::default() };
+        self.core.announce(self.now, &status);
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    fn list(&mut self, boot: u64, running: &[u32], ended: &[(u64, u32, EndKind)]) {
+        let call = self.core.next_hold(self.now);
+        self.answer(call.number, boot, running, ended);
+    }
+
+    fn answer(&mut self, number: u64, boot: u64, running: &[u32], ended: &[(u64, u32, EndKind)]) {
+        let age = self.now - self.origin;
+        let running = running.iter().map(|run| RunReport {
+            checkpoint: String::new(),
+            percent: 0,
+            run: *run,
+            task: task(),
+        });
+        let ended = ended.iter().map(|(number, run, kind)| {
+            let end = RunEnd { checkpoint: String::new(), kind: *kind, run: *run, task: task() };
+            (*number, end)
+        });
+        let clock_ms = u64::try_from(age.as_millis()).unwrap();
+        let listing =
+            Listing { boot, clock_ms, ended: ended.collect(), running: running.collect() };
+        self.core.take_listing(self.now, number, &listing);
+    }
+
+    fn order(&mut self, orders: Orders) {
+        let orders = Orders { boot: BOOT, worker: "w".to_owned(), ..orders };
+        self.core.take_orders(1, orders, Some(self.now), Duration::from_secs(8));
+    }
+
+    fn order_start(&mut self, run: u32) {
+        self.order(Orders { start: vec![start_order(run)], ..Orders::default() });
+    }
+
+    fn refused(&self) -> Vec<RefusalKind> {
+        self.core.report(self.now).refused.iter().map(|refusal| refusal.kind).collect()
+    }
+}
+
+/// Guards against extending leases at a worker that does not answer: its runs never counted as
+/// lapsed, and a job waited for them for ever (mix --seed 514364139184 of menza-grid).
+#[test]
+fn report_lapsed_silent() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    assert!(rig.core.next_hold(rig.now).deadline_ms.is_some());
+    let mut lapsed_after = None;
+    for step in 0..100 {
+        rig.pass(100);
+        rig.order_start(1);
+        rig.core.next_hold(rig.now);
+        if rig.core.report(rig.now).lapsed {
+            lapsed_after = Some(step * 100);
+            break;
+        }
+    }
+    let after = lapsed_after.expect("the leases lapse");
+    assert!((6000..9000).contains(&after), "lapsed after {after} ms");
+}
+
+/// Guards against a loop of stops without a pause at a worker that refuses connections.
+#[test]
+fn actions_stop_paused() {
+    let mut rig = Rig::new();
+    rig.list(BOOT, &[1], &[]);
+    rig.order(Orders { stop: vec![(task(), 1)], ..Orders::default() });
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    rig.core.take_stop(rig.now, &task(), 1, false);
+    assert!(rig.core.actions(rig.now).is_empty());
+    rig.pass(400);
+    assert_eq!(rig.core.actions(rig.now).len(), 1);
+}
+
+/// Guards against reporting a refusal while an earlier start without an answer may still be
+/// carried out: the run would then go on beside its successor.
+#[test]
+fn refusal_after_unanswered() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    assert_eq!(rig.core.actions(rig.now).len(), 1);
+    rig.core.take_start(rig.now, &task(), 1, StartAnswer::Unanswered);
+    rig.pass(400);
+    assert_eq!(rig.core.actions(rig.now).len(), 1, "the same run is tried again");
+    rig.core.take_start(rig.now, &task(), 1, StartAnswer::Refused(RefusalKind::Room));
+    assert!(rig.refused().is_empty());
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    let before = rig.core.next_hold(rig.now).number;
+    rig.core.take_stop(rig.now, &task(), 1, true);
+    rig.answer(before, BOOT, &[], &[]);
+    assert!(rig.refused().is_empty(), "a listing from before the stop settles nothing");
+    rig.list(BOOT, &[], &[]);
+    assert_eq!(rig.refused(), vec![RefusalKind::Room]);
+}
+
+/// Guards against taking a run that has ended as done for one that never ran, when its start is
+/// repeated after a lost answer.
+#[test]
+fn refusal_old_but_done() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.core.actions(rig.now);
+    rig.core.take_start(rig.now, &task(), 1, StartAnswer::Unanswered);
+    rig.pass(400);
+    rig.core.actions(rig.now);
+    rig.core.take_start(rig.now, &task(), 1, StartAnswer::Refused(RefusalKind::Old));
+    rig.core.actions(rig.now);
+    rig.core.take_stop(rig.now, &task(), 1, true);
+    rig.list(BOOT, &[], &[(1, 1, EndKind::Done)]);
+    assert!(rig.refused().is_empty());
+    assert_eq!(rig.core.report(rig.now).ended.len(), 1);
+}
+
+/// Guards against a start that reaches a later boot under the same id: nothing is reported of the
+/// new boot until the run is fenced there.
+#[test]
+fn announce_reborn_with_open_start() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.core.actions(rig.now);
+    rig.core.take_start(rig.now, &task(), 1, StartAnswer::Unanswered);
+    rig.announce(BOOT + 1);
+    rig.list(BOOT + 1, &[1], &[]);
+    assert_eq!(rig.core.report(rig.now).worker, None);
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    rig.core.take_stop(rig.now, &task(), 1, true);
+    rig.list(BOOT + 1, &[], &[(1, 1, EndKind::Stopped)]);
+    let worker = rig.core.report(rig.now).worker.expect("the new boot is reported");
+    assert_eq!(worker.boot, BOOT + 1);
+}
+
+/// Guards against orders of an earlier leader.
+#[test]
+fn take_orders_old_epoch() {
+    let mut rig = Rig::new();
+    let orders = Orders { boot: BOOT, worker: "w".to_owned(), ..Orders::default() };
+    assert!(rig.core.take_orders(3, orders.clone(), None, Duration::ZERO));
+    let old = Orders { start: vec![start_order(1)], ..orders };
+    assert!(!rig.core.take_orders(2, old, None, Duration::ZERO));
+    assert!(rig.core.actions(rig.now).is_empty());
+}
+
+/// Guards against a lease that outlives what the coordinator granted, counted from when the report
+/// was sent and not from when the answer came.
+#[test]
+fn deadline_from_sending() {
+    let mut rig = Rig::new();
+    let sent = rig.now;
+    rig.pass(3000);
+    rig.list(BOOT, &[], &[]);
+    let orders = Orders { boot: BOOT, worker: "w".to_owned(), ..Orders::default() };
+    rig.core.take_orders(1, orders, Some(sent), Duration::from_secs(8));
+    let deadline = rig.core.deadline(rig.now).expect("a lease");
+    assert!(deadline <= 8000, "{deadline}");
+}
