Take over at once from a leader that the store turns away, and tell it

The others waited for its last confirmation to be 2.8 s old, and the old leader did not learn of its successor until the store answered it again; it refused up to 46 tries meanwhile.

Ruled out: cuts between entries (pings went through all the time).

Change: pings carry for how long the leader's calls have failed; an entry that reaches the store takes over after 0.45 s of failures and a second ping, and tells its predecessor. A leader holds work while another entry reaches the store, and refuses at once when none does.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -14,7 +14,6 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
-use crate::boot_time::boot_time;
 use crate::calls::JobService;
 use crate::convert::millis;
 use crate::journal::Journal;
@@ -23,10 +22,11 @@
 use crate::leadership::Leadership;
 use crate::peer::PeerClients;
 use crate::service::{CoordinationService, Shared};
+use crate::store_health::StoreHealth;
 use crate::tables_task::{TablesAge, TablesSource, follow_tables};
 
 /// Time between two pings to the leader.
-const PING_INTERVAL: Duration = Duration::from_millis(400);
+const PING_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for one ping.
 const PING_LIMIT: Duration = Duration::from_millis(500);
@@ -39,11 +39,19 @@
 /// and the time of a call to a slow store.
 const LEADER_STALE: Duration = Duration::from_millis(2800);
 
-/// Time that a leader gets to confirm itself after the store has answered this entry.
-const CONFIRM_GRACE: Duration = Duration::from_millis(500);
+/// A leader whose calls to the store have failed for this long is doubted; a lost answer is repeated
+/// after 300 ms.
+const LEADER_FAILING: Duration = Duration::from_millis(450);
+
+/// Time that a doubted leader gets to reach the store after the store has answered this entry, as
+/// after the end of an outage.
+const CONFIRM_GRACE: Duration = Duration::from_millis(300);
 
 /// Longest random delay before a takeover, so that two entries rarely try at once.
-const TAKEOVER_JITTER: Duration = Duration::from_millis(200);
+const TAKEOVER_JITTER: Duration = Duration::from_millis(100);
+
+/// Time during which a new leader tells its predecessor that it no longer leads.
+const NOTIFY_TIME: Duration = Duration::from_secs(15);
 
 /// Pause after the store gave no answer.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
@@ -51,6 +59,10 @@
 /// Messages that may wait for the leader.
 const INBOX: usize = 1024;
 
+/// A leader whose calls to the store fail for this long is not ready; others have taken over by then
+/// if they can.
+const STORE_LOST: Duration = Duration::from_millis(1500);
+
 /// Silence after which the tables are not known to be the newest.
 const TABLES_STALE: Duration = Duration::from_secs(5);
 
@@ -90,13 +102,13 @@
         let (inbox_sender, inbox) = watch::channel(None);
         let (leadership_sender, leadership) = watch::channel(Leadership::default());
         let (tables_sender, tables) = watch::channel(JobTables::default());
-        let (age_sender, age) = watch::channel(TablesAge { confirmed: None });
+        let (age_sender, age) = watch::channel(TablesAge { answers: false, confirmed: None });
         let (stop, stopped) = watch::channel(false);
         let (newer, newer_receiver) = mpsc::channel(4);
         let (seen_epoch, seen) = watch::channel(0);
         let peers = Arc::new(PeerClients::new());
         let shared = Arc::new(Shared {
-            confirmed_ms: Arc::new(AtomicU64::new(0)),
+            health: Arc::new(StoreHealth::new()),
             inbox: inbox.clone(),
             leaving: AtomicBool::new(false),
             leadership: leadership.clone(),
@@ -127,6 +139,7 @@
             }
         });
         let role = Role {
+            age: age.clone(),
             clock,
             inbox: inbox_sender,
             leadership: leadership_sender,
@@ -160,9 +173,13 @@
             return false;
         }
         let leadership = self.service.leadership();
-        let fresh = self.age.borrow().confirmed.is_some_and(|at| at.elapsed() < TABLES_STALE);
+        if leadership.address.is_empty() || !leadership.reachable {
+            return false;
+        }
         // While the leader is reachable it names newer tables, also when the store does not answer.
-        (fresh || leadership.reachable) && !leadership.address.is_empty()
+        !leadership.own
+            || (self.age.borrow().confirmed.is_some_and(|at| at.elapsed() < TABLES_STALE)
+                && self.shared.health.failing() < STORE_LOST)
     }
 
     /// Gives the leadership up and makes the entry not ready; open calls go on.
@@ -181,6 +198,7 @@
 }
 
 struct Role {
+    age: watch::Receiver<TablesAge>,
     clock: Arc<dyn Clock>,
     inbox: watch::Sender<Option<mpsc::Sender<LeaderMessage>>>,
     leadership: watch::Sender<Leadership>,
@@ -261,12 +279,7 @@
     async fn follow(&mut self, record: &LeaderRecord) -> Followed {
         let mut failures = 0;
         loop {
-            let request = v1::PingRequest {
-                name: self.settings.name.clone(),
-                address: self.settings.control.to_string(),
-                epoch: record.epoch,
-                tables_version: self.tables.borrow().version,
-            };
+            let request = self.ping(record.epoch);
             let reply = match self.peers.client(&record.address) {
                 Some(mut client) => {
                     tokio::time::timeout(PING_LIMIT, client.ping(request)).await.ok()
@@ -311,8 +324,7 @@
         if !reply.leads && reply.epoch == record.epoch {
             return Some(Followed::Suspect("it does not lead any more".to_owned()));
         }
-        let age = Duration::from_millis(reply.store_age_ms);
-        if !reply.leads || age < LEADER_STALE {
+        if !reply.leads || !is_doubtful(reply) {
             return None;
         }
         // The store may be down for all; only an entry that reaches it takes over.
@@ -327,24 +339,39 @@
     }
 
     async fn still_stale(&self, record: &LeaderRecord) -> Option<Followed> {
-        let request = v1::PingRequest {
+        let mut client = self.peers.client(&record.address)?;
+        let ping = client.ping(self.ping(record.epoch));
+        let reply = tokio::time::timeout(PING_LIMIT, ping).await.ok()?.ok()?.into_inner();
+        is_doubtful(&reply).then(|| {
+            Followed::Suspect(format!(
+                "the store has not confirmed it for {} ms, its calls fail for {} ms",
+                reply.store_age_ms, reply.failing_ms
+            ))
+        })
+    }
+
+    fn ping(&self, epoch: u64) -> v1::PingRequest {
+        v1::PingRequest {
             name: self.settings.name.clone(),
             address: self.settings.control.to_string(),
-            epoch: record.epoch,
+            epoch,
             tables_version: self.tables.borrow().version,
-        };
-        let mut client = self.peers.client(&record.address)?;
-        let reply = tokio::time::timeout(PING_LIMIT, client.ping(request)).await.ok()?.ok()?;
-        let age = Duration::from_millis(reply.into_inner().store_age_ms);
-        (age >= LEADER_STALE).then(|| {
-            Followed::Suspect(format!("the store has not confirmed it for {} ms", age.as_millis()))
-        })
+            store_answers: self.age.borrow().answers,
+        }
     }
 
     async fn take_over(&mut self, record: &LeaderRecord, version: u64) {
         let name = &self.settings.name;
         let address = self.settings.control.to_string();
-        let taken = Journal::take_over(self.store.clone(), name, &address, record, version).await;
+        let taken = Journal::take_over(
+            self.store.clone(),
+            name,
+            &address,
+            record,
+            version,
+            self.shared.health.clone(),
+        )
+        .await;
         let journal = match taken {
             Ok(Some(journal)) => journal,
             Ok(None) => return,
@@ -354,6 +381,11 @@
                 return;
             }
         };
+        if !record.address.is_empty() && record.address != address {
+            let request = self.ping(journal.epoch());
+            let told = notify_predecessor(self.peers.clone(), record.address.clone(), request);
+            tokio::spawn(told);
+        }
         if let Err(error) = self.lead(journal).await {
             tracing::warn!(%error, "jobs not loaded");
             tokio::time::sleep(STORE_PAUSE).await;
@@ -363,7 +395,6 @@
     async fn lead(&mut self, journal: Journal) -> Result<(), TransactError> {
         let since = Instant::now();
         let epoch = journal.epoch();
-        self.shared.confirmed_ms.store(millis(boot_time()), Ordering::Relaxed);
         let tables = self.tables.borrow().clone();
         let times = LeaderTimes { confirm: self.settings.confirm, lease: self.settings.lease };
         let leader = Leader::load(
@@ -372,7 +403,7 @@
             self.settings.limits,
             times,
             tables,
-            self.shared.confirmed_ms.clone(),
+            self.shared.health.clone(),
         )
         .await?;
         let (sender, inbox) = mpsc::channel(INBOX);
@@ -407,6 +438,27 @@
     }
 }
 
+fn is_doubtful(reply: &v1::PingReply) -> bool {
+    Duration::from_millis(reply.store_age_ms) >= LEADER_STALE
+        || Duration::from_millis(reply.failing_ms) >= LEADER_FAILING
+}
+
+/// Tells the entry at `address`, which led before, that it no longer does; it cannot learn that from
+/// the store while it does not reach it.
+async fn notify_predecessor(peers: Arc<PeerClients>, address: String, request: v1::PingRequest) {
+    let end = Instant::now() + NOTIFY_TIME;
+    while Instant::now() < end {
+        if let Some(mut client) = peers.client(&address) {
+            let reply = tokio::time::timeout(PING_LIMIT, client.ping(request.clone())).await;
+            if matches!(reply, Ok(Ok(_))) {
+                return;
+            }
+            peers.replace(&address);
+        }
+        tokio::time::sleep(PING_INTERVAL).await;
+    }
+}
+
 /// Waits until a peer has named an epoch above `epoch`.
 async fn wait_above(seen: &mut watch::Receiver<u64>, epoch: u64) {
     loop {
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -6,6 +6,7 @@
 
 use crate::boot_time::boot_time;
 use crate::leader_record::LeaderRecord;
+use crate::store_health::StoreHealth;
 
 /// First pause before a write without an outcome is sent again; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -13,6 +14,16 @@
 /// Longest pause between two tries; the store allows hundreds of calls a second, but each is paid.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Shortest time for a write. A usual one takes 15 ms; a lost answer would otherwise hold up all
+/// writes behind it for the time that a slow store may take.
+const SHORTEST_LIMIT: Duration = Duration::from_millis(300);
+
+/// Longest time for a write; the slowest store seen takes about a second.
+const LONGEST_LIMIT: Duration = Duration::from_millis(2000);
+
+/// A write may take this many times as long as the last one before it is sent again.
+const LIMIT_FACTOR: u32 = 4;
+
 /// How a write ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CommitEnd {
@@ -30,7 +41,10 @@
 #[derive(Clone)]
 pub struct Journal {
     confirmed: Duration,
+    health: Arc<StoreHealth>,
     record: LeaderRecord,
+    /// Time that the last write took.
+    took: Duration,
     store: Arc<dyn Transactor>,
     version: u64,
 }
@@ -47,6 +61,7 @@
         address: &str,
         record: &LeaderRecord,
         version: u64,
+        health: Arc<StoreHealth>,
     ) -> Result<Option<Self>, TransactError> {
         let next = LeaderRecord {
             address: address.to_owned(),
@@ -61,7 +76,11 @@
             ..Transaction::default()
         };
         match store.apply(&transaction).await? {
-            Applied::Done { version } => Ok(Some(Self { confirmed, record: next, store, version })),
+            Applied::Done { version } => {
+                health.succeed(confirmed);
+                let took = Duration::ZERO;
+                Ok(Some(Self { confirmed, health, record: next, took, store, version }))
+            }
             Applied::Conflict { .. } => Ok(None),
         }
     }
@@ -100,9 +119,18 @@
     pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitEnd) {
         let next = LeaderRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
         let mut pause = FIRST_PAUSE;
+        let mut limit = (self.took * LIMIT_FACTOR).clamp(SHORTEST_LIMIT, LONGEST_LIMIT);
         loop {
             let sent = boot_time();
-            let outcome = self.store.apply(&self.transaction(&next, &rows)).await;
+            let transaction = self.transaction(&next, &rows);
+            let write = tokio::time::timeout(limit, self.store.apply(&transaction)).await;
+            self.took = boot_time().saturating_sub(sent);
+            let outcome = write.unwrap_or_else(|_| {
+                Err(TransactError::Unanswered { detail: format!("in {} ms", limit.as_millis()) })
+            });
+            if outcome.is_ok() {
+                self.health.succeed(sent);
+            }
             match outcome {
                 Ok(Applied::Done { version }) => {
                     self.version = version;
@@ -130,7 +158,9 @@
                     continue;
                 }
                 Err(error) => {
-                    tracing::warn!(%error, rows = rows.len(), "write has no outcome yet");
+                    self.health.fail(sent);
+                    limit = (limit * 2).min(LONGEST_LIMIT);
+                    tracing::debug!(%error, rows = rows.len(), "write has no outcome yet");
                 }
             }
             tokio::time::sleep(pause).await;
@@ -146,11 +176,15 @@
         let sent = boot_time();
         match LeaderRecord::read(self.store.as_ref()).await {
             Ok((record, _)) if record.epoch == self.record.epoch => {
+                self.health.succeed(sent);
                 self.confirmed = sent;
                 (self, Ok(CommitEnd::Stored))
             }
             Ok(_) => (self, Ok(CommitEnd::Deposed)),
-            Err(error) => (self, Err(error)),
+            Err(error) => {
+                self.health.fail(sent);
+                (self, Err(error))
+            }
         }
     }
 
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,6 +1,5 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
@@ -19,6 +18,7 @@
 use crate::calls::{JobAnswer, JobCall};
 use crate::convert::{encode_orders, millis};
 use crate::journal::{CommitEnd, Journal};
+use crate::store_health::StoreHealth;
 
 /// Time between two looks at what is due with time.
 const TICK: Duration = Duration::from_millis(200);
@@ -26,9 +26,16 @@
 /// Time without a write after which the leadership is confirmed by a read.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// A write without an outcome for this long means that the store is down: new work is refused at
-/// once instead of being held. A slow store takes up to about a second.
-const STORE_STUCK: Duration = Duration::from_millis(1200);
+/// Calls that fail for this long mean that the store is down: new work is refused at once instead of
+/// being held, unless the store answers another entry, which then takes over.
+const STORE_DOWN: Duration = Duration::from_millis(400);
+
+/// A write without an outcome for this long means the same, whatever others say; a takeover takes
+/// less.
+const STORE_STUCK: Duration = Duration::from_millis(2000);
+
+/// Word of another entry that the store answers it holds for this long; two pings.
+const OTHERS_HOLD: Duration = Duration::from_millis(800);
 
 /// When callers should come back while the store is down.
 const STORE_RETRY: Duration = Duration::from_secs(2);
@@ -86,7 +93,6 @@
     answer: JobAnswer,
     id: String,
     reply: oneshot::Sender<JobAnswer>,
-    since: Instant,
     submitted: bool,
     version: u64,
 }
@@ -99,10 +105,10 @@
 /// Runs the coordinator while this entry leads.
 pub struct Leader {
     clock: Arc<dyn Clock>,
-    confirmed_ms: Arc<AtomicU64>,
     confirmed: Duration,
     core: Coordinator,
     epoch: u64,
+    health: Arc<StoreHealth>,
     last_call: Instant,
     sessions: HashMap<u64, Session>,
     store_since: Option<Instant>,
@@ -130,7 +136,7 @@
         limits: Limits,
         times: LeaderTimes,
         tables: JobTables,
-        confirmed_ms: Arc<AtomicU64>,
+        health: Arc<StoreHealth>,
     ) -> Result<Self, TransactError> {
         let jobs = journal.load(RowKind::Job).await?;
         let mut progress: HashMap<String, Vec<u8>> =
@@ -147,9 +153,9 @@
         Ok(Self {
             clock,
             confirmed: journal.confirmed(),
-            confirmed_ms,
             core,
             epoch: journal.epoch(),
+            health,
             last_call,
             sessions: HashMap::new(),
             store_since: None,
@@ -243,7 +249,6 @@
 
     fn note_confirmed(&mut self, journal: &Journal) {
         self.confirmed = journal.confirmed();
-        self.confirmed_ms.store(millis(self.confirmed), Ordering::Relaxed);
     }
 
     fn next_store_call(
@@ -389,14 +394,17 @@
         submitted: bool,
         reply: oneshot::Sender<JobAnswer>,
     ) {
-        let since = self.clock.now();
         let answer = JobAnswer::Done;
-        self.waiting.push(Waiting { answer, id, reply, since, submitted, version });
+        self.waiting.push(Waiting { answer, id, reply, submitted, version });
     }
 
     fn is_stuck(&self) -> bool {
         let now = self.clock.now();
-        self.store_since.is_some_and(|since| now.saturating_duration_since(since) > STORE_STUCK)
+        let stuck = self
+            .store_since
+            .is_some_and(|since| now.saturating_duration_since(since) > STORE_STUCK);
+        let others = self.health.others_age() < OTHERS_HOLD;
+        stuck || (self.health.failing() > STORE_DOWN && !others)
     }
 
     fn answer_waiting(&mut self) {
@@ -417,11 +425,9 @@
         if !self.is_stuck() {
             return;
         }
-        let now = self.clock.now();
         let mut withdrawn = BTreeSet::new();
         for waiting in &self.waiting {
-            let old = now.saturating_duration_since(waiting.since) > STORE_STUCK;
-            if old && waiting.submitted && self.core.withdraw(&waiting.id) {
+            if waiting.submitted && self.core.withdraw(&waiting.id) {
                 withdrawn.insert(waiting.id.clone());
             }
         }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer;
 mod service;
 mod session;
+mod store_health;
 mod tables_task;
 mod worker_control;
 mod worker_task;
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -9,11 +9,11 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
-use crate::boot_time::boot_time;
 use crate::calls::{JobAnswer, ask, decode_call, encode_answer};
 use crate::convert::{decode_report, millis};
 use crate::leader::LeaderMessage;
 use crate::leadership::Leadership;
+use crate::store_health::StoreHealth;
 
 /// Updates that may wait for one agent; it ends the session when it hears nothing.
 const OUTBOUND: usize = 16;
@@ -23,8 +23,8 @@
 
 /// What the tasks of one entry share.
 pub struct Shared {
-    /// Boot time in milliseconds at which the store last confirmed the leadership.
-    pub confirmed_ms: Arc<AtomicU64>,
+    /// Whether the store answers the leader.
+    pub health: Arc<StoreHealth>,
     /// Input of the leader while this entry leads.
     pub inbox: watch::Receiver<Option<mpsc::Sender<LeaderMessage>>>,
     /// Whether the entry is shutting down.
@@ -107,13 +107,16 @@
             // A full queue means that a fetch is already under way.
             let _ = self.shared.newer.try_send(request.address);
         }
-        let confirmed = self.shared.confirmed_ms.load(Ordering::Relaxed);
+        if request.store_answers {
+            self.shared.health.note_other();
+        }
         Ok(Response::new(v1::PingReply {
             epoch: leadership.epoch,
             leads: leadership.own,
-            store_age_ms: millis(boot_time()).saturating_sub(confirmed),
+            store_age_ms: millis(self.shared.health.age()),
             tables_version: version,
             leaving: self.shared.leaving.load(Ordering::Relaxed),
+            failing_ms: millis(self.shared.health.failing()),
         }))
     }
 
--- a/crates/coordination/src/tables_task.rs
+++ b/crates/coordination/src/tables_task.rs
@@ -34,6 +34,8 @@
 /// State of the tables at one entry.
 #[derive(Clone, Copy, Debug)]
 pub struct TablesAge {
+    /// Whether the last poll was answered.
+    pub answers: bool,
     /// When the source last answered.
     pub confirmed: Option<Instant>,
 }
@@ -53,13 +55,14 @@
             polled = source.poll(known) => match polled {
                 Ok(found) => {
                     note_source(&mut reached, true, known, "");
-                    age.send_replace(TablesAge { confirmed: Some(Instant::now()) });
+                    age.send_replace(TablesAge { answers: true, confirmed: Some(Instant::now()) });
                     if let Some(found) = found {
                         put_in_force(&tables, found, "store");
                     }
                 }
                 Err(error) => {
                     note_source(&mut reached, false, known, &error.detail);
+                    age.send_modify(|age| age.answers = false);
                     tokio::time::sleep(PAUSE).await;
                 }
             },
