End earlier boots by their address, and ask a predecessor whether it still leads

Cause: after a loss of power of all VMs a new leader waited 21 s (12 s in which its predecessor might have extended leases, and a lease) before the runs of the old boots counted as lost, though later boots answered at the same addresses after 14 s.

Ruled out: a shorter lease (cuts of 5 s would then kill work that survives them now).

Change: rows keep the address of the worker; a later boot at the same address ends the earlier one. A predecessor that answers a ping with the new epoch extends no lease from then on, so that the wait shrinks to one lease; an earlier process of the same entry is gone at once.

--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -65,6 +65,7 @@
 
 fn encode_status(status: &WorkerStatus) -> v1::WorkerDescription {
     v1::WorkerDescription {
+        address: status.address.clone(),
         id: status.id.clone(),
         boot: status.boot,
         pool: status.pool.clone(),
@@ -146,6 +147,7 @@
 
 fn decode_status(worker: v1::WorkerDescription) -> WorkerStatus {
     WorkerStatus {
+        address: worker.address,
         boot: worker.boot,
         domain: worker.domain,
         draining: worker.draining,
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -381,18 +381,36 @@
                 return;
             }
         };
-        if !record.address.is_empty() && record.address != address {
-            let request = self.ping(journal.epoch());
-            let told = notify_predecessor(self.peers.clone(), record.address.clone(), request);
-            tokio::spawn(told);
-        }
-        if let Err(error) = self.lead(journal).await {
+        if let Err(error) = self.lead(journal, record).await {
             tracing::warn!(%error, "jobs not loaded");
             tokio::time::sleep(STORE_PAUSE).await;
         }
     }
 
-    async fn lead(&mut self, journal: Journal) -> Result<(), TransactError> {
+    /// Makes sure that the predecessor does not lead any more. An earlier process of this entry is
+    /// gone for certain.
+    fn tell_predecessor(
+        &self,
+        predecessor: &LeaderRecord,
+        epoch: u64,
+        inbox: mpsc::Sender<LeaderMessage>,
+    ) {
+        let own = predecessor.address.is_empty() || predecessor.name == self.settings.name;
+        let (peers, address) = (self.peers.clone(), predecessor.address.clone());
+        let request = self.ping(epoch);
+        tokio::spawn(async move {
+            if own || notify_predecessor(peers, address, request).await {
+                // The leadership may have ended meanwhile.
+                let _ = inbox.send(LeaderMessage::PredecessorEnded).await;
+            }
+        });
+    }
+
+    async fn lead(
+        &mut self,
+        journal: Journal,
+        predecessor: &LeaderRecord,
+    ) -> Result<(), TransactError> {
         let since = Instant::now();
         let epoch = journal.epoch();
         let tables = self.tables.borrow().clone();
@@ -404,9 +422,11 @@
             times,
             tables,
             self.shared.health.clone(),
+            self.seen.clone(),
         )
         .await?;
         let (sender, inbox) = mpsc::channel(INBOX);
+        self.tell_predecessor(predecessor, epoch, sender.clone());
         self.inbox.send_replace(Some(sender));
         self.leadership.send_replace(Leadership {
             address: self.settings.control.to_string(),
@@ -444,19 +464,24 @@
 }
 
 /// Tells the entry at `address`, which led before, that it no longer does; it cannot learn that from
-/// the store while it does not reach it.
-async fn notify_predecessor(peers: Arc<PeerClients>, address: String, request: v1::PingRequest) {
+/// the store while it does not reach it. Returns whether it has answered.
+async fn notify_predecessor(
+    peers: Arc<PeerClients>,
+    address: String,
+    request: v1::PingRequest,
+) -> bool {
     let end = Instant::now() + NOTIFY_TIME;
     while Instant::now() < end {
         if let Some(mut client) = peers.client(&address) {
             let reply = tokio::time::timeout(PING_LIMIT, client.ping(request.clone())).await;
             if matches!(reply, Ok(Ok(_))) {
-                return;
+                return true;
             }
             peers.replace(&address);
         }
         tokio::time::sleep(PING_INTERVAL).await;
     }
+    false
 }
 
 /// Waits until a peer has named an epoch above `epoch`.
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -76,6 +76,8 @@
         /// Whether the worker is gone for good.
         left: bool,
     },
+    /// The predecessor is known not to lead any more.
+    PredecessorEnded,
     /// A session has ended.
     Close {
         /// Number of the session.
@@ -110,6 +112,8 @@
     epoch: u64,
     health: Arc<StoreHealth>,
     last_call: Instant,
+    /// Highest epoch that another entry has named.
+    seen: watch::Receiver<u64>,
     sessions: HashMap<u64, Session>,
     store_since: Option<Instant>,
     times: LeaderTimes,
@@ -137,6 +141,7 @@
         times: LeaderTimes,
         tables: JobTables,
         health: Arc<StoreHealth>,
+        seen: watch::Receiver<u64>,
     ) -> Result<Self, TransactError> {
         let jobs = journal.load(RowKind::Job).await?;
         let mut progress: HashMap<String, Vec<u8>> =
@@ -157,6 +162,7 @@
             epoch: journal.epoch(),
             health,
             last_call,
+            seen,
             sessions: HashMap::new(),
             store_since: None,
             times,
@@ -278,6 +284,7 @@
         let now = self.now();
         match message {
             LeaderMessage::Call { call, reply } => self.take_call(now, call, reply),
+            LeaderMessage::PredecessorEnded => self.core.end_predecessor(now),
             LeaderMessage::Open { session, outbound } => {
                 self.sessions
                     .insert(session, Session { acked: 0, outbound, worker: String::new() });
@@ -317,7 +324,10 @@
     }
 
     fn push(&mut self, number: u64) {
-        let fresh = boot_time().saturating_sub(self.confirmed) < self.times.confirm;
+        // A successor counts on this entry extending no lease once it has answered its ping.
+        let deposed = *self.seen.borrow() > self.epoch;
+        let confirmed = boot_time().saturating_sub(self.confirmed) < self.times.confirm;
+        let fresh = confirmed && !deposed;
         let Some(session) = self.sessions.get(&number) else { return };
         let mut update = encode_orders(&self.core.orders(&session.worker));
         update.epoch = self.epoch;
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -37,8 +37,6 @@
 pub enum Announcement {
     /// The worker is there.
     Present {
-        /// Where it answers, "ip:port".
-        address: String,
         /// What it says of itself.
         status: WorkerStatus,
     },
@@ -82,7 +80,7 @@
     pub async fn run(mut self, mut announcements: mpsc::Receiver<Announcement>) {
         while let Some(announcement) = announcements.recv().await {
             let id = match &announcement {
-                Announcement::Present { status, .. } => status.id.clone(),
+                Announcement::Present { status } => status.id.clone(),
                 Announcement::Left { id } => id.clone(),
             };
             self.workers.retain(|_, sender| !sender.is_closed());
@@ -190,8 +188,8 @@
     fn announce(&mut self, announcement: Announcement) {
         let now = self.clock.now();
         match announcement {
-            Announcement::Present { address, status } => {
-                let id = status.id.clone();
+            Announcement::Present { status } => {
+                let (id, address) = (status.id.clone(), status.address.clone());
                 if self.core.status().is_none() {
                     let event = Event::AgentJoined;
                     let (code, event) = (event.code(), event.name());
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -6,6 +6,8 @@
 /// A run that may be alive.
 #[derive(Clone, Debug)]
 pub struct Placement {
+    /// Address of the worker.
+    pub address: String,
     pub boot: u64,
     pub checkpoint: String,
     /// Progress in percent.
@@ -96,6 +98,7 @@
             task.checkpoint = saved.checkpoint.clone();
             if saved.running {
                 task.placement = Some(Placement {
+                    address: saved.address.clone(),
                     boot: saved.boot,
                     checkpoint: saved.checkpoint.clone(),
                     percent: 0,
@@ -127,6 +130,10 @@
             started: self.started,
             tasks: tasks
                 .map(|(key, task)| TaskRow {
+                    address: task
+                        .placement
+                        .as_ref()
+                        .map_or_else(String::new, |placement| placement.address.clone()),
                     boot: task.placement.as_ref().map_or(0, |placement| placement.boot),
                     checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
                     done: task.done,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -73,7 +73,8 @@
     jobs: BTreeMap<String, JobEntry>,
     limits: Limits,
     plan_due: bool,
-    started: Instant,
+    /// From when on the predecessor extends no leases.
+    predecessor_end: Instant,
     tables: JobTables,
     touched: BTreeSet<String>,
     waiting: BTreeSet<String>,
@@ -122,7 +123,7 @@
             jobs: BTreeMap::new(),
             limits,
             plan_due: true,
-            started: now.at,
+            predecessor_end: now.at + limits.takeover,
             tables,
             touched: BTreeSet::new(),
             waiting: BTreeSet::new(),
@@ -154,7 +155,10 @@
             let worker = known.or_insert_with(|| {
                 crate::FleetWorker::new(&placement.worker, placement.boot, now.at)
             });
-            worker.status.boot = worker.status.boot.max(placement.boot);
+            if placement.boot >= worker.status.boot {
+                worker.status.boot = placement.boot;
+                worker.status.address.clone_from(&placement.address);
+            }
             let room = entry.room(task.key.step);
             let (id, run) = (placement.worker.clone(), placement.run);
             self.fleet.occupy(&id, &task, run, &room);
@@ -174,6 +178,11 @@
         }
     }
 
+    /// Notes that the predecessor is known not to lead any more.
+    pub fn end_predecessor(&mut self, now: Moment) {
+        self.predecessor_end = self.predecessor_end.min(now.at);
+    }
+
     /// Takes in a submission.
     pub fn submit(&mut self, now: Moment, job: Job) -> Submission {
         if let Some(entry) = self.jobs.get(&job.id) {
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -274,6 +274,7 @@
             let Some(task) = entry.tasks.get_mut(key) else { continue };
             task.run = run;
             task.placement = Some(Placement {
+                address: worker.status.address.clone(),
                 boot: worker.status.boot,
                 checkpoint: task.checkpoint.clone(),
                 percent: 0,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -51,13 +51,12 @@
     /// Releases the runs of workers whose leases have lapsed.
     pub(super) fn expire_workers(&mut self, now: Moment) {
         let lapse = self.limits.lapse;
-        let takeover = self.started + self.limits.takeover;
         let silent: Vec<String> = self
             .fleet
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let last = if worker.known { worker.seen } else { takeover };
+                let last = if worker.known { worker.seen } else { self.predecessor_end };
                 !worker.runs.is_empty() && now.at > last + lapse
             })
             .map(|(id, _)| id.clone())
@@ -79,11 +78,32 @@
             }
             None => {}
         }
+        self.end_earlier_boots(now, status);
         let worker = FleetWorker::new(&status.id, status.boot, now.at);
         self.fleet.workers.insert(status.id.clone(), worker);
         true
     }
 
+    /// Ends the workers that had the address of a boot that has just appeared.
+    fn end_earlier_boots(&mut self, now: Moment, status: &WorkerStatus) {
+        let earlier: Vec<String> = self
+            .fleet
+            .workers
+            .iter()
+            .filter(|(id, worker)| {
+                **id != status.id
+                    && !status.address.is_empty()
+                    && worker.status.address == status.address
+                    && worker.status.boot < status.boot
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in earlier {
+            self.lose_runs(now, &id, "another boot has its address");
+            self.fleet.workers.remove(&id);
+        }
+    }
+
     fn lose_runs(&mut self, now: Moment, id: &str, reason: &str) {
         let Some(worker) = self.fleet.workers.get(id) else { return };
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
@@ -122,11 +142,9 @@
         let Some(worker) = self.fleet.workers.get_mut(&status.id) else { return };
         match end.kind {
             EndKind::Done => worker.health.succeed(),
-            EndKind::Failed => {
-                if worker.health.suspect(now.at, &end.task.job, Suspicion::Failed) {
-                    let detail = "runs of several jobs failed".to_owned();
-                    self.decide(&status.id, DecisionKind::Quarantined, detail);
-                }
+            EndKind::Failed if worker.health.suspect(now.at, &end.task.job, Suspicion::Failed) => {
+                let detail = "runs of several jobs failed".to_owned();
+                self.decide(&status.id, DecisionKind::Quarantined, detail);
             }
             _ => {}
         }
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -36,6 +36,9 @@
 /// Durable state of one task that has been started at least once.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskRow {
+    /// Address of the worker of the last run.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub address: String,
     /// Boot of the worker of the last run.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub boot: u64,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -5,6 +5,8 @@
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WorkerStatus {
+    /// Where the worker answers. Two boots cannot share it, so a later one there ends the earlier.
+    pub address: String,
     /// Start of this boot, milliseconds since 1970; a higher value is a later boot.
     pub boot: u64,
     /// Failure domain.
