Serve within a class by latest start, and let urgent work preempt sooner

Change: order by latest start within a class; a job of class 0 outside its guarantee may stop work of lower classes after 0.25 s up to 250 core-seconds.

--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -18,16 +18,13 @@
 /// Blocked units for which room is kept free; more would leave too much of the pool idle.
 const SHADOWS: usize = 2;
 
-/// Core-seconds that a claim outside its guarantee may cost others. About a tenth of the work of a
-/// typical gang.
-const BORROWED_WASTE: f64 = 100.0;
+/// Core-seconds that a claim of class 0 outside its guarantee may cost others: less than the work
+/// of a typical gang, whose worth is about that of the claim.
+const BORROWED_WASTE: f64 = 250.0;
 
-/// Wait of a job of class 0 outside its guarantee before it may stop other work.
-const BORROWED_WAIT: Duration = Duration::from_millis(1000);
-
-/// Wait of a guaranteed job for work that ends by itself before it stops other work that would be
-/// lost, as a share of the time to reclaim.
-const NATURAL_SHARE: f64 = 0.25;
+/// Wait of a job of class 0 before it may stop other work that would be lost. Its slack is about
+/// 1.5 s, and a stop takes up to 0.9 s.
+const BORROWED_WAIT: Duration = Duration::from_millis(250);
 
 /// Workers of one pool during one round of planning.
 struct PoolView {
@@ -315,22 +312,18 @@
         guaranteed: &BTreeSet<String>,
     ) -> bool {
         let protected = unit.rank.tier == 0;
-        if !protected && (unit.rank.class > 0 || unit.waited < BORROWED_WAIT) {
-            return false;
-        }
+        let Some(limit) = waste_limit(unit) else { return false };
         let candidates = self.with_same(unit, with_room(view, allowed, true));
         let (holders, groups) = self.holders(now, unit, &candidates, guaranteed);
         let Some(plan) = choose_victims(demand, &candidates, &holders) else { return false };
-        if protected && plan.waste > BORROWED_WASTE {
-            let natural = self.limits.reclaim.mul_f64(NATURAL_SHARE);
-            if unit.waited < natural {
-                keep_free(view, demand, &map_back(allowed, &plan.chosen));
-                return true;
-            }
-        }
-        if !protected && plan.waste > BORROWED_WASTE {
+        if plan.waste > limit {
             return false;
         }
+        if protected && unit.waited < BORROWED_WAIT && plan.waste > BORROWED_WASTE {
+            // Work may end by itself in the meantime.
+            keep_free(view, demand, &map_back(allowed, &plan.chosen));
+            return true;
+        }
         for group in &plan.groups {
             let reason = format!("room for {} of rank {}", unit.job, unit.rank.tier);
             self.stop_run(&groups[*group], &reason);
@@ -475,6 +468,19 @@
     }
 }
 
+/// Returns the core-seconds of other work that `unit` may cost now, `None` when it may stop none.
+///
+/// Load pattern: bulk work of a low class fills the pool, and short urgent work arrives beside it.
+fn waste_limit(unit: &Unit) -> Option<f64> {
+    if unit.rank.tier == 0 {
+        return Some(f64::INFINITY);
+    }
+    if unit.rank.class == 0 {
+        return (unit.waited >= BORROWED_WAIT).then_some(BORROWED_WASTE);
+    }
+    None
+}
+
 fn with_room(view: &PoolView, allowed: &[usize], soon: bool) -> Vec<Candidate> {
     allowed
         .iter()
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -89,10 +89,11 @@
                 continue;
             }
             let accepted_ms = due.unwrap_or(entry.job.accepted_ms);
+            let start_ms = accepted_ms + latest_start(entry, occurrence);
             units.push(Unit {
                 job: entry.job.id.clone(),
                 keys,
-                rank: Rank { tier, class: entry.job.class, accepted_ms },
+                rank: Rank { tier, class: entry.job.class, start_ms },
                 waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms)),
             });
         }
@@ -100,6 +101,19 @@
     units
 }
 
+/// Returns the time after acceptance at which the rest of an occurrence must start to meet its
+/// objective, from the estimates.
+fn latest_start(entry: &JobEntry, occurrence: u32) -> u64 {
+    let chain = entry.job.chain_ms();
+    let objective = (chain as f64 * entry.job.slack) as u64 + entry.job.target_ms;
+    let done: u64 = (0_u32..)
+        .zip(&entry.job.steps)
+        .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
+        .map(|(_, content)| content.estimate_ms)
+        .sum();
+    objective.saturating_sub(chain.saturating_sub(done))
+}
+
 fn is_step_done(entry: &JobEntry, occurrence: u32, step: usize) -> bool {
     let Ok(number) = u32::try_from(step) else { return false };
     let Some(content) = entry.job.steps.get(step) else { return false };
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -5,16 +5,17 @@
 /// Place of waiting work in the order of service; lower values are served first.
 ///
 /// Load pattern: several classes wait at once and owners of guarantees claim beside them. Guaranteed
-/// claims come first, then the classes in the order that teams paid for, and within a class the
-/// oldest, so that large jobs are not passed over for ever.
+/// claims come first, then the classes in the order that teams paid for, and within a class the work
+/// that must start soonest to meet its objective. Work that has missed it is not put last: it then
+/// often was not served at all, which costs more than its lateness.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     /// 0 for work within its team's guarantee, 1 for other work.
     pub tier: u8,
     /// Priority class.
     pub class: u8,
-    /// Time of acceptance, milliseconds since 1970.
-    pub accepted_ms: u64,
+    /// Latest start that meets the objective, milliseconds since 1970.
+    pub start_ms: u64,
 }
 
 /// Open jobs of class 0 of one team, as far as they count against its guarantee.
