Join a slow write by a further one, and do not replace leaders while the store is slow

The leader gave up its writes after 0.3 s and 0.6 s, which counted as failures, and the others took over three times in 5 s, each from a leader that was no worse off; 3 of 49 submissions were given up.

Ruled out: longer limits alone (a lost answer then holds up all writes for 1.8 s).

Change: a write that takes longer than usual stays open and is joined by a second and third, the first answer decides; an entry whose own read takes over 120 ms does not replace the leader.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -47,6 +47,9 @@
 /// after the end of an outage.
 const CONFIRM_GRACE: Duration = Duration::from_millis(300);
 
+/// A read that takes longer means that the store is slow; a usual one takes less than 10 ms.
+const SLOW_READ: Duration = Duration::from_millis(120);
+
 /// Longest random delay before a takeover, so that two entries rarely try at once.
 const TAKEOVER_JITTER: Duration = Duration::from_millis(100);
 
@@ -328,8 +331,11 @@
             return None;
         }
         // The store may be down for all; only an entry that reaches it takes over.
+        let asked = Instant::now();
         match LeaderRecord::read(self.store.as_ref()).await {
             Ok((found, _)) if found.epoch > record.epoch => Some(Followed::Changed),
+            // The store is slow for all; another leader would not be served better.
+            Ok(_) if asked.elapsed() > SLOW_READ => None,
             Ok(_) => {
                 tokio::time::sleep(CONFIRM_GRACE).await;
                 self.still_stale(record).await
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -1,6 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use skylarkpulley_jobs::{RowChange, RowKind};
 use skylarkpulley_store::{Applied, Page, RecordKey, TransactError, Transaction, Transactor};
 
@@ -14,13 +17,16 @@
 /// Longest pause between two tries; the store allows hundreds of calls a second, but each is paid.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// Shortest time for a write. A usual one takes 15 ms; a lost answer would otherwise hold up all
-/// writes behind it for the time that a slow store may take.
+/// Shortest time after which a write is sent again. A usual one takes 15 ms; a lost answer would
+/// otherwise hold up all writes behind it for the time that a slow store may take.
 const SHORTEST_LIMIT: Duration = Duration::from_millis(300);
 
-/// Longest time for a write; the slowest store seen takes about a second.
+/// Longest such time; the slowest store seen takes about a second.
 const LONGEST_LIMIT: Duration = Duration::from_millis(2000);
 
+/// Calls for one write that may be open at once.
+const OPEN_CALLS: usize = 3;
+
 /// A write may take this many times as long as the last one before it is sent again.
 const LIMIT_FACTOR: u32 = 4;
 
@@ -115,59 +121,87 @@
         }
     }
 
-    /// Stores `rows`; returns when they are stored or can never be.
+    /// Stores `rows`; returns when they are stored or can never be. A call that takes longer than
+    /// usual is joined by a further one, and the first answer decides: the store may be slow, or the
+    /// answer lost.
     pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitEnd) {
         let next = LeaderRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
         let mut pause = FIRST_PAUSE;
         let mut limit = (self.took * LIMIT_FACTOR).clamp(SHORTEST_LIMIT, LONGEST_LIMIT);
+        let mut calls = FuturesUnordered::new();
+        calls.push(self.write(&next, &rows));
         loop {
-            let sent = boot_time();
-            let transaction = self.transaction(&next, &rows);
-            let write = tokio::time::timeout(limit, self.store.apply(&transaction)).await;
+            let (sent, outcome) = tokio::select! {
+                Some(answer) = calls.next() => answer,
+                () = tokio::time::sleep(limit), if calls.len() < OPEN_CALLS => {
+                    self.health.fail(boot_time().saturating_sub(limit));
+                    limit = (limit * 2).min(LONGEST_LIMIT);
+                    calls.push(self.write(&next, &rows));
+                    continue;
+                }
+            };
             self.took = boot_time().saturating_sub(sent);
-            let outcome = write.unwrap_or_else(|_| {
-                Err(TransactError::Unanswered { detail: format!("in {} ms", limit.as_millis()) })
-            });
-            if outcome.is_ok() {
-                self.health.succeed(sent);
-            }
             match outcome {
-                Ok(Applied::Done { version }) => {
-                    self.version = version;
-                    self.record = next;
-                    self.confirmed = sent;
-                    return (self, CommitEnd::Stored);
-                }
-                Ok(Applied::Conflict { found }) => {
-                    let current = found.iter().find(|record| record.key == LeaderRecord::key());
-                    let Some(current) = current else { return (self, CommitEnd::Deposed) };
-                    let Ok(record) = LeaderRecord::decode(current) else {
-                        return (self, CommitEnd::Deposed);
-                    };
-                    if record == next {
-                        self.version = current.version;
-                        self.record = next;
-                        self.confirmed = sent;
-                        return (self, CommitEnd::Stored);
+                Ok(applied) => {
+                    self.health.succeed(sent);
+                    if let Some(end) = self.judge(&next, applied, sent) {
+                        return (self, end);
                     }
-                    if record != self.record {
-                        return (self, CommitEnd::Deposed);
-                    }
-                    // The version in an answer may be later than that of the write.
-                    self.version = current.version;
-                    continue;
                 }
                 Err(error) => {
                     self.health.fail(sent);
-                    limit = (limit * 2).min(LONGEST_LIMIT);
                     tracing::debug!(%error, rows = rows.len(), "write has no outcome yet");
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
                 }
             }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
+            if calls.is_empty() {
+                calls.push(self.write(&next, &rows));
+            }
         }
     }
 
+    /// Returns how the write of `next` ended, `None` when it has to be sent again.
+    fn judge(
+        &mut self,
+        next: &LeaderRecord,
+        applied: Applied,
+        sent: Duration,
+    ) -> Option<CommitEnd> {
+        let version = match applied {
+            Applied::Done { version } => version,
+            Applied::Conflict { found } => {
+                let current = found.iter().find(|record| record.key == LeaderRecord::key());
+                let Some(current) = current else { return Some(CommitEnd::Deposed) };
+                match LeaderRecord::decode(current) {
+                    Ok(record) if record == *next => current.version,
+                    Ok(record) if record == self.record => {
+                        // The version in an answer may be later than that of the write.
+                        self.version = current.version;
+                        return None;
+                    }
+                    _ => return Some(CommitEnd::Deposed),
+                }
+            }
+        };
+        self.version = version;
+        self.record = next.clone();
+        self.confirmed = sent;
+        Some(CommitEnd::Stored)
+    }
+
+    fn write(
+        &self,
+        next: &LeaderRecord,
+        rows: &[RowChange],
+    ) -> BoxFuture<'static, (Duration, Result<Applied, TransactError>)> {
+        let (store, transaction) = (self.store.clone(), self.transaction(next, rows));
+        Box::pin(async move {
+            let sent = boot_time();
+            (sent, store.apply(&transaction).await)
+        })
+    }
+
     /// Confirms the leadership by a read.
     ///
     /// # Errors
