Ask the placement policy, keep serving tasks undisturbed, move runs off leaving workers

Cause: installations not seen so far have routes whose steps need a permit of an outside policy, tasks that serve beside tasks that use leftover room, and workers that leave with a stated time; without permits no such job would ever run.

Ruled out: one permit call for each task (the policy answers one call of a VM at a time).

--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -181,6 +181,7 @@
                 run: order.run,
                 payload: order.payload.clone(),
                 checkpoint: order.checkpoint.clone(),
+                permit: order.permit.clone(),
             })
             .collect(),
         stop: orders.stop.iter().map(|(task, number)| run(task, *number)).collect(),
@@ -197,6 +198,7 @@
         Some(StartOrder {
             checkpoint: order.checkpoint,
             payload: order.payload,
+            permit: order.permit,
             run: order.run,
             task: task_id(&order.task)?,
         })
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::leader_record::LeaderRecord;
 use crate::leadership::{Leadership, SeenLeader};
 use crate::peer::PeerClients;
+use crate::placement_policy::PlacementPolicy;
 use crate::service::{CoordinationService, Shared};
 use crate::store_health::StoreHealth;
 use crate::tables_task::{TablesAge, TablesSource, follow_tables};
@@ -100,6 +101,7 @@
         listener: TcpListener,
         store: Arc<dyn Transactor>,
         source: Arc<dyn TablesSource>,
+        policy: Option<Arc<dyn PlacementPolicy>>,
         clock: Arc<dyn Clock>,
     ) -> Self {
         let (inbox_sender, inbox) = watch::channel(None);
@@ -147,6 +149,7 @@
             inbox: inbox_sender,
             leadership: leadership_sender,
             peers: peers.clone(),
+            policy,
             seen,
             settings,
             shared: shared.clone(),
@@ -206,6 +209,7 @@
     inbox: watch::Sender<Option<mpsc::Sender<LeaderMessage>>>,
     leadership: watch::Sender<Leadership>,
     peers: Arc<PeerClients>,
+    policy: Option<Arc<dyn PlacementPolicy>>,
     seen: watch::Receiver<SeenLeader>,
     settings: EntrySettings,
     shared: Arc<Shared>,
@@ -455,6 +459,7 @@
         let epoch = journal.epoch();
         let tables = self.tables.borrow().clone();
         let times = LeaderTimes { confirm: self.settings.confirm, lease: self.settings.lease };
+        let (sender, inbox) = mpsc::channel(INBOX);
         let leader = Leader::load(
             &journal,
             self.clock.clone(),
@@ -463,9 +468,10 @@
             tables,
             self.shared.health.clone(),
             self.seen.clone(),
+            self.policy.clone(),
+            sender.downgrade(),
         )
         .await?;
-        let (sender, inbox) = mpsc::channel(INBOX);
         self.tell_predecessor(predecessor, epoch, sender.clone());
         self.inbox.send_replace(Some(sender));
         self.leadership.send_replace(Leadership {
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -5,7 +5,8 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use skylarkpulley_jobs::{
-    Coordinator, DecisionKind, JobTables, Limits, Moment, RowKind, Submission, WorkerReport,
+    AdviceAnswer, AdviceCall, Coordinator, DecisionKind, JobTables, Limits, Moment, RowKind,
+    Submission, WorkerReport,
 };
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
@@ -19,6 +20,7 @@
 use crate::convert::{encode_orders, millis};
 use crate::journal::{CommitEnd, Journal};
 use crate::leadership::SeenLeader;
+use crate::placement_policy::PlacementPolicy;
 use crate::store_health::StoreHealth;
 
 /// Time between two looks at what is due with time.
@@ -77,6 +79,13 @@
         /// Whether the worker is gone for good.
         left: bool,
     },
+    /// The placement policy has answered, or has not.
+    Advice {
+        /// The question.
+        call: Box<AdviceCall>,
+        /// The answer.
+        answer: Option<AdviceAnswer>,
+    },
     /// The predecessor is known not to lead any more.
     PredecessorEnded,
     /// A session has ended.
@@ -113,6 +122,9 @@
     epoch: u64,
     health: Arc<StoreHealth>,
     last_call: Instant,
+    /// The leader's own input.
+    own: mpsc::WeakSender<LeaderMessage>,
+    policy: Option<Arc<dyn PlacementPolicy>>,
     /// Highest epoch that another entry has named.
     seen: watch::Receiver<SeenLeader>,
     sessions: HashMap<u64, Session>,
@@ -143,6 +155,8 @@
         tables: JobTables,
         health: Arc<StoreHealth>,
         seen: watch::Receiver<SeenLeader>,
+        policy: Option<Arc<dyn PlacementPolicy>>,
+        own: mpsc::WeakSender<LeaderMessage>,
     ) -> Result<Self, TransactError> {
         let jobs = journal.load(RowKind::Job).await?;
         let mut progress: HashMap<String, Vec<u8>> =
@@ -163,6 +177,8 @@
             epoch: journal.epoch(),
             health,
             last_call,
+            own,
+            policy,
             seen,
             sessions: HashMap::new(),
             store_since: None,
@@ -244,12 +260,34 @@
             if let Some(journal) = idle.take() {
                 self.next_store_call(journal, &mut idle, &mut call);
             }
+            self.ask_policy();
             self.answer_waiting();
             self.log_decisions();
             self.push_orders();
         }
     }
 
+    /// Puts the open questions to the placement policy.
+    fn ask_policy(&mut self) {
+        for call in self.core.take_advice_calls() {
+            let (Some(policy), Some(inbox)) = (self.policy.clone(), self.own.upgrade()) else {
+                tracing::error!(job = call.step.job, "no placement policy in the settings");
+                continue;
+            };
+            tokio::spawn(async move {
+                let answer = match policy.advise(&call).await {
+                    Ok(answer) => Some(answer),
+                    Err(error) => {
+                        tracing::warn!(%error, job = call.step.job, "no advice");
+                        None
+                    }
+                };
+                // The leadership may have ended.
+                let _ = inbox.send(LeaderMessage::Advice { call: Box::new(call), answer }).await;
+            });
+        }
+    }
+
     fn now(&self) -> Moment {
         moment(self.clock.as_ref())
     }
@@ -285,6 +323,9 @@
         let now = self.now();
         match message {
             LeaderMessage::Call { call, reply } => self.take_call(now, call, reply),
+            LeaderMessage::Advice { call, answer } => {
+                self.core.take_advice(now, &call, answer.as_ref());
+            }
             LeaderMessage::PredecessorEnded => self.core.end_predecessor(now),
             LeaderMessage::Open { session, outbound } => {
                 self.sessions
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -12,6 +12,8 @@
     pub checkpoint: String,
     /// Progress in percent.
     pub percent: u8,
+    /// Permit of the placement policy.
+    pub permit: String,
     /// When `percent` last rose.
     pub progressed: Instant,
     pub run: u32,
@@ -102,6 +104,7 @@
                     boot: saved.boot,
                     checkpoint: saved.checkpoint.clone(),
                     percent: 0,
+                    permit: String::new(),
                     progressed: now,
                     run: saved.run,
                     seen: false,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    EndKind, Fleet, Job, JobState, JobTables, Orders, ProgressRow, RowsError, StartOrder, TaskId,
-    TaskKey,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Fleet, Job, JobState, JobTables, Orders,
+    ProgressRow, RowsError, StartOrder, TaskId, TaskKey,
 };
 use entry::{JobEntry, Placement};
 
@@ -66,6 +66,8 @@
 /// State of all jobs and workers of a deployment, and the decisions on them.
 #[derive(Debug)]
 pub struct Coordinator {
+    advice: Advice,
+    advice_calls: Vec<AdviceCall>,
     changed: BTreeSet<String>,
     decisions: Vec<Decision>,
     fleet: Fleet,
@@ -116,6 +118,8 @@
     /// Returns a coordinator without jobs.
     pub fn new(limits: Limits, tables: JobTables, now: Moment) -> Self {
         Self {
+            advice: Advice::new(),
+            advice_calls: Vec::new(),
             changed: BTreeSet::new(),
             decisions: Vec::new(),
             fleet: Fleet::new(),
@@ -264,6 +268,19 @@
         self.jobs.get(id).is_none_or(|entry| entry.durable >= version)
     }
 
+    /// Returns the questions for the placement policy since the last call.
+    pub fn take_advice_calls(&mut self) -> Vec<AdviceCall> {
+        std::mem::take(&mut self.advice_calls)
+    }
+
+    /// Takes in the answer to a question, `None` when there was none.
+    pub fn take_advice(&mut self, now: Moment, call: &AdviceCall, answer: Option<&AdviceAnswer>) {
+        let boot = |id: &String| Some((id.clone(), self.fleet.workers.get(id)?.status.boot));
+        let boots = call.workers.iter().filter_map(boot).collect();
+        self.advice.take(call, answer, &boots, now.at);
+        self.plan_due = true;
+    }
+
     /// Returns the decisions since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -297,6 +314,7 @@
             orders.start.push(StartOrder {
                 checkpoint: placement.checkpoint.clone(),
                 payload: entry.job.payload.clone(),
+                permit: placement.permit.clone(),
                 run: *run,
                 task: task.clone(),
             });
@@ -389,6 +407,7 @@
         entry.ended_ms = Some(now.wall_ms);
         entry.ended_at = now.at;
         let state = entry.state();
+        self.advice.forget(id);
         self.waiting.remove(id);
         self.decide(id, DecisionKind::Ended, format!("{state:?}"));
     }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -5,7 +5,7 @@
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Moment};
 use crate::reclaim::{Holder, choose_victims};
-use crate::{Candidate, Demand, Room, Suspicion, TaskId, TaskKey, choose_workers};
+use crate::{Candidate, Demand, Room, Step, StepId, Suspicion, TaskId, TaskKey, choose_workers};
 
 /// A run whose progress stands still for this long, and a tenth of its estimate more, is moved. A
 /// healthy task of 11 s gains a percent every 110 ms.
@@ -15,6 +15,9 @@
 /// slower.
 const NEAR_WAIT: Duration = Duration::from_secs(6);
 
+/// Progress from which on the time that a run still takes is told from its speed so far.
+const RELIABLE_PERCENT: u8 = 5;
+
 /// Blocked units for which room is kept free; more would leave too much of the pool idle.
 const SHADOWS: usize = 2;
 
@@ -39,6 +42,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.expire_workers(now);
         self.stop_stalled(now);
+        self.leave_draining(now);
         self.forget_ended(now);
         self.place(now);
     }
@@ -121,6 +125,8 @@
         guaranteed: &BTreeSet<String>,
     ) -> bool {
         let Some((demand, allowed)) = self.demand(unit, keys, view) else { return false };
+        let allowed = self.permitted(now, unit, view, allowed);
+        let allowed = self.without_failed(unit, keys, view, allowed);
         if let Some(chosen) = self.find_place(unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
             return true;
@@ -140,6 +146,53 @@
         false
     }
 
+    /// Keeps the candidates for which the placement policy has given a permit, and asks for more.
+    fn permitted(
+        &mut self,
+        now: Moment,
+        unit: &Unit,
+        view: &PoolView,
+        allowed: Vec<usize>,
+    ) -> Vec<usize> {
+        let advised = self.jobs.get(&unit.job).is_some_and(|entry| entry.job.advised);
+        let (true, Some(first)) = (advised, unit.keys.first()) else { return allowed };
+        let step = StepId::new(&unit.job, first);
+        let boot = |id: &str| self.fleet.workers.get(id).map_or(0, |worker| worker.status.boot);
+        let permits = |index: &usize| {
+            let id = &view.candidates[*index].id;
+            self.advice.permit(&step, id, boot(id), now.at).is_some()
+        };
+        let (good, mut others): (Vec<usize>, Vec<usize>) =
+            allowed.into_iter().partition(|index| permits(index));
+        others.sort_by_key(|index| std::cmp::Reverse(view.candidates[*index].free.accelerators));
+        let ids: Vec<String> =
+            others.iter().map(|index| view.candidates[*index].id.clone()).collect();
+        if good.len() < unit.keys.len()
+            && let Some(call) = self.advice.ask(&step, &ids, now.at)
+        {
+            self.advice_calls.push(call);
+        }
+        good
+    }
+
+    /// Leaves out the worker on which the last run failed, unless there is no other.
+    fn without_failed(
+        &self,
+        unit: &Unit,
+        keys: &[TaskKey],
+        view: &PoolView,
+        allowed: Vec<usize>,
+    ) -> Vec<usize> {
+        let task = self.jobs.get(&unit.job).and_then(|entry| entry.tasks.get(keys.first()?));
+        let Some(task) = task else { return allowed };
+        let others: Vec<usize> = allowed
+            .iter()
+            .copied()
+            .filter(|index| view.candidates[*index].id != task.avoid)
+            .collect();
+        if others.is_empty() { allowed } else { others }
+    }
+
     /// Returns what the tasks need and the candidates that may run them.
     fn demand(
         &self,
@@ -150,19 +203,14 @@
         let entry = self.jobs.get(&unit.job)?;
         let key = keys.first()?;
         let step = entry.job.steps.get(key.step as usize)?;
-        let avoid = entry.tasks.get(key).map(|task| task.avoid.clone()).unwrap_or_default();
         let labelled = |id: &str| {
             let Some(label) = &step.label else { return true };
             self.fleet.workers.get(id).is_some_and(|worker| worker.status.labels.contains(label))
         };
-        let mut allowed: Vec<usize> = (0..view.candidates.len())
+        let allowed: Vec<usize> = (0..view.candidates.len())
             .filter(|index| labelled(&view.candidates[*index].id))
+            .filter(|index| !self.disturbs(step, &view.candidates[*index].id))
             .collect();
-        let others: Vec<usize> =
-            allowed.iter().copied().filter(|index| view.candidates[*index].id != avoid).collect();
-        if !others.is_empty() {
-            allowed = others;
-        }
         let mut demand = Demand {
             count: u32::try_from(keys.len()).ok()?,
             data_rack: step.data_rack.clone(),
@@ -180,6 +228,22 @@
         Some((demand, allowed))
     }
 
+    /// Reports whether a step and the runs of a worker would disturb each other: tasks that use what
+    /// others leave slow down tasks that must respond in time, by amounts that change within seconds.
+    fn disturbs(&self, step: &Step, worker: &str) -> bool {
+        if !step.fills && step.response_ms == 0 {
+            return false;
+        }
+        let Some(worker) = self.fleet.workers.get(worker) else { return false };
+        worker.runs.keys().any(|task| {
+            let steps = self.jobs.get(&task.job).map(|entry| &entry.job.steps);
+            let other = steps.and_then(|steps| steps.get(task.key.step as usize));
+            other.is_some_and(|other| {
+                (step.fills && other.response_ms > 0) || (step.response_ms > 0 && other.fills)
+            })
+        })
+    }
+
     /// Reports whether a rack of the pool could hold the whole demand if it were empty.
     fn rack_can_hold(&self, pool: &str, demand: &Demand, label: Option<&str>) -> bool {
         self.fleet.racks(pool).values().any(|members| {
@@ -269,12 +333,15 @@
             view.soon[*index].subtract(&demand.room);
             let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
             let Some(task) = entry.tasks.get_mut(key) else { continue };
+            let step = StepId::new(&unit.job, key);
+            let permit = self.advice.permit(&step, &candidate.id, worker.status.boot, now.at);
             task.run = run;
             task.placement = Some(Placement {
                 address: worker.status.address.clone(),
                 boot: worker.status.boot,
                 checkpoint: task.checkpoint.clone(),
                 percent: 0,
+                permit: permit.unwrap_or_default().to_owned(),
                 progressed: now.at,
                 run,
                 seen: false,
@@ -352,7 +419,10 @@
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
                 let lower = entry.job.class > unit.rank.class || unit.rank.tier == 0;
-                if placement.stop || !lower || guaranteed.contains(&task.job) {
+                // Tasks that last serve users of their own, who count each absence.
+                let lasting =
+                    entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
+                if placement.stop || !lower || lasting || guaranteed.contains(&task.job) {
                     continue;
                 }
                 let gang = entry.is_gang(task.key.step);
@@ -380,7 +450,7 @@
         let Some(entry) = self.jobs.get(&task.job) else { return 0.0 };
         let step = entry.job.steps.get(task.key.step as usize);
         let mut lost = now.at.saturating_duration_since(placement.since).as_secs_f64();
-        if step.is_some_and(|step| step.checkpoints || step.lasting) {
+        if step.is_some_and(|step| step.checkpoints) {
             lost = lost.min(1.0);
         }
         lost * entry.room(task.key.step).weight()
@@ -417,7 +487,7 @@
     /// Estimates how long a run still takes, from its progress where there is some.
     fn time_left(&self, now: Moment, task: &TaskId, placement: &Placement) -> Duration {
         let elapsed = now.at.saturating_duration_since(placement.since);
-        if placement.percent >= 5 {
+        if placement.percent >= RELIABLE_PERCENT {
             let percent = f64::from(placement.percent.min(100));
             return elapsed.mul_f64((100.0 - percent) / percent);
         }
@@ -453,6 +523,28 @@
         }
     }
 
+    /// Moves runs off draining workers that will not end before their worker leaves. Other runs go on
+    /// to their end there.
+    fn leave_draining(&mut self, now: Moment) {
+        let mut moved = Vec::new();
+        for worker in self.fleet.workers.values().filter(|worker| worker.status.draining) {
+            let Some(remaining) = worker.status.remaining else { continue };
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
+                let known = placement.percent >= RELIABLE_PERCENT || step.lasting;
+                let late = step.lasting || self.time_left(now, task, placement) > remaining;
+                if !placement.stop && known && late {
+                    moved.push(task.clone());
+                }
+            }
+        }
+        for task in moved {
+            self.stop_run(&task, "its worker leaves before it can end");
+        }
+    }
+
     fn forget_ended(&mut self, now: Moment) {
         let retention = self.limits.retention;
         let old: Vec<String> = self
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{Coordinator, DecisionKind, Moment};
 use crate::{
-    EndKind, FleetWorker, RefusalKind, RunEnd, RunRefusal, Suspicion, TaskId, WorkerReport,
+    EndKind, FleetWorker, RefusalKind, RunEnd, RunRefusal, StepId, Suspicion, TaskId, WorkerReport,
     WorkerStatus,
 };
 
@@ -153,6 +153,10 @@
 
     /// Takes the end as evidence for or against the worker.
     fn judge(&mut self, now: Moment, status: &WorkerStatus, end: &RunEnd) {
+        // Tasks that last may fail at any time and are started again.
+        if self.jobs.get(&end.task.job).is_some_and(|entry| entry.job.lasts()) {
+            return;
+        }
         let Some(worker) = self.fleet.workers.get_mut(&status.id) else { return };
         match end.kind {
             EndKind::Done => worker.health.succeed(),
@@ -168,6 +172,10 @@
         if !self.is_current(status, &refusal.task, refusal.run) {
             return;
         }
+        if refusal.kind == RefusalKind::Permit {
+            let step = StepId::new(&refusal.task.job, &refusal.task.key);
+            self.advice.reject(&step, &status.id);
+        }
         if refusal.kind == RefusalKind::Unhealthy
             && let Some(worker) = self.fleet.workers.get_mut(&status.id)
         {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -93,6 +93,9 @@
 pub struct Job {
     /// Time of acceptance, milliseconds since 1970.
     pub accepted_ms: u64,
+    /// Whether a placement policy outside says which workers may run a step.
+    #[serde(default)]
+    pub advised: bool,
     /// Runs of a task, or of a gang, that may fail before the job fails.
     pub attempts: u32,
     /// Priority class, 0 is the most urgent.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! for workers. Orders become visible only after the row that records them is durable. The safety
 //! argument is in `docs/platform.md`.
 
+mod advice;
 mod agent;
 mod coordinator;
 mod fleet;
@@ -18,6 +19,7 @@
 mod task;
 mod worker;
 
+pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::{AgentAction, AgentCore, AgentLimits, HoldCall, Listing, StartAnswer};
 pub use coordinator::{Coordinator, Decision, DecisionKind, Limits, Moment, Submission, View};
 pub use fleet::{Fleet, FleetWorker};
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -25,6 +25,9 @@
 /// A row of the table of routes, for jobs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobRoute {
+    /// Whether a placement policy outside says which workers may run a step.
+    #[serde(default)]
+    pub advised: bool,
     /// Runs of a task that may fail.
     pub attempts: u32,
     /// Priority class, 0 is the most urgent.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -130,6 +130,8 @@
     pub checkpoint: String,
     /// Opaque description of the job.
     pub payload: String,
+    /// Permit of the placement policy; empty where there is none.
+    pub permit: String,
     /// Number of the run.
     pub run: u32,
     /// The task.
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -43,6 +43,7 @@
 pub fn job(id: &str, class: u8, step: Step) -> Job {
     Job {
         accepted_ms: 0,
+        advised: false,
         attempts: 2,
         class,
         id: id.to_owned(),
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -1,4 +1,8 @@
-use skylarkpulley_jobs::{EndKind, JobState, RefusalKind, RunRefusal, Schedule, Step};
+use std::time::Duration;
+
+use skylarkpulley_jobs::{
+    AdviceAnswer, EndKind, JobState, RefusalKind, RunRefusal, Schedule, Step,
+};
 
 use crate::rig::{Rig, ended, job, report, step, worker};
 
@@ -236,3 +240,85 @@
     assert!(rig.starts().is_empty());
     assert_eq!(rig.core.view("a").map(|view| view.state), Some(JobState::Cancelled));
 }
+
+/// Guards against starting an advised step without a permit, on a worker that the policy has turned
+/// down, or with a permit that has expired.
+#[test]
+fn place_advised_step() {
+    let mut rig = Rig::new(2);
+    let mut advised = job("a", 1, step(1, 8));
+    advised.advised = true;
+    rig.submit(advised);
+    assert!(rig.starts().is_empty());
+    let call = rig.core.take_advice_calls().remove(0);
+    assert_eq!(call.workers.len(), 2);
+    let permits = [("w1".to_owned(), "permit".to_owned())].into();
+    let answer = AdviceAnswer { permits, valid: Duration::from_secs(3) };
+    rig.core.take_advice(rig.now, &call, Some(&answer));
+    rig.settle();
+    assert_eq!(rig.starts()[0].0, "w1");
+    assert_eq!(rig.core.orders("w1").start[0].permit, "permit");
+    let (_, task, run) = rig.starts().remove(0);
+    rig.core.report(rig.now, &ended(&worker(1, 1), 1, &task, run, EndKind::Failed));
+    rig.pass(4000);
+    rig.settle();
+    assert!(rig.starts().is_empty(), "the permit has expired");
+    let call = rig.core.take_advice_calls().remove(0);
+    assert_eq!(call.workers, vec!["w1".to_owned()], "a verdict does not change");
+}
+
+/// Guards against a placement policy that is asked without a pause while it does not answer.
+#[test]
+fn advice_unanswered() {
+    let mut rig = Rig::new(1);
+    let mut advised = job("a", 1, step(1, 8));
+    advised.advised = true;
+    rig.submit(advised);
+    let call = rig.core.take_advice_calls().remove(0);
+    rig.core.take_advice(rig.now, &call, None);
+    rig.pass(100);
+    assert!(rig.core.take_advice_calls().is_empty());
+    rig.pass(600);
+    assert_eq!(rig.core.take_advice_calls().len(), 1);
+}
+
+/// Guards against tasks that use leftover room beside tasks that must respond in time.
+#[test]
+fn place_fill_beside_serving() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("serve", 1, Step { lasting: true, response_ms: 50, ..step(1, 1) }));
+    let serving = rig.starts()[0].0.clone();
+    rig.submit(job("fill", 2, Step { fills: true, ..step(2, 1) }));
+    let fills: Vec<_> = rig.starts().into_iter().filter(|start| start.1.job == "fill").collect();
+    assert_eq!(fills.len(), 2);
+    assert!(fills.iter().all(|start| start.0 != serving));
+}
+
+/// Guards against stopping tasks that last for more urgent work.
+#[test]
+fn reclaim_spares_lasting() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("serve", 2, Step { lasting: true, ..step(1, 8) }));
+    rig.submit(job("claim", 0, step(1, 8)));
+    rig.pass(2000);
+    rig.settle();
+    assert!(rig.stops().is_empty());
+}
+
+/// Guards against runs that are lost with a worker that has announced its end, where they could have
+/// moved.
+#[test]
+fn tick_leaves_draining() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("a", 1, step(1, 8)));
+    let (id, task, run) = rig.starts().remove(0);
+    let number = id[1..].parse().expect("a number");
+    rig.core.report(rig.now, &report(&worker(number, 1), &[(task.clone(), run)]));
+    rig.pass(1000);
+    let mut leaving = worker(number, 1);
+    leaving.draining = true;
+    leaving.remaining = Some(Duration::from_secs(2));
+    rig.core.report(rig.now, &report(&leaving, &[(task, run)]));
+    rig.pass(100);
+    assert_eq!(rig.stops().len(), 1, "10% in 1 s leaves 9 s");
+}
