Split the entry's role, preemption and the watch over runs into their own files

Ruled out: nothing; no behaviour changes.

Change: role.rs, preemption.rs, watch.rs; a context for the leader.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -114,22 +114,33 @@
     Confirm(Result<CommitEnd, TransactError>),
 }
 
+/// What a leader needs from its entry.
+pub struct LeaderContext {
+    /// Time source.
+    pub clock: Arc<dyn Clock>,
+    /// Whether the store answers.
+    pub health: Arc<StoreHealth>,
+    /// Limits of the coordinator.
+    pub limits: Limits,
+    /// The leader's own input.
+    pub own: mpsc::WeakSender<LeaderMessage>,
+    /// Service that knows which workers may run a step, if there is one.
+    pub policy: Option<Arc<dyn PlacementPolicy>>,
+    /// Leadership with the highest epoch that another entry has named.
+    pub seen: watch::Receiver<SeenLeader>,
+    /// Times that the safety of leases rests on.
+    pub times: LeaderTimes,
+}
+
 /// Runs the coordinator while this entry leads.
 pub struct Leader {
-    clock: Arc<dyn Clock>,
     confirmed: Duration,
+    context: LeaderContext,
     core: Coordinator,
     epoch: u64,
-    health: Arc<StoreHealth>,
     last_call: Instant,
-    /// The leader's own input.
-    own: mpsc::WeakSender<LeaderMessage>,
-    policy: Option<Arc<dyn PlacementPolicy>>,
-    /// Highest epoch that another entry has named.
-    seen: watch::Receiver<SeenLeader>,
     sessions: HashMap<u64, Session>,
     store_since: Option<Instant>,
-    times: LeaderTimes,
     waiting: Vec<Waiting>,
 }
 
@@ -149,20 +160,15 @@
     /// [`TransactError`] when the store does not answer.
     pub async fn load(
         journal: &Journal,
-        clock: Arc<dyn Clock>,
-        limits: Limits,
-        times: LeaderTimes,
+        context: LeaderContext,
         tables: JobTables,
-        health: Arc<StoreHealth>,
-        seen: watch::Receiver<SeenLeader>,
-        policy: Option<Arc<dyn PlacementPolicy>>,
-        own: mpsc::WeakSender<LeaderMessage>,
     ) -> Result<Self, TransactError> {
+        let clock = context.clock.clone();
         let jobs = journal.load(RowKind::Job).await?;
         let mut progress: HashMap<String, Vec<u8>> =
             journal.load(RowKind::Progress).await?.into_iter().collect();
         let now = moment(clock.as_ref());
-        let mut core = Coordinator::new(limits, tables, now);
+        let mut core = Coordinator::new(context.limits, tables, now);
         for (key, value) in jobs {
             let state = progress.remove(&key);
             if let Err(error) = core.restore(&key, &value, state.as_deref(), now) {
@@ -171,18 +177,13 @@
         }
         let last_call = clock.now();
         Ok(Self {
-            clock,
             confirmed: journal.confirmed(),
+            context,
             core,
             epoch: journal.epoch(),
-            health,
             last_call,
-            own,
-            policy,
-            seen,
             sessions: HashMap::new(),
             store_since: None,
-            times,
             waiting: Vec::new(),
         })
     }
@@ -270,7 +271,9 @@
     /// Puts the open questions to the placement policy.
     fn ask_policy(&mut self) {
         for call in self.core.take_advice_calls() {
-            let (Some(policy), Some(inbox)) = (self.policy.clone(), self.own.upgrade()) else {
+            let (Some(policy), Some(inbox)) =
+                (self.context.policy.clone(), self.context.own.upgrade())
+            else {
                 tracing::error!(job = call.step.job, "no placement policy in the settings");
                 continue;
             };
@@ -289,7 +292,7 @@
     }
 
     fn now(&self) -> Moment {
-        moment(self.clock.as_ref())
+        moment(self.context.clock.as_ref())
     }
 
     fn note_confirmed(&mut self, journal: &Journal) {
@@ -302,7 +305,7 @@
         idle: &mut Option<Journal>,
         call: &mut Option<BoxFuture<'static, (Journal, StoreCall)>>,
     ) {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         if let Some(rows) = self.core.begin_commit() {
             self.store_since = Some(now);
             self.last_call = now;
@@ -367,15 +370,15 @@
 
     fn push(&mut self, number: u64) {
         // A successor counts on this entry extending no lease once it has answered its ping.
-        let deposed = self.seen.borrow().epoch > self.epoch;
-        let confirmed = boot_time().saturating_sub(self.confirmed) < self.times.confirm;
+        let deposed = self.context.seen.borrow().epoch > self.epoch;
+        let confirmed = boot_time().saturating_sub(self.confirmed) < self.context.times.confirm;
         let fresh = confirmed && !deposed;
         let Some(session) = self.sessions.get(&number) else { return };
         let mut update = encode_orders(&self.core.orders(&session.worker));
         update.epoch = self.epoch;
         update.acked = session.acked;
         update.leads = fresh;
-        update.lease_ms = if fresh { millis(self.times.lease) } else { 0 };
+        update.lease_ms = if fresh { millis(self.context.times.lease) } else { 0 };
         // A session that does not take its updates is ended by its silence limit.
         if session.outbound.try_send(Ok(update)).is_err() {
             tracing::debug!(worker = session.worker, "update not taken");
@@ -451,12 +454,12 @@
     }
 
     fn is_stuck(&self) -> bool {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let stuck = self
             .store_since
             .is_some_and(|since| now.saturating_duration_since(since) > STORE_STUCK);
-        let others = self.health.others_age() < OTHERS_HOLD;
-        stuck || (self.health.failing() > STORE_DOWN && !others)
+        let others = self.context.health.others_age() < OTHERS_HOLD;
+        stuck || (self.context.health.failing() > STORE_DOWN && !others)
     }
 
     fn answer_waiting(&mut self) {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 mod leadership;
 mod peer;
 mod placement_policy;
+mod role;
 mod service;
 mod session;
 mod store_health;
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,8 +1,10 @@
 mod commits;
 mod entry;
 mod planning;
+mod preemption;
 mod reports;
 mod units;
+mod watch;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -4,36 +4,23 @@
 use super::entry::Placement;
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Moment};
-use crate::reclaim::{Holder, choose_victims};
-use crate::{Candidate, Demand, Room, Step, StepId, Suspicion, TaskId, TaskKey, choose_workers};
-
-/// A run whose progress stands still for this long, and a tenth of its estimate more, is moved. A
-/// healthy task of 11 s gains a percent every 110 ms.
-const STALL: Duration = Duration::from_secs(3);
+use crate::{Candidate, Demand, Room, Step, StepId, TaskId, TaskKey, choose_workers};
 
 /// Longest wait for a place near the data or on one rack, where the alternative is several times
 /// slower.
 const NEAR_WAIT: Duration = Duration::from_secs(6);
 
 /// Progress from which on the time that a run still takes is told from its speed so far.
-const RELIABLE_PERCENT: u8 = 5;
+pub(super) const RELIABLE_PERCENT: u8 = 5;
 
 /// Blocked units for which room is kept free; more would leave too much of the pool idle.
 const SHADOWS: usize = 2;
 
-/// Core-seconds that a claim of class 0 outside its guarantee may cost others: less than the work
-/// of a typical gang, whose worth is about that of the claim.
-const BORROWED_WASTE: f64 = 250.0;
-
-/// Wait of a job of class 0 before it may stop other work that would be lost. Its slack is about
-/// 1.5 s, and a stop takes up to 0.9 s.
-const BORROWED_WAIT: Duration = Duration::from_millis(250);
-
 /// Workers of one pool during one round of planning.
-struct PoolView {
-    candidates: Vec<Candidate>,
+pub(super) struct PoolView {
+    pub(super) candidates: Vec<Candidate>,
     /// Room that will be free once runs that are ordered to stop have ended.
-    soon: Vec<Room>,
+    pub(super) soon: Vec<Room>,
     shadows: usize,
 }
 
@@ -293,7 +280,7 @@
     }
 
     /// Counts the tasks of the same step and occurrence on each candidate.
-    fn with_same(&self, unit: &Unit, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+    pub(super) fn with_same(&self, unit: &Unit, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         let (Some(entry), Some(first)) = (self.jobs.get(&unit.job), unit.keys.first()) else {
             return candidates;
         };
@@ -368,94 +355,6 @@
         self.decide(&unit.job, DecisionKind::Placed, detail);
     }
 
-    /// Stops other work for `unit` when its rank allows that; `true` when room will be free.
-    fn reclaim(
-        &mut self,
-        now: Moment,
-        unit: &Unit,
-        demand: &Demand,
-        view: &mut PoolView,
-        allowed: &[usize],
-        guaranteed: &BTreeSet<String>,
-    ) -> bool {
-        let protected = unit.rank.tier == 0;
-        let Some(limit) = waste_limit(unit) else { return false };
-        let candidates = self.with_same(unit, with_room(view, allowed, true));
-        let (holders, groups) = self.holders(now, unit, &candidates, guaranteed);
-        let Some(plan) = choose_victims(demand, &candidates, &holders) else { return false };
-        if plan.waste > limit {
-            return false;
-        }
-        if protected && unit.waited < BORROWED_WAIT && plan.waste > BORROWED_WASTE {
-            // Work may end by itself in the meantime.
-            keep_free(view, demand, &map_back(allowed, &plan.chosen));
-            return true;
-        }
-        for group in &plan.groups {
-            let reason = format!("room for {} of rank {}", unit.job, unit.rank.tier);
-            self.stop_run(&groups[*group], &reason);
-        }
-        for holder in holders.iter().filter(|holder| plan.groups.contains(&holder.group)) {
-            view.soon[allowed[holder.candidate]].add(&holder.room);
-        }
-        keep_free(view, demand, &map_back(allowed, &plan.chosen));
-        true
-    }
-
-    /// Returns the runs that `unit` may stop, and a task of each group.
-    fn holders(
-        &self,
-        now: Moment,
-        unit: &Unit,
-        candidates: &[Candidate],
-        guaranteed: &BTreeSet<String>,
-    ) -> (Vec<Holder>, Vec<TaskId>) {
-        let mut holders = Vec::new();
-        let mut groups: Vec<TaskId> = Vec::new();
-        let mut numbers: BTreeMap<(String, u32, u32, u32), usize> = BTreeMap::new();
-        for (index, candidate) in candidates.iter().enumerate() {
-            let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
-            for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(placement) = entry.placement(&task.key) else { continue };
-                let lower = entry.job.class > unit.rank.class || unit.rank.tier == 0;
-                // Tasks that last serve users of their own, who count each absence.
-                let lasting =
-                    entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
-                if placement.stop || !lower || lasting || guaranteed.contains(&task.job) {
-                    continue;
-                }
-                let gang = entry.is_gang(task.key.step);
-                let single = if gang { u32::MAX } else { task.key.index };
-                let name = (task.job.clone(), task.key.occurrence, task.key.step, single);
-                let group = *numbers.entry(name).or_insert_with(|| {
-                    groups.push(task.clone());
-                    groups.len() - 1
-                });
-                let waste = self.waste(now, task, placement);
-                let members = if gang { entry.members(&task.key).len() } else { 1 };
-                holders.push(Holder {
-                    candidate: index,
-                    group,
-                    room: entry.room(task.key.step),
-                    waste: waste * members as f64,
-                });
-            }
-        }
-        (holders, groups)
-    }
-
-    /// Returns the core-seconds that are lost when a run stops now.
-    fn waste(&self, now: Moment, task: &TaskId, placement: &Placement) -> f64 {
-        let Some(entry) = self.jobs.get(&task.job) else { return 0.0 };
-        let step = entry.job.steps.get(task.key.step as usize);
-        let mut lost = now.at.saturating_duration_since(placement.since).as_secs_f64();
-        if step.is_some_and(|step| step.checkpoints) {
-            lost = lost.min(1.0);
-        }
-        lost * entry.room(task.key.step).weight()
-    }
-
     /// Keeps room free for a blocked unit on the workers where it will fit first, so that smaller
     /// work of lower rank does not pass it over for ever.
     fn keep_shadow(&self, now: Moment, demand: &Demand, view: &mut PoolView, allowed: &[usize]) {
@@ -485,7 +384,7 @@
     }
 
     /// Estimates how long a run still takes, from its progress where there is some.
-    fn time_left(&self, now: Moment, task: &TaskId, placement: &Placement) -> Duration {
+    pub(super) fn time_left(&self, now: Moment, task: &TaskId, placement: &Placement) -> Duration {
         let elapsed = now.at.saturating_duration_since(placement.since);
         if placement.percent >= RELIABLE_PERCENT {
             let percent = f64::from(placement.percent.min(100));
@@ -497,54 +396,6 @@
         Duration::from_millis(estimate).saturating_sub(elapsed).max(Duration::from_millis(500))
     }
 
-    fn stop_stalled(&mut self, now: Moment) {
-        let mut stalled = Vec::new();
-        for (id, worker) in &self.fleet.workers {
-            if !worker.session || !worker.reached {
-                continue;
-            }
-            for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(placement) = entry.placement(&task.key) else { continue };
-                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
-                let limit = STALL + Duration::from_millis(step.estimate_ms / 10);
-                let idle = now.at.saturating_duration_since(placement.progressed);
-                if placement.seen && !placement.stop && !step.lasting && idle > limit {
-                    stalled.push((id.clone(), task.clone(), idle));
-                }
-            }
-        }
-        for (id, task, idle) in stalled {
-            self.stop_run(&task, &format!("no progress for {} ms on {id}", idle.as_millis()));
-            if let Some(worker) = self.fleet.workers.get_mut(&id) {
-                worker.health.suspect(now.at, &task.job, Suspicion::Stalled);
-                self.decide(&id, DecisionKind::Quarantined, format!("{task} stood still"));
-            }
-        }
-    }
-
-    /// Moves runs off draining workers that will not end before their worker leaves. Other runs go on
-    /// to their end there.
-    fn leave_draining(&mut self, now: Moment) {
-        let mut moved = Vec::new();
-        for worker in self.fleet.workers.values().filter(|worker| worker.status.draining) {
-            let Some(remaining) = worker.status.remaining else { continue };
-            for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(placement) = entry.placement(&task.key) else { continue };
-                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
-                let known = placement.percent >= RELIABLE_PERCENT || step.lasting;
-                let late = step.lasting || self.time_left(now, task, placement) > remaining;
-                if !placement.stop && known && late {
-                    moved.push(task.clone());
-                }
-            }
-        }
-        for task in moved {
-            self.stop_run(&task, "its worker leaves before it can end");
-        }
-    }
-
     fn forget_ended(&mut self, now: Moment) {
         let retention = self.limits.retention;
         let old: Vec<String> = self
@@ -560,20 +411,7 @@
     }
 }
 
-/// Returns the core-seconds of other work that `unit` may cost now, `None` when it may stop none.
-///
-/// Load pattern: bulk work of a low class fills the pool, and short urgent work arrives beside it.
-fn waste_limit(unit: &Unit) -> Option<f64> {
-    if unit.rank.tier == 0 {
-        return Some(f64::INFINITY);
-    }
-    if unit.rank.class == 0 {
-        return (unit.waited >= BORROWED_WAIT).then_some(BORROWED_WASTE);
-    }
-    None
-}
-
-fn with_room(view: &PoolView, allowed: &[usize], soon: bool) -> Vec<Candidate> {
+pub(super) fn with_room(view: &PoolView, allowed: &[usize], soon: bool) -> Vec<Candidate> {
     allowed
         .iter()
         .map(|index| {
@@ -586,12 +424,12 @@
         .collect()
 }
 
-fn map_back(allowed: &[usize], chosen: &[usize]) -> Vec<usize> {
+pub(super) fn map_back(allowed: &[usize], chosen: &[usize]) -> Vec<usize> {
     chosen.iter().map(|index| allowed[*index]).collect()
 }
 
 /// Takes the room of a demand out of the view without placing it.
-fn keep_free(view: &mut PoolView, demand: &Demand, chosen: &[usize]) {
+pub(super) fn keep_free(view: &mut PoolView, demand: &Demand, chosen: &[usize]) {
     for index in chosen {
         view.candidates[*index].free.subtract(&demand.room);
         view.soon[*index].subtract(&demand.room);
--- /dev/null
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -0,0 +1,60 @@
+use std::time::Duration;
+
+use super::planning::RELIABLE_PERCENT;
+use super::{Coordinator, DecisionKind, Moment};
+use crate::Suspicion;
+
+/// A run whose progress stands still for this long, and a tenth of its estimate more, is moved. A
+/// healthy task of 11 s gains a percent every 110 ms.
+const STALL: Duration = Duration::from_secs(3);
+
+impl Coordinator {
+    /// Moves runs that stand still.
+    pub(super) fn stop_stalled(&mut self, now: Moment) {
+        let mut stalled = Vec::new();
+        for (id, worker) in &self.fleet.workers {
+            if !worker.session || !worker.reached {
+                continue;
+            }
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
+                let limit = STALL + Duration::from_millis(step.estimate_ms / 10);
+                let idle = now.at.saturating_duration_since(placement.progressed);
+                if placement.seen && !placement.stop && !step.lasting && idle > limit {
+                    stalled.push((id.clone(), task.clone(), idle));
+                }
+            }
+        }
+        for (id, task, idle) in stalled {
+            self.stop_run(&task, &format!("no progress for {} ms on {id}", idle.as_millis()));
+            if let Some(worker) = self.fleet.workers.get_mut(&id) {
+                worker.health.suspect(now.at, &task.job, Suspicion::Stalled);
+                self.decide(&id, DecisionKind::Quarantined, format!("{task} stood still"));
+            }
+        }
+    }
+
+    /// Moves runs off draining workers that will not end before their worker leaves. Other runs go on
+    /// to their end there.
+    pub(super) fn leave_draining(&mut self, now: Moment) {
+        let mut moved = Vec::new();
+        for worker in self.fleet.workers.values().filter(|worker| worker.status.draining) {
+            let Some(remaining) = worker.status.remaining else { continue };
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
+                let known = placement.percent >= RELIABLE_PERCENT || step.lasting;
+                let late = step.lasting || self.time_left(now, task, placement) > remaining;
+                if !placement.stop && known && late {
+                    moved.push(task.clone());
+                }
+            }
+        }
+        for task in moved {
+            self.stop_run(&task, "its worker leaves before it can end");
+        }
+    }
+}
