Bound rows and writes by the store's limits

Cause: a job of 400 running tasks would have had a state of over 64 KiB and 45 such jobs a write of several MB; the store refuses both, and the leader would have repeated the write for ever.

Ruled out: rows for each task (a gang of 128 would need two transactions).

Figures: the state of 1,000 running tasks on 125 workers takes under 45 kB (test begin_commit_bounded).

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -167,7 +167,9 @@
                 }
                 Err(error) => {
                     self.health.fail(sent);
-                    tracing::debug!(%error, rows = rows.len(), "write has no outcome yet");
+                    if pause == FIRST_PAUSE {
+                        tracing::warn!(%error, rows = rows.len(), "write has no outcome yet");
+                    }
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
--- a/crates/jobs/src/coordinator/commits.rs
+++ b/crates/jobs/src/coordinator/commits.rs
@@ -5,6 +5,10 @@
 /// that fences earlier coordinators.
 const JOBS_PER_WRITE: usize = 45;
 
+/// Bytes of rows after which a write takes no further job. A transaction holds 1 MB with its text
+/// encoding, and one job may add two rows of 64 KiB.
+const BYTES_PER_WRITE: usize = 400_000;
+
 /// What a write stores of one job.
 #[derive(Clone, Debug)]
 pub struct Written {
@@ -22,7 +26,8 @@
         }
         let mut rows = Vec::new();
         let mut versions = Vec::new();
-        while versions.len() < JOBS_PER_WRITE {
+        let mut bytes = 0;
+        while versions.len() < JOBS_PER_WRITE && bytes < BYTES_PER_WRITE {
             let Some(id) = self.changed.pop_first() else { break };
             let Some(entry) = self.jobs.get_mut(&id) else {
                 rows.push(RowChange { kind: RowKind::Job, key: id.clone(), value: None });
@@ -32,10 +37,12 @@
             };
             if !entry.kept {
                 let value = encode::<Job>(&entry.job);
+                bytes += value.as_ref().map_or(0, Vec::len);
                 rows.push(RowChange { kind: RowKind::Job, key: id.clone(), value });
                 entry.kept = true;
             }
             let value = encode(&entry.row());
+            bytes += value.as_ref().map_or(0, Vec::len);
             rows.push(RowChange { kind: RowKind::Progress, key: id.clone(), value });
             versions.push(Written { id, state: entry.state(), version: entry.version });
         }
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::{EndKind, Job, JobState, ProgressRow, Room, TaskId, TaskKey, TaskRow};
+use crate::{EndKind, Job, JobState, ProgressRow, Room, TaskId, TaskKey, TaskRow, WorkerRow};
 
 /// A run that may be alive.
 #[derive(Clone, Debug)]
@@ -98,22 +98,23 @@
             task.run = saved.run;
             task.failures = saved.failures;
             task.checkpoint = saved.checkpoint.clone();
-            if saved.running {
-                task.placement = Some(Placement {
-                    address: saved.address.clone(),
-                    boot: saved.boot,
-                    checkpoint: saved.checkpoint.clone(),
-                    percent: 0,
-                    permit: String::new(),
-                    progressed: now,
-                    run: saved.run,
-                    seen: false,
-                    since: now,
-                    stop: row.cancelled || row.failed,
-                    version: 1,
-                    worker: saved.worker.clone(),
-                });
-            }
+            let Some(worker) = saved.worker.and_then(|index| row.workers.get(index)) else {
+                continue;
+            };
+            task.placement = Some(Placement {
+                address: worker.address.clone(),
+                boot: worker.boot,
+                checkpoint: saved.checkpoint.clone(),
+                percent: 0,
+                permit: String::new(),
+                progressed: now,
+                run: saved.run,
+                seen: false,
+                since: now,
+                stop: row.cancelled || row.failed,
+                version: 1,
+                worker: worker.id.clone(),
+            });
         }
         entry.shown = entry.state();
         entry
@@ -125,31 +126,28 @@
     }
 
     pub fn row(&self) -> ProgressRow {
+        let workers: BTreeSet<WorkerRow> =
+            self.placements().map(|(_, placement)| worker_row(placement)).collect();
+        let workers: Vec<WorkerRow> = workers.into_iter().collect();
         let tasks = self.tasks.iter().filter(|(_, task)| task.run > 0);
+        let tasks = tasks.map(|(key, task)| {
+            let worker = task.placement.as_ref().map(worker_row);
+            TaskRow {
+                checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
+                done: task.done,
+                failures: task.failures,
+                key: *key,
+                run: task.run,
+                worker: worker.and_then(|row| workers.binary_search(&row).ok()),
+            }
+        });
         ProgressRow {
             cancelled: self.cancelled,
             ended_ms: self.ended_ms,
             failed: self.failed,
             started: self.started,
-            tasks: tasks
-                .map(|(key, task)| TaskRow {
-                    address: task
-                        .placement
-                        .as_ref()
-                        .map_or_else(String::new, |placement| placement.address.clone()),
-                    boot: task.placement.as_ref().map_or(0, |placement| placement.boot),
-                    checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
-                    done: task.done,
-                    failures: task.failures,
-                    key: *key,
-                    run: task.run,
-                    running: task.placement.is_some(),
-                    worker: task
-                        .placement
-                        .as_ref()
-                        .map_or_else(String::new, |placement| placement.worker.clone()),
-                })
-                .collect(),
+            tasks: tasks.collect(),
+            workers: workers.clone(),
         }
     }
 
@@ -279,3 +277,11 @@
         }
     }
 }
+
+fn worker_row(placement: &Placement) -> WorkerRow {
+    WorkerRow {
+        id: placement.worker.clone(),
+        boot: placement.boot,
+        address: placement.address.clone(),
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,7 +26,7 @@
 pub use health::{Health, Suspicion};
 pub use job::{Job, JobState, Room, Schedule, Step};
 pub use placing::{Candidate, Demand, choose_workers};
-pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow};
+pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use worker::{
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -33,34 +33,53 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// Durable state of one task that has been started at least once.
+/// A worker that a row names.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct WorkerRow {
+    /// Id.
+    pub id: String,
+    /// Boot.
+    pub boot: u64,
+    /// Where it answers.
+    pub address: String,
+}
+
+/// Durable state of one task that has been started at least once. Stored as an array, so that a job
+/// of a thousand tasks fits into one row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "PackedTask", into = "PackedTask")]
 pub struct TaskRow {
-    /// Address of the worker of the last run.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub address: String,
-    /// Boot of the worker of the last run.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub boot: u64,
     /// Checkpoint to resume from.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
     /// Whether the task is done.
-    #[serde(default, skip_serializing_if = "is_false")]
     pub done: bool,
     /// Runs that failed.
-    #[serde(default, skip_serializing_if = "is_zero_u32")]
     pub failures: u32,
     /// The task.
     pub key: TaskKey,
     /// Number of the last run.
     pub run: u32,
-    /// Whether the last run has not ended.
-    #[serde(default, skip_serializing_if = "is_false")]
-    pub running: bool,
-    /// Worker of the last run.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub worker: String,
+    /// Worker of the last run, as an index into the row's workers, while that run has not ended.
+    pub worker: Option<usize>,
+}
+
+/// Occurrence, step, index, run, done, failures, worker, checkpoint.
+type PackedTask = (u32, u32, u32, u32, u8, u32, Option<usize>, String);
+
+impl From<PackedTask> for TaskRow {
+    fn from(packed: PackedTask) -> Self {
+        let (occurrence, step, index, run, done, failures, worker, checkpoint) = packed;
+        let key = TaskKey { occurrence, step, index };
+        Self { checkpoint, done: done != 0, failures, key, run, worker }
+    }
+}
+
+impl From<TaskRow> for PackedTask {
+    fn from(row: TaskRow) -> Self {
+        let TaskKey { occurrence, step, index } = row.key;
+        let done = u8::from(row.done);
+        (occurrence, step, index, row.run, done, row.failures, row.worker, row.checkpoint)
+    }
 }
 
 /// Durable state of a job.
@@ -81,16 +100,11 @@
     /// Tasks that were started at least once.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<TaskRow>,
+    /// Workers of runs that have not ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workers: Vec<WorkerRow>,
 }
 
 fn is_false(value: &bool) -> bool {
     !value
 }
-
-fn is_zero(value: &u64) -> bool {
-    *value == 0
-}
-
-fn is_zero_u32(value: &u32) -> bool {
-    *value == 0
-}
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -322,3 +322,27 @@
     rig.pass(100);
     assert_eq!(rig.stops().len(), 1, "10% in 1 s leaves 9 s");
 }
+
+/// Guards against rows that the store refuses: the state of the largest job must fit into 64 KiB,
+/// and a write into a transaction.
+#[test]
+fn begin_commit_bounded() {
+    let mut rig = Rig::new(125);
+    let mut large = job("large", 1, Step { checkpoints: true, ..step(1000, 1) });
+    large.accepted_ms = rig.now.wall_ms;
+    rig.core.submit(rig.now, large);
+    rig.core.place(rig.now);
+    let rows = rig.core.begin_commit().expect("a write");
+    let longest = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).max();
+    assert!(longest.is_some_and(|length| length < 45_000), "{longest:?}");
+    rig.core.end_commit();
+    for number in 0..60 {
+        let mut other = job(&format!("j{number}"), 1, step(1, 0));
+        other.accepted_ms = rig.now.wall_ms;
+        other.payload = "x".repeat(40_000);
+        rig.core.submit(rig.now, other);
+    }
+    let rows = rig.core.begin_commit().expect("a write");
+    let bytes: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
+    assert!(bytes < 600_000, "{bytes}");
+}
