--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -20,6 +20,10 @@
 /// A worker that has not answered for this long may have lost its leases.
 const UNREACHED: Duration = Duration::from_millis(1500);
 
+/// Orders older than this start nothing: the coordinator sends them every second, and a job may have
+/// been cancelled meanwhile by a successor that this agent does not hear.
+const ORDERS_VALID: Duration = Duration::from_millis(2500);
+
 /// Time after the last message of a worker that leaves until its runs count as gone.
 const LEAVING: Duration = Duration::from_millis(500);
 
@@ -124,6 +128,8 @@
     listed: bool,
     name: String,
     orders: Orders,
+    /// When the last orders of the current coordinator arrived.
+    ordered: Option<Instant>,
     reached: Option<Instant>,
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
@@ -149,6 +155,7 @@
             listed: false,
             name: name.to_owned(),
             orders: Orders::default(),
+            ordered: None,
             reached: None,
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -185,6 +192,7 @@
     /// that extends the leases by `lease`.
     pub fn take_orders(
         &mut self,
+        now: Instant,
         epoch: u64,
         orders: Orders,
         sent: Option<Instant>,
@@ -207,6 +215,7 @@
         }
         self.ended = self.ended.split_off(&(orders.ended_through + 1));
         self.orders = orders;
+        self.ordered = Some(now);
         let mentioned = self.mentioned();
         self.refused.retain(|run, _| mentioned.contains(run));
         true
@@ -409,9 +418,11 @@
     }
 
     fn starts(&mut self, now: Instant) -> Vec<AgentAction> {
-        if self.cleaning || !self.is_reached(now) {
+        let valid = self.ordered.is_some_and(|at| now < at + ORDERS_VALID);
+        if self.cleaning || !valid || !self.is_reached(now) {
             return Vec::new();
         }
+        let draining = self.status.as_ref().is_some_and(|status| status.draining);
         let mut actions = Vec::new();
         for order in self.orders.start.clone() {
             let key = (order.task.clone(), order.run);
@@ -421,6 +432,10 @@
             {
                 continue;
             }
+            if draining {
+                self.refuse_draining(key);
+                continue;
+            }
             let attempt = self.attempts.entry(key).or_default();
             let early = attempt.start_after.is_some_and(|after| now < after);
             if attempt.starting || attempt.verdict.is_some() || early {
@@ -432,6 +447,17 @@
         actions
     }
 
+    /// Refuses a start on a worker that leaves; one that may be carried out late is settled first.
+    fn refuse_draining(&mut self, run: RunKey) {
+        match self.attempts.get_mut(&run) {
+            None => {
+                self.refused.insert(run, RefusalKind::Fenced);
+            }
+            Some(attempt) if !attempt.starting => attempt.verdict = Some(RefusalKind::Fenced),
+            Some(_) => {}
+        }
+    }
+
     fn stops(&mut self, now: Instant) -> Vec<AgentAction> {
         let mentioned = self.mentioned();
         let known = self.cleaning || !self.orders.worker.is_empty();
