--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -10,7 +10,7 @@
 
 /// Core-seconds that a claim of class 0 outside its guarantee may cost others: less than the work
 /// of a typical gang, whose worth is about that of the claim.
-const BORROWED_WASTE: f64 = 150.0;
+const BORROWED_WASTE: f64 = 200.0;
 
 /// Wait of a job of class 0 before it may stop other work that would be lost. Its slack is about
 /// 1.5 s, and a stop takes up to 0.9 s.
