--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -106,7 +106,7 @@
             match answer {
                 // Cut off from the leader and from the store, this entry can only refuse.
                 JobAnswer::NotLeading if !uncertain && self.is_isolated() => {
-                    return give_up(uncertain);
+                    return give_up(false);
                 }
                 JobAnswer::NotLeading => {}
                 JobAnswer::Unknown => uncertain |= call.changes_state(),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -108,7 +108,6 @@
 }
 
 struct Waiting {
-    answer: JobAnswer,
     id: String,
     reply: oneshot::Sender<JobAnswer>,
     submitted: bool,
@@ -251,11 +250,7 @@
                     let tables = tables.borrow_and_update().clone();
                     self.core.set_tables(&tables);
                 }
-                Ok(()) = stop.changed() => {
-                    if *stop.borrow() && call.is_none() {
-                        return LeadershipEnd::Stopped;
-                    }
-                }
+                Ok(()) = stop.changed() => {}
             }
             if *stop.borrow() && call.is_none() {
                 return LeadershipEnd::Stopped;
@@ -417,7 +412,7 @@
                 let id = job.id.clone();
                 match self.core.submit(now, *job) {
                     Submission::Refused { reason, retry } => JobAnswer::Refused { reason, retry },
-                    Submission::Accepted { version, .. } => {
+                    Submission::Accepted { version } => {
                         self.wait(id, version, true, reply);
                         return;
                     }
@@ -458,8 +453,7 @@
         submitted: bool,
         reply: oneshot::Sender<JobAnswer>,
     ) {
-        let answer = JobAnswer::Done;
-        self.waiting.push(Waiting { answer, id, reply, submitted, version });
+        self.waiting.push(Waiting { id, reply, submitted, version });
     }
 
     fn is_stuck(&self) -> bool {
@@ -478,7 +472,7 @@
         for waiting in self.waiting.drain(..) {
             if self.core.is_durable(&waiting.id, waiting.version) {
                 // The caller may have left.
-                let _ = waiting.reply.send(waiting.answer);
+                let _ = waiting.reply.send(JobAnswer::Done);
             } else {
                 rest.push(waiting);
             }
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -120,11 +120,6 @@
         entry
     }
 
-    /// Returns the version that stores the submission itself.
-    pub fn accepted_version(&self) -> u64 {
-        1
-    }
-
     pub fn row(&self) -> ProgressRow {
         let workers: BTreeSet<WorkerRow> =
             self.placements().map(|(_, placement)| worker_row(placement)).collect();
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -15,6 +15,9 @@
 };
 use entry::{JobEntry, Placement};
 
+/// Version of a job that stores its submission.
+const ACCEPTED_VERSION: u64 = 1;
+
 /// The time of an event on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Moment {
@@ -46,8 +49,6 @@
     Accepted {
         /// Version of the job that must be durable.
         version: u64,
-        /// Whether the id was known before.
-        repeated: bool,
     },
     /// The job was not accepted and never runs.
     Refused {
@@ -191,8 +192,8 @@
 
     /// Takes in a submission.
     pub fn submit(&mut self, now: Moment, job: Job) -> Submission {
-        if let Some(entry) = self.jobs.get(&job.id) {
-            return Submission::Accepted { version: entry.accepted_version(), repeated: true };
+        if self.jobs.contains_key(&job.id) {
+            return Submission::Accepted { version: ACCEPTED_VERSION };
         }
         let open = self
             .jobs
@@ -218,7 +219,7 @@
         self.waiting.insert(id.clone());
         let version = self.touch(&id);
         self.plan_due = true;
-        Submission::Accepted { version, repeated: false }
+        Submission::Accepted { version }
     }
 
     /// Takes back a submission that was never part of a write; `false` when it was.
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -11,7 +11,7 @@
 const VANISHED: Duration = Duration::from_secs(2);
 
 impl Coordinator {
-    /// Takes in the report of an agent. `renewed` is whether the report renews the leases.
+    /// Takes in the report of an agent.
     pub fn report(&mut self, now: Moment, report: &WorkerReport) {
         let Some(status) = &report.worker else { return };
         if !self.admit_boot(now, status) {
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -60,17 +60,6 @@
         units.sort_by(|a, b| (a.rank, &a.job, &a.keys).cmp(&(b.rank, &b.job, &b.keys)));
         units
     }
-
-    /// Returns the time of day at which the next occurrence is due.
-    pub fn next_due(&self, now: Moment) -> Option<u64> {
-        self.waiting
-            .iter()
-            .filter_map(|id| {
-                let job = &self.jobs.get(id)?.job;
-                (0..job.occurrences()).filter_map(|k| job.due_ms(k)).find(|due| *due > now.wall_ms)
-            })
-            .min()
-    }
 }
 
 fn units_of(entry: &JobEntry, now: Moment, tier: u8) -> Vec<Unit> {
--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -62,11 +62,6 @@
         self.until.is_none_or(|until| now >= until)
     }
 
-    /// Returns the end of the quarantine.
-    pub fn quarantine(&self) -> Option<Instant> {
-        self.until
-    }
-
     /// Returns how much the worker is avoided among others with room.
     pub fn penalty(&self) -> u32 {
         u32::try_from(self.jobs.len()).unwrap_or(u32::MAX) + 2 * self.strikes
