Register entries in the store, so that agents find those that replaced all they knew

Cause: `accepting_entry_killed` replaces entries faster than agents learn of the new ones. An agent knows entries from its settings and from the acknowledgements of entries, one a second. In the traces entry-4 came up 0.6 s before entry-2, the last entry of the agents' settings, was killed; most agents then knew no live entry for ever. The placer of entry-4 had too few workers ("no set of workers has room for 8x2/rack") for the 40 s of the test.

Change: each entry keeps a row `entries/<name>` and prunes the rows of entries that are gone; an agent that hears no entry for 3 s looks there. The new test replaces the only entry; it fails without the look-up.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -66,7 +66,7 @@
         let store = open_store(&settings, &clock, id.incarnation)?;
         let decisions = Arc::new(Decisions::new(DECISION_LIMIT));
         let clients = Arc::new(AgentClients::new(secret.clone()));
-        let keys = Keys::new(&id, Arc::clone(&clients), store, Arc::clone(&clock));
+        let keys = Keys::new(&id, Arc::clone(&clients), store.clone(), Arc::clone(&clock));
         let mut agent = Self {
             clock: Arc::clone(&clock),
             control,
@@ -86,7 +86,7 @@
             PoolKind::Worker => agent.start_gangs(&settings, clients),
         }
         agent.start_server(listener, secret.clone());
-        agent.start_sessions(&settings, secret);
+        agent.start_sessions(&settings, secret, store);
         let text = format!("{} agent {id} control {control}", settings.pool);
         decisions.record(clock.now(), Event::ProcessStarted, &settings.name, &text);
         Ok(agent)
@@ -205,7 +205,12 @@
         });
     }
 
-    fn start_sessions(&mut self, settings: &Settings, secret: Secret) {
+    fn start_sessions(
+        &mut self,
+        settings: &Settings,
+        secret: Secret,
+        store: Option<Arc<dyn Store>>,
+    ) {
         let (inbound, messages) = mpsc::channel(64);
         let (learned, addresses) = mpsc::channel::<BTreeSet<SocketAddr>>(16);
         let report = watch::Sender::new(v1::Report::default());
@@ -233,7 +238,7 @@
             runner: self.runner.clone(),
         };
         self.tasks.spawn(run_state(parts, messages, report));
-        self.tasks.spawn(run_sessions(settings.entries.clone(), context, addresses));
+        self.tasks.spawn(run_sessions(settings.entries.clone(), context, addresses, store));
     }
 }
 
--- a/crates/demo/tests/gangs/takeover.rs
+++ b/crates/demo/tests/gangs/takeover.rs
@@ -84,7 +84,6 @@
 /// Guards against a job that is lost because the entry that acknowledged it dies with the only copy
 /// outside the store.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED"]
 async fn accepting_entry_killed() {
     let mut world = World::start(2).await;
     for _ in 0..3 {
@@ -95,6 +94,16 @@
     }
 }
 
+/// Guards against agents that know no live entry any more because all entries that they knew were
+/// replaced before they learned of the new ones: every worker then stays idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_entries_replaced_workers_found() {
+    let mut world = World::start(1).await;
+    world.replace_entry(0).await;
+    let id = world.until_submitted(1, &job(8, 2, 300)).await;
+    world.until_done(1, &id).await;
+}
+
 /// Guards against jobs that are lost or run twice while entries that come up take pools over from
 /// entries that do not know of them yet, so that two entries propose.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/demo/tests/gangs/world.rs
+++ b/crates/demo/tests/gangs/world.rs
@@ -116,6 +116,18 @@
         Ok(id)
     }
 
+    /// Submits to an entry that may not have the configuration yet.
+    pub async fn until_submitted(&mut self, entry: usize, job: &SubmitRequest) -> String {
+        let begun = Instant::now();
+        loop {
+            match self.try_submit(entry, job).await {
+                Ok(id) => return id,
+                Err(error) => assert!(begun.elapsed() < HANG, "not accepted: {error}"),
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Cancels the job; from the answer on it may only stop.
     pub async fn cancel(&mut self, entry: usize, id: &str) {
         self.client(entry).cancel(id).await.expect("an answer");
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::jobs::Jobs;
 use crate::peers::Peers;
 use crate::ranges_task::RangesTask;
+use crate::registration::keep_registered;
 use crate::router_task::Router;
 use crate::status::StatusTask;
 
@@ -115,6 +116,7 @@
         let config = ConfigTask::new(&hub, Arc::clone(&store));
         let jobs = Jobs::new(&hub, Arc::clone(&store), for_jobs, seed);
         let status = StatusTask::new(&hub, router.clone(), jobs.clone(), for_status);
+        entry.tasks.spawn(keep_registered(Arc::clone(&hub), Arc::clone(&store), entry.control));
         entry.tasks.spawn(RangesTask::new(Arc::clone(&hub), store).work(for_ranges));
         let peers = Peers::new(
             Arc::clone(&hub),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod pool_placer;
 mod range_view;
 mod ranges_task;
+mod registration;
 mod request_task;
 mod router_task;
 mod session_service;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 //! The protocol and the rules for lost answers are in `docs/store.md`.
 
 mod circuit;
+mod entry_row;
 mod error;
 mod fault;
 mod guarded_store;
@@ -21,6 +22,7 @@
 mod write_limiter;
 
 pub use circuit::{CallEnd, Circuit, CircuitSettings, CircuitState, Permit};
+pub use entry_row::{EntryRow, FoundEntry, find_entries};
 pub use error::StoreError;
 pub use fault::{Fault, Faults, Operation};
 pub use guarded_store::GuardedStore;
--- /dev/null
+++ b/crates/store/tests/entry_row.rs
@@ -0,0 +1,19 @@
+//! Address rows of entries.
+
+use skylarkpulley_store::{EntryRow, MemoryStore, Store, WriteClass, find_entries};
+
+/// Guards against a row that another program wrote and that hides the entries beside it.
+#[tokio::test]
+async fn find_entries_foreign_row() {
+    let store = MemoryStore::new();
+    let control = "10.0.0.11:7500".parse().unwrap();
+    let rows =
+        [("entry-1", EntryRow::new(control).encode()), ("other", b"{\"port\": 7500}".to_vec())];
+    for (name, value) in rows {
+        store.put(&EntryRow::key(name), 0, value.into(), WriteClass::EntryRows).await.unwrap();
+    }
+    let found = find_entries(&store).await.unwrap();
+    let found: Vec<_> = found.into_iter().map(|entry| (entry.name, entry.row)).collect();
+    let expected = [("entry-1", Some(EntryRow { control })), ("other", None)];
+    assert_eq!(found, expected.map(|(name, row)| (name.to_owned(), row)));
+}
