Log chain and objective of an accepted job

Cause: the decisions on waiting and preemption cannot be explained without the objective that they serve. Change: chain and objective from the estimates stand in the line of the acceptance; one place computes the objective. No figures change.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -207,12 +207,14 @@
         }
         let id = job.id.clone();
         let detail = format!(
-            "route {}, team {}, class {}, {} steps, {} accelerators at once",
+            "route {}, team {}, class {}, {} steps, {} accelerators at once, chain {} ms, objective {} ms",
             job.route,
             job.team,
             job.class,
             job.steps.len(),
-            job.accelerators()
+            job.accelerators(),
+            job.chain_ms(),
+            job.objective_ms()
         );
         self.decide(&id, DecisionKind::Accepted, detail);
         self.jobs.insert(id.clone(), JobEntry::new(job, now.at));
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -94,13 +94,12 @@
 /// objective, from the estimates.
 fn latest_start(entry: &JobEntry, occurrence: u32) -> u64 {
     let chain = entry.job.chain_ms();
-    let objective = (chain as f64 * entry.job.slack) as u64 + entry.job.target_ms;
     let done: u64 = (0_u32..)
         .zip(&entry.job.steps)
         .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
         .map(|(_, content)| content.estimate_ms)
         .sum();
-    objective.saturating_sub(chain.saturating_sub(done))
+    entry.job.objective_ms().saturating_sub(chain.saturating_sub(done))
 }
 
 fn is_step_done(entry: &JobEntry, occurrence: u32, step: usize) -> bool {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -155,6 +155,13 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the time from acceptance within which the job should be done, from the estimates, in
+    /// milliseconds.
+    pub fn objective_ms(&self) -> u64 {
+        // Estimates are far below 2^53 ms.
+        (self.chain_ms() as f64 * self.slack) as u64 + self.target_ms
+    }
+
     /// Reports whether any step runs until the job is cancelled.
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
