--- a/crates/coordination/tests/store_faults.rs
+++ b/crates/coordination/tests/store_faults.rs
@@ -59,6 +59,7 @@
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
             retention: Duration::from_secs(120),
+            stop: Duration::from_millis(900),
             takeover: Duration::from_secs(12),
         },
         name: "entry-1".to_owned(),
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -24,6 +24,8 @@
     pub stop: bool,
     /// Version of the job that must be durable before the start is ordered.
     pub version: u64,
+    /// Whether the run began without a checkpoint, and here.
+    pub whole: bool,
     pub worker: String,
 }
 
@@ -113,6 +115,7 @@
                 since: now,
                 stop: row.cancelled || row.failed,
                 version: 1,
+                whole: false,
                 worker: worker.id.clone(),
             });
         }
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Advice, AdviceAnswer, AdviceCall, EndKind, Fleet, Job, JobState, JobTables, Orders,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobState, JobTables, Orders,
     ProgressRow, RowsError, StartOrder, TaskId, TaskKey,
 };
 use entry::{JobEntry, Placement};
@@ -38,6 +38,8 @@
     pub reclaim: Duration,
     /// Time that an ended job is remembered.
     pub retention: Duration,
+    /// Longest time that a worker takes to stop a run.
+    pub stop: Duration,
     /// Further wait after a takeover: the predecessor may renew leases that long.
     pub takeover: Duration,
 }
@@ -73,6 +75,7 @@
     advice_calls: Vec<AdviceCall>,
     changed: BTreeSet<String>,
     decisions: Vec<Decision>,
+    estimates: Estimates,
     fleet: Fleet,
     in_flight: Option<Vec<commits::Written>>,
     jobs: BTreeMap<String, JobEntry>,
@@ -125,6 +128,7 @@
             advice_calls: Vec::new(),
             changed: BTreeSet::new(),
             decisions: Vec::new(),
+            estimates: Estimates::new(),
             fleet: Fleet::new(),
             in_flight: None,
             jobs: BTreeMap::new(),
@@ -214,7 +218,7 @@
             job.steps.len(),
             job.accelerators(),
             job.chain_ms(),
-            job.objective_ms()
+            job.objective_ms(self.expected_chain(&job))
         );
         self.decide(&id, DecisionKind::Accepted, detail);
         self.jobs.insert(id.clone(), JobEntry::new(job, now.at));
@@ -339,6 +343,11 @@
         }
     }
 
+    /// Returns the time that the longest chain of a job is expected to take, in milliseconds.
+    fn expected_chain(&self, job: &Job) -> u64 {
+        job.chain_of(|step| self.estimates.correct(&job.route, step.estimate_ms))
+    }
+
     fn decide(&mut self, id: &str, kind: DecisionKind, detail: String) {
         self.decisions.push(Decision { detail, id: id.to_owned(), kind });
     }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -335,6 +335,7 @@
                 since: now.at,
                 stop: false,
                 version,
+                whole: task.checkpoint.is_empty(),
                 worker: candidate.id.clone(),
             });
             places.push((TaskId::new(&unit.job, *key), candidate.id.clone()));
@@ -358,6 +359,20 @@
     /// Keeps room free for a blocked unit on the workers where it will fit first, so that smaller
     /// work of lower rank does not pass it over for ever.
     fn keep_shadow(&self, now: Moment, demand: &Demand, view: &mut PoolView, allowed: &[usize]) {
+        if let Some((_, chosen)) = self.vacancy(now, demand, view, allowed) {
+            keep_free(view, demand, &map_back(allowed, &chosen));
+        }
+    }
+
+    /// Returns when runs that end by themselves are expected to have made room, and where, as indexes
+    /// into `allowed`.
+    pub(super) fn vacancy(
+        &self,
+        now: Moment,
+        demand: &Demand,
+        view: &PoolView,
+        allowed: &[usize],
+    ) -> Option<(Duration, Vec<usize>)> {
         let mut ends: Vec<(Duration, usize, Room)> = Vec::new();
         for (position, index) in allowed.iter().enumerate() {
             let Some(worker) = self.fleet.workers.get(&view.candidates[*index].id) else {
@@ -374,13 +389,10 @@
         }
         ends.sort_by_key(|(left, position, _)| (*left, *position));
         let mut candidates = with_room(view, allowed, true);
-        for (_, position, room) in ends {
+        ends.into_iter().find_map(|(left, position, room)| {
             candidates[position].free.add(&room);
-            if let Some(chosen) = choose_workers(demand, &candidates) {
-                keep_free(view, demand, &map_back(allowed, &chosen));
-                return;
-            }
-        }
+            Some((left, choose_workers(demand, &candidates)?))
+        })
     }
 
     /// Estimates how long a run still takes, from its progress where there is some.
@@ -390,9 +402,11 @@
             let percent = f64::from(placement.percent.min(100));
             return elapsed.mul_f64((100.0 - percent) / percent);
         }
-        let step =
-            self.jobs.get(&task.job).and_then(|entry| entry.job.steps.get(task.key.step as usize));
-        let estimate = step.map_or(0, |step| step.estimate_ms);
+        let expected = self.jobs.get(&task.job).and_then(|entry| {
+            let step = entry.job.steps.get(task.key.step as usize)?;
+            Some(self.estimates.correct(&entry.job.route, step.estimate_ms))
+        });
+        let estimate = expected.unwrap_or(0);
         Duration::from_millis(estimate).saturating_sub(elapsed).max(Duration::from_millis(500))
     }
 
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -1,20 +1,11 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use super::entry::Placement;
 use super::planning::{PoolView, keep_free, map_back, with_room};
 use super::units::Unit;
 use super::{Coordinator, Moment};
 use crate::reclaim::{Holder, choose_victims};
-use crate::{Candidate, Demand, TaskId};
-
-/// Core-seconds that a claim of class 0 outside its guarantee may cost others: less than the work
-/// of a typical gang, whose worth is about that of the claim.
-const BORROWED_WASTE: f64 = 200.0;
-
-/// Wait of a job of class 0 before it may stop other work that would be lost. Its slack is about
-/// 1.5 s, and a stop takes up to 0.9 s.
-const BORROWED_WAIT: Duration = Duration::from_millis(250);
+use crate::{Candidate, Claim, Demand, Eviction, TaskId, judge_claim};
 
 impl Coordinator {
     /// Stops other work for `unit` when its rank allows that; `true` when room will be free.
@@ -27,19 +18,30 @@
         allowed: &[usize],
         guaranteed: &BTreeSet<String>,
     ) -> bool {
-        let protected = unit.rank.tier == 0;
-        let Some(limit) = waste_limit(unit) else { return false };
+        let vacancy = self.vacancy(now, demand, view, allowed);
+        let claim = Claim {
+            class: unit.rank.class,
+            guaranteed: unit.rank.tier == 0,
+            slack_ms: unit.rank.start_ms.cast_signed() - now.wall_ms.cast_signed(),
+            vacancy: vacancy.as_ref().map(|(after, _)| *after),
+            waited: unit.waited,
+        };
+        let limit = match judge_claim(&claim, self.limits.stop, self.limits.reclaim) {
+            Eviction::Never => return false,
+            Eviction::Wait => {
+                if let Some((_, chosen)) = vacancy {
+                    keep_free(view, demand, &map_back(allowed, &chosen));
+                }
+                return true;
+            }
+            Eviction::Stop { waste } => waste,
+        };
         let candidates = self.with_same(unit, with_room(view, allowed, true));
         let (holders, groups) = self.holders(now, unit, &candidates, guaranteed);
         let Some(plan) = choose_victims(demand, &candidates, &holders) else { return false };
         if plan.waste > limit {
             return false;
         }
-        if protected && unit.waited < BORROWED_WAIT && plan.waste > BORROWED_WASTE {
-            // Work may end by itself in the meantime.
-            keep_free(view, demand, &map_back(allowed, &plan.chosen));
-            return true;
-        }
         for group in &plan.groups {
             let reason = format!("room for {} of rank {}", unit.job, unit.rank.tier);
             self.stop_run(&groups[*group], &reason);
@@ -105,16 +107,3 @@
         lost * entry.room(task.key.step).weight()
     }
 }
-
-/// Returns the core-seconds of other work that `unit` may cost now, `None` when it may stop none.
-///
-/// Load pattern: bulk work of a low class fills the pool, and short urgent work arrives beside it.
-fn waste_limit(unit: &Unit) -> Option<f64> {
-    if unit.rank.tier == 0 {
-        return Some(f64::INFINITY);
-    }
-    if unit.rank.class == 0 {
-        return (unit.waited >= BORROWED_WAIT).then_some(BORROWED_WASTE);
-    }
-    None
-}
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -148,9 +148,26 @@
             return;
         }
         self.judge(now, status, end);
+        self.learn(now, end);
         self.end_run(now, &end.task, Some(end.kind), &end.checkpoint);
     }
 
+    /// Takes in how long a whole run took.
+    fn learn(&mut self, now: Moment, end: &RunEnd) {
+        let Some(entry) = self.jobs.get(&end.task.job).filter(|_| end.kind == EndKind::Done) else {
+            return;
+        };
+        let (Some(placement), Some(step)) =
+            (entry.placement(&end.task.key), entry.job.steps.get(end.task.key.step as usize))
+        else {
+            return;
+        };
+        if placement.whole && !step.lasting {
+            let took = now.at.saturating_duration_since(placement.since);
+            self.estimates.observe(&entry.job.route, step.estimate_ms, took);
+        }
+    }
+
     /// Takes the end as evidence for or against the worker.
     fn judge(&mut self, now: Moment, status: &WorkerStatus, end: &RunEnd) {
         // Tasks that last may fail at any time and are started again.
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -52,7 +52,7 @@
                 continue;
             }
             let tier = u8::from(!guaranteed.contains(id));
-            units.extend(units_of(entry, now, tier));
+            units.extend(self.units_of(entry, now, tier));
         }
         for id in idle {
             self.waiting.remove(&id);
@@ -60,46 +60,46 @@
         units.sort_by(|a, b| (a.rank, &a.job, &a.keys).cmp(&(b.rank, &b.job, &b.keys)));
         units
     }
-}
 
-fn units_of(entry: &JobEntry, now: Moment, tier: u8) -> Vec<Unit> {
-    let mut units = Vec::new();
-    for occurrence in 0..entry.job.occurrences() {
-        let due = entry.job.due_ms(occurrence);
-        if due.is_some_and(|due| due > now.wall_ms) {
-            break;
-        }
-        for (step, content) in (0_u32..).zip(&entry.job.steps) {
-            if !content.after.iter().all(|prior| is_step_done(entry, occurrence, *prior)) {
-                continue;
+    fn units_of(&self, entry: &JobEntry, now: Moment, tier: u8) -> Vec<Unit> {
+        let mut units = Vec::new();
+        for occurrence in 0..entry.job.occurrences() {
+            let due = entry.job.due_ms(occurrence);
+            if due.is_some_and(|due| due > now.wall_ms) {
+                break;
             }
-            let keys = waiting_keys(entry, occurrence, step, content.count, content.gang);
-            if keys.is_empty() {
-                continue;
+            for (step, content) in (0_u32..).zip(&entry.job.steps) {
+                if !content.after.iter().all(|prior| is_step_done(entry, occurrence, *prior)) {
+                    continue;
+                }
+                let keys = waiting_keys(entry, occurrence, step, content.count, content.gang);
+                if keys.is_empty() {
+                    continue;
+                }
+                let accepted_ms = due.unwrap_or(entry.job.accepted_ms);
+                let start_ms = accepted_ms + self.latest_start(entry, occurrence);
+                units.push(Unit {
+                    job: entry.job.id.clone(),
+                    keys,
+                    rank: Rank { tier, class: entry.job.class, start_ms },
+                    waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms)),
+                });
             }
-            let accepted_ms = due.unwrap_or(entry.job.accepted_ms);
-            let start_ms = accepted_ms + latest_start(entry, occurrence);
-            units.push(Unit {
-                job: entry.job.id.clone(),
-                keys,
-                rank: Rank { tier, class: entry.job.class, start_ms },
-                waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms)),
-            });
         }
+        units
     }
-    units
-}
 
-/// Returns the time after acceptance at which the rest of an occurrence must start to meet its
-/// objective, from the estimates.
-fn latest_start(entry: &JobEntry, occurrence: u32) -> u64 {
-    let chain = entry.job.chain_ms();
-    let done: u64 = (0_u32..)
-        .zip(&entry.job.steps)
-        .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
-        .map(|(_, content)| content.estimate_ms)
-        .sum();
-    entry.job.objective_ms().saturating_sub(chain.saturating_sub(done))
+    /// Returns the time after acceptance at which the rest of an occurrence must start to meet its
+    /// objective, from the expected run times.
+    fn latest_start(&self, entry: &JobEntry, occurrence: u32) -> u64 {
+        let chain = self.expected_chain(&entry.job);
+        let done: u64 = (0_u32..)
+            .zip(&entry.job.steps)
+            .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
+            .map(|(_, content)| self.estimates.correct(&entry.job.route, content.estimate_ms))
+            .sum();
+        entry.job.objective_ms(chain).saturating_sub(chain.saturating_sub(done))
+    }
 }
 
 fn is_step_done(entry: &JobEntry, occurrence: u32, step: usize) -> bool {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -142,12 +142,17 @@
             .unwrap_or(0)
     }
 
-    /// Returns the estimated time of the longest chain of steps in milliseconds.
+    /// Returns the time of the longest chain of steps in milliseconds, from the estimates.
     pub fn chain_ms(&self) -> u64 {
+        self.chain_of(|step| step.estimate_ms)
+    }
+
+    /// Returns the time of the longest chain of steps in milliseconds, when a step takes `length`.
+    pub fn chain_of(&self, length: impl Fn(&Step) -> u64) -> u64 {
         let mut ends = vec![0_u64; self.steps.len()];
         for (number, step) in self.steps.iter().enumerate() {
             let start = step.after.iter().filter_map(|prior| ends.get(*prior)).max();
-            let end = start.copied().unwrap_or(0) + step.estimate_ms;
+            let end = start.copied().unwrap_or(0) + length(step);
             if let Some(slot) = ends.get_mut(number) {
                 *slot = end;
             }
@@ -155,11 +160,11 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the time from acceptance within which the job should be done, from the estimates, in
-    /// milliseconds.
-    pub fn objective_ms(&self) -> u64 {
-        // Estimates are far below 2^53 ms.
-        (self.chain_ms() as f64 * self.slack) as u64 + self.target_ms
+    /// Returns the time from acceptance within which a job should be done whose longest chain takes
+    /// `chain_ms`, in milliseconds.
+    pub fn objective_ms(&self, chain_ms: u64) -> u64 {
+        // Run times are far below 2^53 ms.
+        (chain_ms as f64 * self.slack) as u64 + self.target_ms
     }
 
     /// Reports whether any step runs until the job is cancelled.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,8 @@
 mod advice;
 mod agent;
 mod coordinator;
+mod estimates;
+mod eviction;
 mod fleet;
 mod health;
 mod job;
@@ -22,6 +24,8 @@
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::{AgentAction, AgentCore, AgentLimits, HoldCall, Listing, StartAnswer};
 pub use coordinator::{Coordinator, Decision, DecisionKind, Limits, Moment, Submission, View};
+pub use estimates::Estimates;
+pub use eviction::{Claim, Eviction, judge_claim};
 pub use fleet::{Fleet, FleetWorker};
 pub use health::{Health, Suspicion};
 pub use job::{Job, JobState, Room, Schedule, Step};
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -21,6 +21,7 @@
         open_jobs: 100,
         reclaim: Duration::from_secs(3),
         retention: Duration::from_secs(120),
+        stop: Duration::from_millis(900),
         takeover: Duration::from_secs(12),
     }
 }
