Leave the emptiest workers to larger tasks, and replay jobs against simple policies

Cause: bulk jobs of many one-accelerator tasks fill every gap, so that a task that needs a whole worker waits for several of them or stops them.

The bench crate replays generated job lists of the users' mix against the coordinator, first fit and EASY backfill.

--- /dev/null
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -0,0 +1,182 @@
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use skylarkpulley_jobs::{
+    Coordinator, EndKind, Guarantee, Job, JobTables, Limits, Moment, RunEnd, RunReport, Step,
+    TaskId, TaskKey, TeamEntry, WorkerPool, WorkerReport, WorkerStatus,
+};
+
+use super::pool::{STOP, WORKER_ROOM};
+use super::{Ended, JobPlan, Millis, Order, Policy, Pool, Run};
+
+const POOL: &str = "workers";
+const TEAM: &str = "all";
+
+/// Accelerators that are guaranteed to class 0: about a quarter of the pool.
+const GUARANTEE: i64 = 24;
+
+/// Time of day at the start of a replay.
+const EPOCH_MS: u64 = 1_000_000;
+
+/// Time between two reports of a worker.
+const REPORT: Millis = 1000;
+
+/// The coordinator of the product as a policy.
+pub struct Coordinated {
+    core: Coordinator,
+    ends: BTreeMap<usize, Vec<(u64, RunEnd)>>,
+    numbers: BTreeMap<usize, u64>,
+    start: Instant,
+}
+
+impl Coordinated {
+    /// Returns a coordinator over the workers of a replay.
+    pub fn new(workers: usize) -> Self {
+        let start = Instant::now();
+        let now = Moment { at: start, wall_ms: EPOCH_MS };
+        let limits = Limits {
+            lapse: Duration::from_secs(9),
+            open_jobs: 10_000,
+            reclaim: Duration::from_millis(3400),
+            retention: Duration::from_secs(1000),
+            stop: Duration::from_millis(STOP),
+            takeover: Duration::ZERO,
+        };
+        let pool = WorkerPool { guarded: true, name: POOL.to_owned(), spare: false };
+        let guarantee = Guarantee { accelerators: GUARANTEE };
+        let tables = JobTables {
+            pools: [(POOL.to_owned(), pool)].into(),
+            teams: vec![TeamEntry { guarantee, keys: Vec::new(), name: TEAM.to_owned() }],
+            version: 1,
+            ..JobTables::default()
+        };
+        let core = Coordinator::new(limits, tables, now);
+        let mut policy = Self { core, ends: BTreeMap::new(), numbers: BTreeMap::new(), start };
+        for worker in 0..workers {
+            policy.report(0, worker, &[]);
+        }
+        policy
+    }
+
+    fn moment(&self, now: Millis) -> Moment {
+        Moment { at: self.start + Duration::from_millis(now), wall_ms: EPOCH_MS + now }
+    }
+
+    fn report(&mut self, now: Millis, worker: usize, runs: &[Run]) {
+        let status = WorkerStatus {
+            address: format!("10.0.0.{worker}:1"),
+            boot: 1,
+            id: worker_id(worker),
+            pool: POOL.to_owned(),
+            rack: format!("rack-{}", worker / 3),
+            room: WORKER_ROOM,
+            ..WorkerStatus::default()
+        };
+        let acked = self.core.orders(&status.id).ended_through;
+        let ends = self.ends.entry(worker).or_default();
+        ends.retain(|(number, _)| *number > acked);
+        let running = runs.iter().filter(|run| run.worker == worker).map(|run| RunReport {
+            checkpoint: "saved".to_owned(),
+            percent: run.percent(now),
+            run: self.core.run_number(&task_id(run)).unwrap_or(0),
+            task: task_id(run),
+        });
+        let report = WorkerReport {
+            ended: ends.iter().map(|(_, end)| end.clone()).collect(),
+            ended_through: ends.last().map_or(0, |(number, _)| *number),
+            listed: true,
+            running: running.collect(),
+            worker: Some(status),
+            ..WorkerReport::default()
+        };
+        self.core.report(self.moment(now), &report);
+    }
+
+    fn store(&mut self) {
+        while self.core.begin_commit().is_some() {
+            self.core.end_commit();
+        }
+    }
+}
+
+impl Policy for Coordinated {
+    fn submit(&mut self, now: Millis, number: usize, job: &JobPlan) {
+        let step = Step {
+            checkpoints: job.checkpoints,
+            count: u32::try_from(job.lengths.len()).unwrap_or(u32::MAX),
+            estimate_ms: job.estimate,
+            gang: job.gang,
+            room: job.room,
+            ..Step::default()
+        };
+        let job = Job {
+            accepted_ms: EPOCH_MS + now,
+            advised: false,
+            attempts: 3,
+            class: job.class,
+            id: job_id(number),
+            payload: String::new(),
+            pool: POOL.to_owned(),
+            route: format!("class-{}", job.class),
+            schedule: None,
+            slack: job.slack,
+            steps: vec![step],
+            target_ms: job.target,
+            team: TEAM.to_owned(),
+        };
+        self.core.submit(self.moment(now), job);
+    }
+
+    fn decide(&mut self, now: Millis, ended: &[Ended], pool: &Pool) -> Vec<Order> {
+        for end in ended {
+            let task = task_id(&end.run);
+            let number = self.numbers.entry(end.run.worker).or_default();
+            *number += 1;
+            let run = self.core.run_number(&task).unwrap_or(0);
+            let kind = if end.done { EndKind::Done } else { EndKind::Stopped };
+            let end_report = RunEnd { checkpoint: "saved".to_owned(), kind, run, task };
+            self.ends.entry(end.run.worker).or_default().push((*number, end_report));
+        }
+        for worker in 0..pool.size() {
+            if ended.iter().any(|end| end.run.worker == worker) || now.is_multiple_of(REPORT) {
+                self.report(now, worker, &pool.runs);
+            }
+        }
+        self.core.tick(self.moment(now));
+        self.store();
+        self.core.take_decisions();
+        let mut orders = Vec::new();
+        for worker in 0..pool.size() {
+            let wanted = self.core.orders(&worker_id(worker));
+            for start in wanted.start {
+                let Some((job, index)) = place_of(&start.task) else { continue };
+                if !pool.runs.iter().any(|run| run.job == job && run.index == index) {
+                    orders.push(Order::Start { job, index, worker });
+                }
+            }
+            for (task, _) in wanted.stop {
+                let Some((job, index)) = place_of(&task) else { continue };
+                orders.push(Order::Stop { job, index });
+            }
+        }
+        orders
+    }
+}
+
+fn worker_id(worker: usize) -> String {
+    format!("worker-{worker:02}")
+}
+
+fn job_id(number: usize) -> String {
+    format!("job-{number:04}")
+}
+
+fn task_id(run: &Run) -> TaskId {
+    let index = u32::try_from(run.index).unwrap_or(u32::MAX);
+    TaskId::new(&job_id(run.job), TaskKey { occurrence: 0, step: 0, index })
+}
+
+fn place_of(task: &TaskId) -> Option<(usize, usize)> {
+    let job = task.job.strip_prefix("job-")?.parse().ok()?;
+    Some((job, task.key.index as usize))
+}
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -264,6 +264,11 @@
         self.jobs.get(id).map(|entry| View { state: entry.visible_state() })
     }
 
+    /// Returns the number of the run of a task that may be alive.
+    pub fn run_number(&self, task: &TaskId) -> Option<u32> {
+        Some(self.jobs.get(&task.job)?.placement(&task.key)?.run)
+    }
+
     /// Returns the number of accepted jobs of `route` for which no task has started.
     pub fn pending(&self, route: &str) -> usize {
         self.jobs
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -4,7 +4,9 @@
 use super::entry::Placement;
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Moment};
-use crate::{Candidate, Demand, Room, Step, StepId, TaskId, TaskKey, choose_workers};
+use crate::{
+    Candidate, Demand, Room, Step, StepId, TaskId, TaskKey, choose_workers, is_small, leave_room,
+};
 
 /// Longest wait for a place near the data or on one rack, where the alternative is several times
 /// slower.
@@ -114,6 +116,7 @@
         let Some((demand, allowed)) = self.demand(unit, keys, view) else { return false };
         let allowed = self.permitted(now, unit, view, allowed);
         let allowed = self.without_failed(unit, keys, view, allowed);
+        let allowed = self.with_headroom(now, unit, &demand, view, allowed);
         if let Some(chosen) = self.find_place(unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
             return true;
@@ -180,6 +183,30 @@
         if others.is_empty() { allowed } else { others }
     }
 
+    /// Leaves out the workers that small tasks with slack leave to others.
+    fn with_headroom(
+        &self,
+        now: Moment,
+        unit: &Unit,
+        demand: &Demand,
+        view: &PoolView,
+        allowed: Vec<usize>,
+    ) -> Vec<usize> {
+        let has_slack = unit.rank.class > 0 && unit.rank.start_ms > now.wall_ms;
+        let largest = view.candidates.iter().filter_map(|candidate| {
+            let room = self.fleet.workers.get(&candidate.id)?.status.room;
+            Some((room.accelerators, room.cores, room.memory, room))
+        });
+        let size =
+            largest.max_by_key(|(accelerators, cores, memory, _)| (*accelerators, *cores, *memory));
+        let Some((.., size)) = size.filter(|_| has_slack) else { return allowed };
+        if !is_small(&demand.room, &size) {
+            return allowed;
+        }
+        let free: Vec<Room> = view.candidates.iter().map(|candidate| candidate.free).collect();
+        leave_room(&free, allowed)
+    }
+
     /// Returns what the tasks need and the candidates that may run them.
     fn demand(
         &self,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod estimates;
 mod eviction;
 mod fleet;
+mod headroom;
 mod health;
 mod job;
 mod order;
@@ -27,6 +28,7 @@
 pub use estimates::Estimates;
 pub use eviction::{Claim, Eviction, judge_claim};
 pub use fleet::{Fleet, FleetWorker};
+pub use headroom::{is_small, leave_room};
 pub use health::{Health, Suspicion};
 pub use job::{Job, JobState, Room, Schedule, Step};
 pub use placing::{Candidate, Demand, choose_workers};
