Pass log lines through a bounded queue that never blocks

Cause: the deciding thread wrote its log lines itself, so that a reader of standard error that stands still would have stopped decisions and leases.

Change: lines go through a queue of 4,096 to a thread of its own (tracing-appender); further lines are dropped and counted, and event 103 tells how many. The test holds the output still.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -32,7 +32,7 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    init_logging(settings.log_format, &settings.log_filter);
+    let _logs = init_logging(settings.log_format, &settings.log_filter);
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/bench/examples/jobs_replay.rs
+++ b/crates/bench/examples/jobs_replay.rs
@@ -7,10 +7,13 @@
 const SEEDS: u64 = 20;
 const WORKERS: usize = 11;
 
+/// Name of a policy and how it is made.
+type Candidate = (&'static str, fn() -> Box<dyn Policy>);
+
 fn main() {
     println!("load           policy        earned   urgent late   core-seconds lost");
     for load in [Load::Steady, Load::UrgentBursts, Load::BulkFlood] {
-        let policies: [(&str, fn() -> Box<dyn Policy>); 3] = [
+        let policies: [Candidate; 3] = [
             ("coordinator", || Box::new(Coordinated::new(WORKERS))),
             ("first fit", || Box::new(Baseline::new(Rule::FirstFit))),
             ("EASY", || Box::new(Baseline::new(Rule::Easy))),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,7 +7,7 @@
 
 /// Runs both sample deployments at once and prints what was promised against what happened.
 pub(crate) async fn run(command: &Demo, output: &mut Output<'_>) -> Result<Exit, CliError> {
-    skylarkpulley_telemetry::init_logging(
+    let _logs = skylarkpulley_telemetry::init_logging(
         skylarkpulley_telemetry::LogFormat::Plain,
         command.log.as_deref().unwrap_or("error"),
     );
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -31,6 +31,7 @@
     ProcessStarted = 100, "process-started", "A process has started and knows its addresses.";
     ShutdownStarted = 101, "shutdown-started", "A process accepts no new work and finishes what it has.";
     ShutdownDone = 102, "shutdown-done", "A process has finished all its work and exits.";
+    LogLinesDropped = 103, "log-lines-dropped", "Log lines were dropped because they were not read in time.";
     RequestRouted = 200, "request-routed", "A request was sent to an upstream's agent.";
     RequestAnswered = 201, "request-answered", "A caller received the whole answer of an upstream.";
     RequestRefused = 202, "request-refused", "A request was refused and was not run.";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use decisions::{Decision, Decisions};
 pub use event::Event;
-pub use logging::{LogFormat, init_logging};
+pub use logging::{LogFormat, LogGuard, LogWriter, init_logging};
 pub use metrics::Metrics;
 pub use settings_file::{SettingsError, load_settings};
 pub use signals::wait_for_signal;
