Leave room among the workers that a task may use, and for 2 s only where nothing of its job runs

Change: the share is taken from the workers that the task may use, rounded down, and a job without runs uses any worker after 2 s. The vacancy of a claim is searched for by halves, so that thousands of runs cost a dozen placements instead of thousands. `reclaim_guarantee` fills its pool with small tasks and now waits 2.1 s before it does; it checks that the pool is full and still expects exactly 16 stops.

--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -12,6 +12,9 @@
 /// slower.
 const NEAR_WAIT: Duration = Duration::from_secs(6);
 
+/// Time after which a small task of a job without runs may use the room that is left to larger ones.
+const HEADROOM_WAIT: Duration = Duration::from_secs(2);
+
 /// Progress from which on the time that a run still takes is told from its speed so far.
 pub(super) const RELIABLE_PERCENT: u8 = 5;
 
@@ -183,7 +186,8 @@
         if others.is_empty() { allowed } else { others }
     }
 
-    /// Leaves out the workers that small tasks with slack leave to others.
+    /// Leaves out the workers that small tasks with slack leave to others. A job of which nothing runs
+    /// takes any worker after a while: it must not wait in front of idle ones.
     fn with_headroom(
         &self,
         now: Moment,
@@ -192,7 +196,10 @@
         view: &PoolView,
         allowed: Vec<usize>,
     ) -> Vec<usize> {
-        let has_slack = unit.rank.class > 0 && unit.rank.start_ms > now.wall_ms;
+        let running = self.jobs.get(&unit.job).is_some_and(|job| job.placements().next().is_some());
+        let has_slack = unit.rank.class > 0
+            && unit.rank.start_ms > now.wall_ms
+            && (running || unit.waited < HEADROOM_WAIT);
         let largest = view.candidates.iter().filter_map(|candidate| {
             let room = self.fleet.workers.get(&candidate.id)?.status.room;
             Some((room.accelerators, room.cores, room.memory, room))
@@ -414,12 +421,29 @@
                 }
             }
         }
+        if ends.is_empty() {
+            return None;
+        }
         ends.sort_by_key(|(left, position, _)| (*left, *position));
-        let mut candidates = with_room(view, allowed, true);
-        ends.into_iter().find_map(|(left, position, room)| {
-            candidates[position].free.add(&room);
-            Some((left, choose_workers(demand, &candidates)?))
-        })
+        let fit = |count: usize| {
+            let mut candidates = with_room(view, allowed, true);
+            for (_, position, room) in &ends[..count] {
+                candidates[*position].free.add(room);
+            }
+            choose_workers(demand, &candidates)
+        };
+        // What fits goes on to fit with more room, so that the first end that suffices can be searched
+        // for by halves.
+        let (mut low, mut high) = (1, ends.len());
+        let mut found = fit(high)?;
+        while low < high {
+            let middle = low.midpoint(high);
+            match fit(middle) {
+                Some(chosen) => (found, high) = (chosen, middle),
+                None => low = middle + 1,
+            }
+        }
+        Some((ends.get(high - 1)?.0, found))
     }
 
     /// Estimates how long a run still takes, from its progress where there is some.
--- a/crates/jobs/src/headroom.rs
+++ b/crates/jobs/src/headroom.rs
@@ -5,7 +5,7 @@
 const SMALL_SHARE: f64 = 0.25;
 
 /// Share of the workers that small tasks leave to others.
-const OPEN_SHARE: f64 = 0.33;
+const OPEN_SHARE: f64 = 0.34;
 
 /// Reports whether a task that needs `need` is small on workers of the size `worker`.
 pub fn is_small(need: &Room, worker: &Room) -> bool {
@@ -22,14 +22,17 @@
 /// Load pattern: bulk work of many small tasks arrives beside tasks that need most of a worker, and
 /// beside urgent gangs. Where the small tasks fill every gap, each larger task has to wait for several
 /// of them or to stop them. Bulk work has the slack to queue for the other workers instead.
-pub fn leave_room(free: &[Room], allowed: Vec<usize>) -> Vec<usize> {
-    // A pool has far fewer than 2^52 workers.
-    let open = (free.len() as f64 * OPEN_SHARE).round() as usize;
-    let mut order: Vec<usize> = (0..free.len()).collect();
-    order.sort_by_key(|index| {
+pub fn leave_room(free: &[Room], mut allowed: Vec<usize>) -> Vec<usize> {
+    // Rounded down, so that at least one worker stays. A pool has far fewer than 2^52 workers.
+    let open = (allowed.len() as f64 * OPEN_SHARE) as usize;
+    if open == 0 {
+        return allowed;
+    }
+    allowed.select_nth_unstable_by_key(open - 1, |index| {
         let room = &free[*index];
         (-room.accelerators, -room.cores, -room.memory, *index)
     });
-    order.truncate(open);
-    allowed.into_iter().filter(|index| !order.contains(index)).collect()
+    allowed.drain(..open);
+    allowed.sort_unstable();
+    allowed
 }
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -127,6 +127,10 @@
         bulk.team = "south".to_owned();
         rig.submit(bulk);
     }
+    // Small tasks leave the emptiest worker to larger ones for a while.
+    rig.pass(2100);
+    rig.settle();
+    assert_eq!(rig.starts().len(), 24, "the pool is full");
     for id in rig.core.worker_ids() {
         let runs: Vec<_> = rig.starts().into_iter().filter(|start| start.0 == id).collect();
         let number = id[1..].parse().expect("a number");
