Search for vacancies only for work that may stop others, and with its spread

Cause: found on reading the change again. The vacancy was computed for every blocked unit, also for classes that stop nothing, and did not count tasks of the same step on a worker, so that a spread step could wait for room that it may not use.

Change: `Claim::may_stop` is asked first; the vacancy counts the same step.

--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -134,7 +134,7 @@
         }
         if view.shadows < SHADOWS {
             view.shadows += 1;
-            self.keep_shadow(now, &demand, view, &allowed);
+            self.keep_shadow(now, unit, &demand, view, &allowed);
         }
         false
     }
@@ -197,17 +197,16 @@
         allowed: Vec<usize>,
     ) -> Vec<usize> {
         let running = self.jobs.get(&unit.job).is_some_and(|job| job.placements().next().is_some());
-        let has_slack = unit.rank.class > 0
-            && unit.rank.start_ms > now.wall_ms
-            && (running || unit.waited < HEADROOM_WAIT);
-        let largest = view.candidates.iter().filter_map(|candidate| {
-            let room = self.fleet.workers.get(&candidate.id)?.status.room;
-            Some((room.accelerators, room.cores, room.memory, room))
-        });
-        let size =
-            largest.max_by_key(|(accelerators, cores, memory, _)| (*accelerators, *cores, *memory));
-        let Some((.., size)) = size.filter(|_| has_slack) else { return allowed };
-        if !is_small(&demand.room, &size) {
+        let has_slack = unit.rank.class > 0 && unit.rank.start_ms > now.wall_ms;
+        if !has_slack || (!running && unit.waited >= HEADROOM_WAIT) {
+            return allowed;
+        }
+        let sizes = view
+            .candidates
+            .iter()
+            .filter_map(|candidate| Some(self.fleet.workers.get(&candidate.id)?.status.room));
+        let largest = sizes.max_by_key(|room| (room.accelerators, room.cores, room.memory));
+        if largest.is_none_or(|largest| !is_small(&demand.room, &largest)) {
             return allowed;
         }
         let free: Vec<Room> = view.candidates.iter().map(|candidate| candidate.free).collect();
@@ -392,8 +391,15 @@
 
     /// Keeps room free for a blocked unit on the workers where it will fit first, so that smaller
     /// work of lower rank does not pass it over for ever.
-    fn keep_shadow(&self, now: Moment, demand: &Demand, view: &mut PoolView, allowed: &[usize]) {
-        if let Some((_, chosen)) = self.vacancy(now, demand, view, allowed) {
+    fn keep_shadow(
+        &self,
+        now: Moment,
+        unit: &Unit,
+        demand: &Demand,
+        view: &mut PoolView,
+        allowed: &[usize],
+    ) {
+        if let Some((_, chosen)) = self.vacancy(now, unit, demand, view, allowed) {
             keep_free(view, demand, &map_back(allowed, &chosen));
         }
     }
@@ -403,6 +409,7 @@
     pub(super) fn vacancy(
         &self,
         now: Moment,
+        unit: &Unit,
         demand: &Demand,
         view: &PoolView,
         allowed: &[usize],
@@ -425,8 +432,9 @@
             return None;
         }
         ends.sort_by_key(|(left, position, _)| (*left, *position));
+        let stopping = self.with_same(unit, with_room(view, allowed, true));
         let fit = |count: usize| {
-            let mut candidates = with_room(view, allowed, true);
+            let mut candidates = stopping.clone();
             for (_, position, room) in &ends[..count] {
                 candidates[*position].free.add(room);
             }
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -18,10 +18,14 @@
         allowed: &[usize],
         guaranteed: &BTreeSet<String>,
     ) -> bool {
-        let vacancy = self.vacancy(now, demand, view, allowed);
+        let protected = unit.rank.tier == 0;
+        if !Claim::may_stop(unit.rank.class, protected) {
+            return false;
+        }
+        let vacancy = self.vacancy(now, unit, demand, view, allowed);
         let claim = Claim {
             class: unit.rank.class,
-            guaranteed: unit.rank.tier == 0,
+            guaranteed: protected,
             slack_ms: unit.rank.start_ms.cast_signed() - now.wall_ms.cast_signed(),
             vacancy: vacancy.as_ref().map(|(after, _)| *after),
             waited: unit.waited,
--- a/crates/jobs/src/eviction.rs
+++ b/crates/jobs/src/eviction.rs
@@ -32,6 +32,13 @@
     pub waited: Duration,
 }
 
+impl Claim {
+    /// Reports whether work of this class and tier may stop other runs at all.
+    pub fn may_stop(class: u8, guaranteed: bool) -> bool {
+        class == 0 || guaranteed
+    }
+}
+
 /// What a claim does about the runs in its way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Eviction {
@@ -53,7 +60,7 @@
 /// about to end throws their work away and gains nothing; waiting for a fixed time before the stop
 /// makes a claim late that could not have been served otherwise.
 pub fn judge_claim(claim: &Claim, stop: Duration, reclaim: Duration) -> Eviction {
-    if claim.class > 0 && !claim.guaranteed {
+    if !Claim::may_stop(claim.class, claim.guaranteed) {
         return Eviction::Never;
     }
     let slack = Duration::from_millis(u64::try_from(claim.slack_ms).unwrap_or(0));
