Report a gang as finished only when none of it runs, and keep a start behind its stop

The lead reported the end with the first member that finished; the others had 1 s left. The agent spawned each call to its worker on its own, so that a renewal or stop could overtake the start, find no task, and free the accelerators before the start took effect.

A second start of the job (the records show one epoch), a lost end (the entry that shows "done" had the end), and a test that waits too short a time (it looks once, when the job is shown as done, which is what callers do).

The lead waits, for the same 1 s, until all members have ended; an eviction or stop in that time no longer turns the end into "stopped". An agent makes the calls for one gang in order, with what is left of the lease; a worker refuses a start that was stopped before it arrived.

--- a/crates/agent/src/gangs_task.rs
+++ b/crates/agent/src/gangs_task.rs
@@ -64,6 +64,7 @@
         let now = clock.now();
         let task = GangsTask {
             agent: agent.clone(),
+            calls: HashMap::new(),
             checkpoints: HashMap::new(),
             clients,
             clock,
@@ -138,6 +139,8 @@
 
 struct GangsTask {
     agent: AgentId,
+    /// End of the last call to the worker for each gang; the next one waits for it.
+    calls: HashMap<String, oneshot::Receiver<()>>,
     /// Run time that the last checkpoint of each gang preserves, in milliseconds.
     checkpoints: HashMap<String, u64>,
     clients: Arc<AgentClients>,
@@ -271,12 +274,16 @@
                     let detail = format!("epoch {epoch}, first lease");
                     self.decisions.record(self.clock.now(), Event::JobStarted, &gang, &detail);
                     let size = self.sizes.get(&gang).copied().unwrap_or(0);
+                    let (clock, until) = (Arc::clone(&self.clock), self.clock.now() + lease);
                     self.call_worker(gang, epoch, move |worker, gang| async move {
+                        let lease = until.saturating_duration_since(clock.now());
                         worker.start(&gang, epoch, lease, size, &task).await
                     });
                 }
                 Action::Extend { gang, epoch, lease } => {
+                    let (clock, until) = (Arc::clone(&self.clock), self.clock.now() + lease);
                     self.call_worker(gang, epoch, move |worker, gang| async move {
+                        let lease = until.saturating_duration_since(clock.now());
                         worker.renew(&gang, epoch, lease).await
                     });
                 }
@@ -343,9 +350,11 @@
         });
     }
 
-    /// Calls the worker and passes what the task's state means to the ledger.
+    /// Calls the worker and passes what the task's state means to the ledger. The calls for one gang
+    /// reach the worker in the order of the decisions: a renewal or stop that overtakes the start
+    /// finds no task, and its accelerators would be granted again before the start arrives.
     fn call_worker<F>(
-        &self,
+        &mut self,
         gang: String,
         epoch: u64,
         call: impl FnOnce(WorkerClient, String) -> F + Send + 'static,
@@ -354,7 +363,14 @@
     {
         let Some(worker) = self.worker.clone() else { return };
         let commands = self.commands.clone();
+        let (ended, end) = oneshot::channel();
+        let previous = self.calls.insert(gang.clone(), end);
         tokio::spawn(async move {
+            if let Some(previous) = previous {
+                // A call that was dropped has ended as well.
+                let _ = previous.await;
+            }
+            let _ended: oneshot::Sender<()> = ended;
             let (event, view) = match call(worker, gang.clone()).await {
                 WorkerReply::NoAnswer => (WorkerEvent::NoAnswer, None),
                 WorkerReply::Task(view) if view.epoch == epoch => {
@@ -378,7 +394,7 @@
         });
     }
 
-    fn kill(&self, gang: String, epoch: u64) {
+    fn kill(&mut self, gang: String, epoch: u64) {
         let detail = format!("epoch {epoch} is told to stop");
         self.decisions.record(self.clock.now(), Event::LeaseLapsed, &gang, &detail);
         self.call_worker(gang, epoch, move |worker, gang| async move {
@@ -436,6 +452,7 @@
         let report = self.ledger.report(now);
         if report.grants.is_empty() {
             self.sizes.clear();
+            self.calls.retain(|_, end| end.try_recv() == Err(oneshot::error::TryRecvError::Empty));
             for waiter in self.drained.drain(..) {
                 let _ = waiter.send(());
             }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,6 +19,7 @@
 mod worker_client;
 
 pub use agent::Agent;
+pub use gangs_task::Gangs;
 pub use settings::Settings;
 pub use skylarkpulley_process::StartError;
 pub use upstream::{AnnouncedState, Announcement, Upstream};
--- a/crates/ledger/src/action.rs
+++ b/crates/ledger/src/action.rs
@@ -6,7 +6,7 @@
 /// Why a gang has ended, as its lead sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum End {
-    /// A member's task finished.
+    /// A member's task finished, and no task of the gang runs any more.
     Finished,
     /// A member failed or did not answer.
     Failed,
--- a/crates/ledger/src/lead.rs
+++ b/crates/ledger/src/lead.rs
@@ -14,6 +14,8 @@
     Leading,
     /// Renews the lease until the members have written their checkpoints.
     Leaving { until: Instant },
+    /// A member has finished; the others get until then to finish as well.
+    Finishing { until: Instant },
 }
 
 /// What the lead knows of one member.
@@ -25,6 +27,8 @@
     pub(crate) confirmed: Option<Instant>,
     /// Unanswered renewals.
     pub(crate) sent: BTreeMap<u64, Instant>,
+    /// The member's task has ended.
+    pub(crate) ended: bool,
 }
 
 /// A gang that is led here.
@@ -62,6 +66,14 @@
         self.followers.values().all(|follower| follower.heard.is_some())
     }
 
+    /// Notes that the task of `member` has ended. Returns whether all tasks have.
+    pub(crate) fn end(&mut self, member: &AgentId) -> bool {
+        if let Some(follower) = self.followers.get_mut(member) {
+            follower.ended = true;
+        }
+        self.followers.values().all(|follower| follower.ended)
+    }
+
     /// Starts to issue leases. None runs yet, so that the first lease counts from now.
     pub(crate) fn begin(&mut self, now: Instant) {
         self.phase = LeadPhase::Leading;
--- a/crates/ledger/src/membership.rs
+++ b/crates/ledger/src/membership.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant};
 
+use skylarkpulley_types::AgentId;
+
 use crate::grant::Stage;
 use crate::lead::{Lead, LeadPhase};
 use crate::{
@@ -266,7 +268,7 @@
                     self.leave(gang, &ready.member.to_string(), now, actions);
                 }
             }
-            state => self.member_ended(gang, &ready.member.to_string(), state, now, actions),
+            state => self.member_ended(gang, &ready.member, state, now, actions),
         }
         true
     }
@@ -286,17 +288,16 @@
         if !lead.followers.contains_key(&member.agent) {
             return;
         }
-        let name = member.agent.to_string();
         match reply.state {
             MemberState::Ready => lead.hear(&member.agent, reply.stamp, now),
             MemberState::Running | MemberState::Leaving => {
                 lead.hear(&member.agent, reply.stamp, now);
                 lead.confirm(&member.agent, renew.sequence);
                 if reply.state == MemberState::Leaving {
-                    self.leave(gang, &name, now, actions);
+                    self.leave(gang, &member.agent.to_string(), now, actions);
                 }
             }
-            state => self.member_ended(gang, &name, state, now, actions),
+            state => self.member_ended(gang, &member.agent, state, now, actions),
         }
     }
 
@@ -311,7 +312,11 @@
             (LeadPhase::Leaving { until }, _) if now >= until => {
                 self.end_gang(gang, End::Stopped, "stopped", Duration::ZERO, now, actions);
             }
-            (_, Some(member)) => {
+            (LeadPhase::Finishing { until }, _) if now >= until => {
+                let reason = "its members had their time to finish";
+                self.end_gang(gang, End::Finished, reason, Duration::ZERO, now, actions);
+            }
+            (LeadPhase::Leading | LeadPhase::Leaving { .. }, Some(member)) => {
                 let reason = format!("{member} does not answer");
                 self.end_gang(gang, End::Failed, &reason, Duration::ZERO, now, actions);
             }
@@ -336,6 +341,9 @@
         let mut local = None;
         for member in &lead.members {
             let Some(follower) = lead.followers.get_mut(&member.agent) else { continue };
+            if follower.ended {
+                continue;
+            }
             let Some((stamp, heard)) = follower.heard else { continue };
             let lease = limit.saturating_duration_since(heard);
             follower.sent.insert(sequence, now);
@@ -370,6 +378,13 @@
 
     fn stop_gang(&mut self, stop: &Stop, now: Instant, actions: &mut Vec<Action>) {
         let Some(lead) = self.leads.get_mut(&stop.gang) else { return };
+        if matches!(lead.phase, LeadPhase::Finishing { .. }) {
+            if stop.grace.is_zero() {
+                let (gang, grace) = (stop.gang.clone(), Duration::ZERO);
+                self.end_gang(&gang, End::Finished, "a member finished", grace, now, actions);
+            }
+            return;
+        }
         if stop.grace.is_zero() || matches!(lead.phase, LeadPhase::Collecting { .. }) {
             let (gang, grace) = (stop.gang.clone(), Duration::ZERO);
             return self.end_gang(&gang, End::Stopped, &stop.reason, grace, now, actions);
@@ -384,20 +399,31 @@
         self.send_stops(&members, &stop, now, actions);
     }
 
+    /// Handles the end of one member's task. The first one that finishes speaks for the gang, which
+    /// ends when the tasks of all members have.
     fn member_ended(
         &mut self,
         gang: &str,
-        member: &str,
+        member: &AgentId,
         state: MemberState,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let Some(lead) = self.leads.get(gang) else { return };
-        let leaving = matches!(lead.phase, LeadPhase::Leaving { .. });
-        let (end, reason, grace) = match state {
-            MemberState::Finished => (End::Finished, "finished", FINISH_GRACE),
+        let Some(lead) = self.leads.get_mut(gang) else { return };
+        let all_ended = lead.end(member);
+        let finishing = matches!(lead.phase, LeadPhase::Finishing { .. });
+        if finishing || state == MemberState::Finished {
+            if all_ended {
+                let reason = format!("{member} finished");
+                self.end_gang(gang, End::Finished, &reason, Duration::ZERO, now, actions);
+            } else if !finishing {
+                lead.phase = LeadPhase::Finishing { until: now + FINISH_GRACE };
+            }
+            return;
+        }
+        let (end, reason, grace) = match lead.phase {
             // The others may still be writing their checkpoints; their leases bound that.
-            _ if leaving => (End::Stopped, "stopped", crate::GRACE),
+            LeadPhase::Leaving { .. } => (End::Stopped, "stopped", crate::GRACE),
             _ => (End::Failed, "failed", Duration::ZERO),
         };
         self.end_gang(gang, end, &format!("{member} {reason}"), grace, now, actions);
--- a/crates/ledger/tests/gangs/faults.rs
+++ b/crates/ledger/tests/gangs/faults.rs
@@ -152,6 +152,47 @@
     }
 }
 
+/// Guards against a gang that is reported as finished while some of its members still run, also
+/// when the message of a member that finished is lost.
+#[test]
+fn gang_end_waits_for_members() {
+    for lost in [None, Some(1), Some(2)] {
+        let mut sim = Sim::new();
+        sim.submit("g", 1, 8, &[0, 1, 2]);
+        sim.run(2 * SECOND);
+        for index in 0..3 {
+            if lost == Some(index) {
+                strike(&mut sim, "ready", 0, 1, Fate::Lose);
+            }
+            sim.end_task(index, "g", WorkerEvent::Finished);
+            assert_eq!(sim.ends, vec![], "{index} of 3 have finished, lost {lost:?}");
+            sim.run(4 * STEP);
+        }
+        // A lost message is made up for by the answer to the next renewal.
+        sim.run(SECOND / 2 + 2 * STEP);
+        assert_sound(&sim, "members finish");
+        assert_eq!(sim.ends, vec![("g".to_owned(), End::Finished)], "lost {lost:?}");
+        assert_eq!(sim.running("g") + sim.grants("g"), 0);
+    }
+}
+
+/// Guards against a gang that has finished and is run again because it was evicted while its last
+/// members finished.
+#[test]
+fn gang_end_before_eviction() {
+    for grace in [Duration::ZERO, SECOND] {
+        let mut sim = Sim::new();
+        sim.submit("g", 1, 8, &[0, 1, 2]);
+        sim.run(2 * SECOND);
+        sim.end_task(0, "g", WorkerEvent::Finished);
+        sim.stop("g", grace);
+        sim.run(2 * SECOND);
+        assert_sound(&sim, "evicted while it finishes");
+        assert_eq!(sim.ends, vec![("g".to_owned(), End::Finished)], "grace {grace:?}");
+        assert_eq!(sim.running("g") + sim.grants("g"), 0);
+    }
+}
+
 /// Guards against a cancelled gang that leaves a hold, a grant or a task, whenever the cancel
 /// arrives and however late the commits are.
 #[test]
--- a/crates/ledger/tests/gangs/sim.rs
+++ b/crates/ledger/tests/gangs/sim.rs
@@ -193,12 +193,18 @@
     pub fn cancel(&mut self, id: &str) {
         let Some(gang) = self.gangs.get_mut(id) else { return };
         gang.cancelled = true;
+        self.stop(id, Duration::ZERO);
+    }
+
+    /// Tells every member to stop a gang within `grace`.
+    pub fn stop(&mut self, id: &str, grace: Duration) {
+        let Some(gang) = self.gangs.get(id) else { return };
         let stop = Stop {
             gang: id.to_owned(),
             epoch: gang.hold.epoch + 1,
             checkpoint: false,
-            grace: Duration::ZERO,
-            reason: "cancelled".to_owned(),
+            grace,
+            reason: "stopped".to_owned(),
         };
         for to in gang.members.clone() {
             self.send(to, to, Message::Stop(stop.clone()));
--- a/crates/standins/src/worker/tasks.rs
+++ b/crates/standins/src/worker/tasks.rs
@@ -35,6 +35,8 @@
 #[derive(Debug)]
 pub(super) struct Tasks {
     accelerators: u32,
+    /// Highest epoch of a stop for a task that was not there.
+    fences: BTreeMap<String, u64>,
     memory_percent: u64,
     most: u32,
     overlaps: u64,
@@ -66,6 +68,7 @@
     pub(super) fn new(settings: &WorkerSettings) -> Self {
         Self {
             accelerators: settings.accelerators,
+            fences: BTreeMap::new(),
             memory_percent: settings.memory_percent,
             most: 0,
             overlaps: 0,
@@ -89,7 +92,7 @@
     }
 
     /// Starts a task. The same epoch again is answered without a second start; a higher one
-    /// replaces the task.
+    /// replaces the task. An epoch that was stopped before it arrived is refused.
     pub(super) fn start(
         &mut self,
         now: Instant,
@@ -105,6 +108,10 @@
                 return Ok(task.view(&start.id));
             }
         }
+        if let Some(seen) = self.fences.get(&start.id).copied().filter(|seen| start.epoch <= *seen)
+        {
+            return Err(Refusal::Stale { seen });
+        }
         let lease = Duration::from_millis(start.lease_ms);
         let resumed = Duration::from_millis(start.resume_ms);
         let task = Task {
@@ -155,6 +162,10 @@
     }
 
     pub(super) fn stop(&mut self, now: Instant, id: &str, epoch: u64) -> Result<TaskView, Refusal> {
+        if !self.tasks.contains_key(id) {
+            let fence = self.fences.entry(id.to_owned()).or_default();
+            *fence = epoch.max(*fence);
+        }
         let task = self.find(now, id, epoch)?;
         if task.state == TaskState::Running {
             task.state = TaskState::Stopped;
--- a/crates/standins/tests/standins.rs
+++ b/crates/standins/tests/standins.rs
@@ -190,6 +190,16 @@
     assert_eq!(bench.state("a"), TaskState::Stopped);
 }
 
+/// Guards against a task that starts after its stop, because the start arrived late.
+#[tokio::test]
+async fn worker_stop_before_start() {
+    let bench = Bench::new(8).await;
+    assert_eq!(bench.post("tasks/a/stop", json!({"epoch": 4})).await.0, 404);
+    assert_eq!(bench.start("a", 4, 8).await, 409);
+    assert_eq!(bench.worker.starts(), 0);
+    assert_eq!(bench.start("a", 5, 8).await, 200);
+}
+
 /// Guards against an oracle that does not see overlapping use of accelerators.
 #[tokio::test]
 async fn worker_counts_overlap() {
