Run filling tasks beside serving ones, and pace them by response times

Tasks that use leftover cores were kept apart from tasks that must respond in time. Where every worker serves, they never ran, which the users count as a lost job, and nothing adjusted their speed.

Deciding at the leader: response times change within seconds, and the pace would depend on the leader and the network. A speed for each image, learned from the past: the disturbance of one image changes within seconds.

`jobs::Pacer` decides the speed of the filling tasks of one worker from the readings of its serving tasks: stopped when an objective is missed, halved from 0.9 of it, 10 % faster below 0.7, starting at 30 %. Orders name the runs that serve and fill; the agent sets speeds through the new call of `WorkerControl`, and reads every 0.5 s while tasks share the worker. Filling tasks still prefer workers without serving ones, and those with most cores left; they are not moved as hung while others run beside them.

--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use skylarkpulley_jobs::{
-    EndKind, Orders, RefusalKind, Room, RunEnd, RunRefusal, RunReport, StartOrder, TaskId,
-    WorkerReport, WorkerStatus,
+    EndKind, Orders, RefusalKind, Room, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder,
+    TaskId, WorkerReport, WorkerStatus,
 };
 use skylarkpulley_proto::v1;
 
@@ -184,6 +184,15 @@
                 permit: order.permit.clone(),
             })
             .collect(),
+        sharing: orders
+            .sharing
+            .iter()
+            .map(|shared| v1::SharingRun {
+                task: shared.task.to_string(),
+                run: shared.run,
+                response_ms: shared.response.map_or(0, millis),
+            })
+            .collect(),
         stop: orders.stop.iter().map(|(task, number)| run(task, *number)).collect(),
         ..v1::CoordinatorUpdate::default()
     }
@@ -203,10 +212,15 @@
             task: task_id(&order.task)?,
         })
     });
+    let sharing = update.sharing.into_iter().filter_map(|shared| {
+        let response = (shared.response_ms > 0).then(|| Duration::from_millis(shared.response_ms));
+        Some(SharingRun { response, run: shared.run, task: task_id(&shared.task)? })
+    });
     Orders {
         boot: update.boot,
         ended_through: update.ended_through,
         keep: runs(update.keep),
+        sharing: sharing.collect(),
         start: start.collect(),
         stop: runs(update.stop),
         worker: update.worker,
--- a/crates/coordination/src/worker_control.rs
+++ b/crates/coordination/src/worker_control.rs
@@ -43,6 +43,16 @@
         run: u32,
     ) -> Result<(), WorkerError>;
 
+    /// Lets a run work at `percent` of its speed.
+    async fn pace(
+        &self,
+        worker: &WorkerAddress,
+        epoch: u64,
+        task: &TaskId,
+        run: u32,
+        percent: u8,
+    ) -> Result<(), WorkerError>;
+
     /// Extends the leases and lists the runs; waits up to `wait` for an end.
     async fn hold(
         &self,
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -20,6 +20,10 @@
 /// looks at the progress of its runs; each look is paid.
 const HOLD_WAIT: Duration = Duration::from_millis(1000);
 
+/// Wait of a listing while serving and filling tasks share the worker: the length of the span that a
+/// reading covers. A missed response objective stops the filling tasks after two readings at most.
+const SHARED_WAIT: Duration = Duration::from_millis(500);
+
 /// Wait of a listing while a stop waits to be settled.
 const SETTLE_WAIT: Duration = Duration::from_millis(20);
 
@@ -139,6 +143,7 @@
 /// Outcome of a call to the worker.
 enum CallEnd {
     Hold(u64, Result<Listing, WorkerError>),
+    Pace(TaskId, u32, u8, Result<(), WorkerError>),
     Paused,
     Start(TaskId, u32, StartAnswer),
     Stop(TaskId, u32, Result<(), WorkerError>),
@@ -235,7 +240,11 @@
 
     fn hold(&mut self, worker: &WorkerAddress, calls: &mut Calls) {
         let call: HoldCall = self.core.next_hold(self.clock.now());
-        let wait = if self.core.is_settling() { SETTLE_WAIT } else { HOLD_WAIT };
+        let wait = match (self.core.is_settling(), self.core.is_shared()) {
+            (true, _) => SETTLE_WAIT,
+            (false, true) => SHARED_WAIT,
+            (false, false) => HOLD_WAIT,
+        };
         let (control, worker) = (self.control.clone(), worker.clone());
         calls.push(Box::pin(async move {
             CallEnd::Hold(call.number, control.hold(&worker, &call, wait).await)
@@ -245,6 +254,10 @@
     fn call(&mut self, worker: &WorkerAddress, action: AgentAction, calls: &mut Calls) {
         let (control, worker, epoch) = (self.control.clone(), worker.clone(), self.core.epoch());
         match action {
+            AgentAction::Pace(task, run, percent) => calls.push(Box::pin(async move {
+                let answer = control.pace(&worker, epoch, &task, run, percent).await;
+                CallEnd::Pace(task, run, percent, answer)
+            })),
             AgentAction::Start(order) => {
                 let deadline = self.core.deadline(self.clock.now());
                 calls.push(Box::pin(async move {
@@ -276,6 +289,15 @@
                 pause(RETRY_PAUSE, calls);
                 false
             }
+            CallEnd::Pace(task, run, percent, answer) => {
+                let (code, event) = (Event::RunPaced.code(), Event::RunPaced.name());
+                match &answer {
+                    Ok(()) => tracing::info!(code, event, id = %task, run, percent),
+                    Err(error) => tracing::warn!(code, event, id = %task, run, percent, %error),
+                }
+                self.core.take_pace(&task, run, answer.is_ok());
+                false
+            }
             CallEnd::Paused => true,
             CallEnd::Start(task, run, answer) => {
                 if answer != StartAnswer::Started {
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -1,9 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::pacing::is_shared;
 use crate::{
-    Orders, RefusalKind, RunEnd, RunRefusal, RunReport, StartOrder, TaskId, WorkerReport,
-    WorkerStatus,
+    Orders, Pacer, RefusalKind, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder, TaskId,
+    WorkerReport, WorkerStatus,
 };
 
 /// A worker's clock may run this much slower than true time; twice the 2% that is stated, so that
@@ -39,6 +40,8 @@
 /// A call to the worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgentAction {
+    /// Let a filling run work at this percent of its speed.
+    Pace(TaskId, u32, u8),
     /// Start a run.
     Start(StartOrder),
     /// Stop a run, or keep it from starting.
@@ -69,6 +72,9 @@
     pub clock_ms: u64,
     /// Ends that are not acknowledged, with their numbers.
     pub ended: Vec<(u64, RunEnd)>,
+    /// What the worker measured of each run lately: the tail of the response times in milliseconds
+    /// where the task serves, otherwise processor time in thousandths of a core.
+    pub readings: BTreeMap<(TaskId, u32), u64>,
     /// Runs.
     pub running: Vec<RunReport>,
 }
@@ -130,6 +136,7 @@
     orders: Orders,
     /// When the last orders of the current coordinator arrived.
     ordered: Option<Instant>,
+    pacer: Pacer,
     reached: Option<Instant>,
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
@@ -156,6 +163,7 @@
             name: name.to_owned(),
             orders: Orders::default(),
             ordered: None,
+            pacer: Pacer::new(),
             reached: None,
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -233,9 +241,37 @@
         }
         let mut actions = self.starts(now);
         actions.extend(self.stops(now));
+        actions.extend(self.paces());
         actions
     }
 
+    fn paces(&mut self) -> Vec<AgentAction> {
+        let sharing = self.listed_sharing();
+        let changes = self.pacer.changes(&sharing);
+        changes
+            .into_iter()
+            .map(|(task, run, percent)| AgentAction::Pace(task, run, percent))
+            .collect()
+    }
+
+    /// Returns the runs that share the worker, as far as it lists them.
+    fn listed_sharing(&self) -> Vec<SharingRun> {
+        let listed = |run: &&SharingRun| self.running.contains_key(&(run.task.clone(), run.run));
+        self.orders.sharing.iter().filter(listed).cloned().collect()
+    }
+
+    /// Reports whether filling tasks run beside serving ones, so that a listing should not wait long.
+    pub fn is_shared(&self) -> bool {
+        is_shared(&self.orders.sharing)
+    }
+
+    /// Takes in that a change of speed was not answered.
+    pub fn take_pace(&mut self, task: &TaskId, run: u32, answered: bool) {
+        if !answered {
+            self.pacer.fail(task, run);
+        }
+    }
+
     /// Takes in the outcome of a start.
     pub fn take_start(&mut self, now: Instant, task: &TaskId, run: u32, answer: StartAnswer) {
         let key = (task.clone(), run);
@@ -316,6 +352,8 @@
         self.clock = Some(ClockReading { ms: listing.clock_ms as f64, received: now });
         self.running =
             listing.running.iter().map(|run| ((run.task.clone(), run.run), run.clone())).collect();
+        let sharing = self.listed_sharing();
+        self.pacer.observe(&sharing, &listing.readings);
         let acked = if self.orders.boot == self.boot { self.orders.ended_through } else { 0 };
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
         self.settle(number);
@@ -398,6 +436,7 @@
         self.left = None;
         self.listed = false;
         self.orders = Orders::default();
+        self.pacer = Pacer::new();
         self.reached = None;
         self.refused.clear();
         self.running.clear();
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobState, JobTables, Orders,
-    ProgressRow, RowsError, StartOrder, TaskId, TaskKey,
+    ProgressRow, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
 };
 use entry::{JobEntry, Placement};
 
@@ -321,6 +321,12 @@
                 orders.stop.push((task.clone(), *run));
                 continue;
             }
+            if let Some(step) = entry.job.steps.get(task.key.step as usize)
+                && (step.fills || step.response_ms > 0)
+            {
+                let response = (!step.fills).then(|| Duration::from_millis(step.response_ms));
+                orders.sharing.push(SharingRun { response, run: *run, task: task.clone() });
+            }
             if placement.seen || entry.durable < placement.version {
                 orders.keep.push((task.clone(), *run));
                 continue;
@@ -333,6 +339,9 @@
                 task: task.clone(),
             });
         }
+        if orders.sharing.iter().all(|run| run.response.is_some()) {
+            orders.sharing.clear();
+        }
         orders
     }
 
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Places tasks that start together; `false` when they have to wait.
+    /// Places tasks that start together, or keeps room for them.
     fn place_group(
         &mut self,
         now: Moment,
@@ -229,10 +229,10 @@
         };
         let allowed: Vec<usize> = (0..view.candidates.len())
             .filter(|index| labelled(&view.candidates[*index].id))
-            .filter(|index| !self.disturbs(step, &view.candidates[*index].id))
             .collect();
         let mut demand = Demand {
             count: u32::try_from(keys.len()).ok()?,
+            fills: step.fills,
             near_rack: step.near_rack.clone(),
             room: entry.room(key.step),
             same_rack: step.same_rack && keys.len() > 1,
@@ -248,6 +248,33 @@
         Some((demand, allowed))
     }
 
+    /// Leaves out the workers on which the unit and what runs there would disturb each other, where
+    /// the others have room. Beside serving tasks filling ones are slowed down by their agent.
+    fn undisturbed(
+        &self,
+        unit: &Unit,
+        demand: &Demand,
+        view: &PoolView,
+        allowed: Vec<usize>,
+    ) -> Vec<usize> {
+        let step = unit
+            .keys
+            .first()
+            .and_then(|key| self.jobs.get(&unit.job)?.job.steps.get(key.step as usize));
+        let Some(step) = step else { return allowed };
+        let calm: Vec<usize> = allowed
+            .iter()
+            .copied()
+            .filter(|index| !self.disturbs(step, &view.candidates[*index].id))
+            .collect();
+        if calm.len() == allowed.len()
+            || choose_workers(demand, &self.with_same(unit, with_room(view, &calm, true))).is_none()
+        {
+            return allowed;
+        }
+        calm
+    }
+
     /// Reports whether a step and the runs of a worker would disturb each other: tasks that use what
     /// others leave slow down tasks that must respond in time, by amounts that change within seconds.
     fn disturbs(&self, step: &Step, worker: &str) -> bool {
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -22,7 +22,10 @@
                 let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
                 let limit = STALL + Duration::from_millis(step.estimate_ms / 10);
                 let idle = now.at.saturating_duration_since(placement.progressed);
-                if placement.seen && !placement.stop && !step.lasting && idle > limit {
+                // A filling task stands still while the others on its worker need all of it.
+                let waits = step.fills && worker.runs.len() > 1;
+                let stands = placement.seen && !placement.stop && idle > limit;
+                if stands && !step.lasting && !waits {
                     stalled.push((id.clone(), task.clone(), idle));
                 }
             }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod health;
 mod job;
 mod order;
+mod pacing;
 mod placing;
 mod reclaim;
 mod row;
@@ -31,11 +32,12 @@
 pub use headroom::{is_small, leave_room};
 pub use health::{Health, Suspicion};
 pub use job::{Job, JobState, Room, Schedule, Step};
+pub use pacing::Pacer;
 pub use placing::{Candidate, Demand, choose_workers};
 pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use worker::{
-    EndKind, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, StartOrder, WorkerReport,
-    WorkerStatus,
+    EndKind, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder,
+    WorkerReport, WorkerStatus,
 };
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -22,6 +22,8 @@
 pub struct Demand {
     /// Number of tasks.
     pub count: u32,
+    /// Whether the tasks use only the cores that others leave.
+    pub fills: bool,
     /// Rack near the data, if any.
     pub near_rack: Option<String>,
     /// Needs of one task.
@@ -82,7 +84,8 @@
         let candidate = &candidates[*index];
         let far = demand.near_rack.as_deref().is_some_and(|near| near != candidate.rack);
         let free = &candidate.free;
-        (far, candidate.penalty, free.accelerators, free.cores, free.memory, *index)
+        let unused = if demand.fills { -free.cores } else { 0 };
+        (far, candidate.penalty, unused, free.accelerators, free.cores, free.memory, *index)
     });
     let mut chosen = Vec::new();
     for index in order {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -138,6 +138,18 @@
     pub task: TaskId,
 }
 
+/// A run that shares its worker with others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SharingRun {
+    /// Response time below which the task must stay; `None` for a task that fills the room that
+    /// others leave.
+    pub response: Option<Duration>,
+    /// Number of the run.
+    pub run: u32,
+    /// The task.
+    pub task: TaskId,
+}
+
 /// What a worker must do; the list replaces any earlier one.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Orders {
@@ -147,6 +159,8 @@
     pub ended_through: u64,
     /// Runs that go on.
     pub keep: Vec<(TaskId, u32)>,
+    /// Runs of `keep` and `start` that serve or fill; empty where none fills.
+    pub sharing: Vec<SharingRun>,
     /// Runs to start.
     pub start: Vec<StartOrder>,
     /// Runs to stop, or to keep from starting.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -4,7 +4,7 @@
 
 use skylarkpulley_jobs::{
     AgentAction, AgentCore, AgentLimits, EndKind, Listing, Orders, RefusalKind, RunEnd, RunReport,
-    StartAnswer, StartOrder, TaskId, TaskKey, WorkerStatus,
+    SharingRun, StartAnswer, StartOrder, TaskId, TaskKey, WorkerStatus,
 };
 
 const BOOT: u64 = 1000;
@@ -66,8 +66,13 @@
             (*number, end)
         });
         let clock_ms = u64::try_from(age.as_millis()).unwrap();
-        let listing =
-            Listing { boot, clock_ms, ended: ended.collect(), running: running.collect() };
+        let listing = Listing {
+            boot,
+            clock_ms,
+            ended: ended.collect(),
+            running: running.collect(),
+            ..Listing::default()
+        };
         self.core.take_listing(self.now, number, &listing);
     }
 
@@ -224,3 +229,40 @@
     rig.order_start(1);
     assert_eq!(rig.core.actions(rig.now).len(), 1);
 }
+
+/// Guards against filling tasks that work on beside a serving task that misses its objective, and
+/// against orders for runs that the worker does not list yet.
+#[test]
+fn actions_pace_filling() {
+    let mut rig = Rig::new();
+    let serving = TaskId::new("serve", TaskKey { occurrence: 0, step: 0, index: 0 });
+    let response = Some(Duration::from_millis(100));
+    let sharing = vec![
+        SharingRun { response: None, run: 1, task: task() },
+        SharingRun { response, run: 4, task: serving.clone() },
+    ];
+    let keep = vec![(task(), 1), (serving.clone(), 4)];
+    rig.order(Orders { keep, sharing, ..Orders::default() });
+    assert_eq!(rig.core.actions(rig.now), vec![], "nothing is listed");
+    let runs = [(task(), 1), (serving.clone(), 4)].map(|(task, run)| RunReport {
+        checkpoint: String::new(),
+        percent: 100,
+        run,
+        task,
+    });
+    let mut list = |response_ms: u64, clock_ms: u64| {
+        let listing = Listing {
+            boot: BOOT,
+            clock_ms,
+            readings: [((serving.clone(), 4), response_ms)].into(),
+            running: runs.to_vec(),
+            ..Listing::default()
+        };
+        let call = rig.core.next_hold(rig.now);
+        rig.core.take_listing(rig.now, call.number, &listing);
+        rig.core.actions(rig.now)
+    };
+    assert_eq!(list(80, 1), vec![AgentAction::Pace(task(), 1, 30)]);
+    assert_eq!(list(80, 2), vec![]);
+    assert_eq!(list(120, 3), vec![AgentAction::Pace(task(), 1, 0)]);
+}
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use skylarkpulley_jobs::{
-    AdviceAnswer, EndKind, JobState, RefusalKind, RunRefusal, Schedule, Step,
+    AdviceAnswer, EndKind, JobState, RefusalKind, Room, RunRefusal, Schedule, Step,
 };
 
 use crate::rig::{Rig, ended, job, report, step, worker};
@@ -298,12 +298,59 @@
     assert!(fills.iter().all(|start| start.0 != serving));
 }
 
-/// Guards against stopping tasks that last for more urgent work.
+/// Guards against filling tasks that never run because every worker serves: they run beside the
+/// serving tasks, and the agent learns of both, so that it can slow them down.
+#[test]
+fn place_fill_all_serving() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("serve", 1, Step { lasting: true, response_ms: 50, ..step(1, 1) }));
+    assert_eq!(rig.core.orders("w0").sharing, vec![], "nothing fills");
+    rig.submit(job("fill", 2, Step { fills: true, ..step(2, 1) }));
+    let sharing = rig.core.orders("w0").sharing;
+    let responses: Vec<_> = sharing.iter().map(|run| run.response).collect();
+    assert_eq!(responses, vec![None, None, Some(Duration::from_millis(50))]);
+    rig.take_over();
+    rig.core.report(rig.now, &report(&worker(0, 1), &[]));
+    assert_eq!(rig.core.orders("w0").sharing, sharing, "the successor knows them from the rows");
+}
+
+/// Guards against filling tasks on a worker whose cores are all taken, where others have cores left.
+#[test]
+fn place_fill_most_cores() {
+    let mut rig = Rig::new(2);
+    rig.submit(job(
+        "busy",
+        1,
+        Step { room: Room { cores: 60_000, ..step(1, 6).room }, ..step(1, 6) },
+    ));
+    let busy = rig.starts()[0].0.clone();
+    rig.submit(job("fill", 2, Step { fills: true, ..step(1, 1) }));
+    let fill = rig.starts().into_iter().find(|start| start.1.job == "fill").expect("a start");
+    assert_ne!(fill.0, busy);
+}
+
+/// Guards against a filling task that is moved as hung while the others on its worker need all cores.
+#[test]
+fn tick_fill_stands_still() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("serve", 1, Step { lasting: true, response_ms: 50, ..step(1, 1) }));
+    rig.submit(job("fill", 2, Step { fills: true, ..step(1, 1) }));
+    let runs: Vec<_> = rig.starts().into_iter().map(|(_, task, run)| (task, run)).collect();
+    for _ in 0..10 {
+        rig.core.report(rig.now, &report(&worker(0, 1), &runs));
+        rig.pass(1000);
+    }
+    assert_eq!(rig.stops(), vec![]);
+}
+
+/// Guards against stopping tasks that last for urgent work that no guarantee covers.
 #[test]
 fn reclaim_spares_lasting() {
     let mut rig = Rig::new(1);
     rig.submit(job("serve", 2, Step { lasting: true, ..step(1, 8) }));
-    rig.submit(job("claim", 0, step(1, 8)));
+    let mut urgent = job("urgent", 0, step(1, 8));
+    urgent.team = "south".to_owned();
+    rig.submit(urgent);
     rig.pass(2000);
     rig.settle();
     assert!(rig.stops().is_empty());
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -58,6 +58,7 @@
     WorkerReturned = 313, "worker-returned", "A quarantined worker passed its probes.";
     LeaseLapsed = 314, "lease-lapsed", "A task was stopped because its lease was not renewed.";
     CommandFenced = 315, "command-fenced", "A command with an old epoch was refused.";
+    RunPaced = 316, "run-paced", "A filling task is to work at another speed because of the serving tasks beside it.";
     AgentJoined = 400, "agent-joined", "An agent opened a session.";
     AgentSilent = 401, "agent-silent", "An agent sent nothing within the time-out and gets no new work.";
     AgentLeaving = 402, "agent-leaving", "An agent or its upstream is leaving.";
