Stop runs for all tasks of a claim side by side, lasting ones for guarantees only

Tasks that last were never stopped, so that a guarantee whose accelerators they hold could not be met, and they counted as runs about to end, for which a claim then waited for ever.

Stopping for the whole step as if it were a gang: its tasks may start one by one, and the first would wait for the last.

Planning tells tasks that are placed or for which room is coming from blocked ones; only a blocked one ends the round for its step. A guaranteed claim may stop lasting tasks, of a step that limits its absences no more than the limit at once (`absences.rs`), whatever the cause of those that there are. Expected ends leave lasting tasks out.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,3 +1,4 @@
+mod absences;
 mod commits;
 mod entry;
 mod planning;
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -21,6 +21,17 @@
 /// Blocked units for which room is kept free; more would leave too much of the pool idle.
 const SHADOWS: usize = 2;
 
+/// What one round of planning did for tasks that start together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// Nothing is known to make room.
+    Blocked,
+    /// Room is kept for them where runs stop or end.
+    Coming,
+    /// They are placed.
+    Placed,
+}
+
 /// Workers of one pool during one round of planning.
 pub(super) struct PoolView {
     pub(super) candidates: Vec<Candidate>,
@@ -100,8 +111,10 @@
             self.place_group(now, unit, &unit.keys, view, guaranteed);
             return;
         }
+        // Tasks for which room is coming do not hold up the others: their stops run side by side.
         for key in &unit.keys {
-            if !self.place_group(now, unit, std::slice::from_ref(key), view, guaranteed) {
+            let outcome = self.place_group(now, unit, std::slice::from_ref(key), view, guaranteed);
+            if outcome == Outcome::Blocked {
                 return;
             }
         }
@@ -115,28 +128,31 @@
         keys: &[TaskKey],
         view: &mut PoolView,
         guaranteed: &BTreeSet<String>,
-    ) -> bool {
-        let Some((demand, allowed)) = self.demand(unit, keys, view) else { return false };
+    ) -> Outcome {
+        let Some((demand, allowed)) = self.demand(unit, keys, view) else {
+            return Outcome::Blocked;
+        };
         let allowed = self.permitted(now, unit, view, allowed);
         let allowed = self.without_failed(unit, keys, view, allowed);
+        let allowed = self.undisturbed(unit, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
         if let Some(chosen) = self.find_place(unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
-            return true;
+            return Outcome::Placed;
         }
         let soon = with_room(view, &allowed, true);
         if let Some(chosen) = choose_workers(&demand, &soon) {
             keep_free(view, &demand, &map_back(&allowed, &chosen));
-            return false;
+            return Outcome::Coming;
         }
         if self.reclaim(now, unit, &demand, view, &allowed, guaranteed) {
-            return false;
+            return Outcome::Coming;
         }
         if view.shadows < SHADOWS {
             view.shadows += 1;
             self.keep_shadow(now, unit, &demand, view, &allowed);
         }
-        false
+        Outcome::Blocked
     }
 
     /// Keeps the candidates for which the placement policy has given a permit, and asks for more.
@@ -449,7 +465,9 @@
             for task in worker.runs.keys() {
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
-                if !placement.stop {
+                let lasting =
+                    entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
+                if !placement.stop && !lasting {
                     let left = self.time_left(now, task, placement);
                     ends.push((left, position, entry.room(task.key.step)));
                 }
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::absences::Absences;
 use super::entry::Placement;
 use super::planning::{PoolView, keep_free, map_back, with_room};
 use super::units::Unit;
@@ -65,6 +66,7 @@
         candidates: &[Candidate],
         guaranteed: &BTreeSet<String>,
     ) -> (Vec<Holder>, Vec<TaskId>) {
+        let mut absences = Absences::default();
         let mut holders = Vec::new();
         let mut groups: Vec<TaskId> = Vec::new();
         let mut numbers: BTreeMap<(String, u32, u32, u32), usize> = BTreeMap::new();
@@ -74,10 +76,10 @@
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
                 let lower = entry.job.class > unit.rank.class || unit.rank.tier == 0;
-                // Tasks that last serve users of their own, who count each absence.
-                let lasting =
-                    entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
-                if placement.stop || !lower || lasting || guaranteed.contains(&task.job) {
+                if placement.stop || !lower || guaranteed.contains(&task.job) {
+                    continue;
+                }
+                if !absences.permits(entry, task, unit.rank.tier == 0) {
                     continue;
                 }
                 let gang = entry.is_gang(task.key.step);
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -356,6 +356,33 @@
     assert!(rig.stops().is_empty());
 }
 
+/// Guards against a guaranteed claim that never starts because tasks that last hold its accelerators,
+/// and against more absences at once than such a step allows.
+#[test]
+fn reclaim_lasting_for_guarantee() {
+    for (may_miss, at_work, stops) in [(0, true, 2), (1, true, 1), (2, true, 2), (1, false, 0)] {
+        let mut rig = Rig::new(2);
+        rig.submit(job("serve", 2, Step { lasting: true, may_miss, ..step(4, 4) }));
+        let starts = rig.starts();
+        assert_eq!(starts.len(), 4);
+        for number in 0..2 {
+            let own = starts.iter().filter(|start| start.0 == format!("w{number}"));
+            let runs: Vec<_> = own.map(|(_, task, run)| (task.clone(), *run)).collect();
+            let mut listed = report(&worker(number, 1), &runs);
+            for (index, run) in listed.running.iter_mut().enumerate() {
+                run.percent = if at_work || number + index as u32 > 0 { 100 } else { 0 };
+            }
+            rig.core.report(rig.now, &listed);
+        }
+        rig.submit(job("claim", 0, step(2, 4)));
+        rig.pass(100);
+        rig.pass(100);
+        let case = format!("{may_miss} may be absent, all at work {at_work}");
+        // Both tasks of the claim stop one lasting task each where the step allows it.
+        assert_eq!(rig.stops().len(), stops, "{case}");
+    }
+}
+
 /// Guards against runs that are lost with a worker that has announced its end, where they could have
 /// moved.
 #[test]
