Read the leader's record to learn what became of a write without an answer

A write that took over 0.3 s was joined by two more. Transactions of a part are carried out one after another, 0.7 s each then, so that the joined ones delayed the next write by 1.4 s; it ran into its limit of 1.8 s, which counted as a store that is down, and callers were refused and answered "unknown" in turns.

Longer limits alone: the queue stays. Fewer joined writes: a lost answer then holds up all writes behind it.

After 0.15 s without an answer the leader reads its record. It tells whether the write is stored. If it is not, the write is sent again where the read was quick, and waited for where the read was slow as well. The same reads find the return of a silent store. A call that fails within 0.25 s counts as turned away, also when its connection was reset; time-outs of writes no longer count, since the reads tell silent from slow.

A slow store is no longer made slower. What is still held to its end are writes that the store resets: whether they apply is not known in time.

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -7,8 +7,10 @@
 use skylarkpulley_jobs::{RowChange, RowKind};
 use skylarkpulley_store::{Applied, Page, RecordKey, TransactError, Transaction, Transactor};
 
+use tokio::time::Instant;
+
 use crate::boot_time::boot_time;
-use crate::leader_record::LeaderRecord;
+use crate::leader_record::{LeaderReading, LeaderRecord};
 use crate::store_health::StoreHealth;
 
 /// First pause before a write without an outcome is sent again; it doubles up to [`LONGEST_PAUSE`].
@@ -19,26 +21,27 @@
 /// writes, and an outage of 5 s costs 50 calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Shortest time after which a write is sent again. A usual one takes 15 ms; a lost answer would
-/// otherwise hold up all writes behind it for the time that a slow store may take.
-const SHORTEST_LIMIT: Duration = Duration::from_millis(300);
+/// Time without an answer after which the leader's record is read to learn what became of a write. A
+/// usual write takes 15 ms.
+const LOOK_AFTER: Duration = Duration::from_millis(150);
 
-/// Longest such time. Transactions of a slow store queue behind each other, so that each further
-/// call delays the first.
-const LONGEST_LIMIT: Duration = Duration::from_millis(2000);
+/// Pause between two looks while the store does not answer them, and after a write was sent again.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Calls for one write that may be open at once.
-const OPEN_CALLS: usize = 3;
+/// A read that takes longer comes from a slow store, whose writes are not lost: they queue behind each
+/// other, so that each further one delays the first. A usual read takes less than 10 ms; where it
+/// takes 100 ms, a write takes at least 300 ms.
+const QUICK_READ: Duration = Duration::from_millis(100);
 
-/// A write without an answer for this long is taken for lost once the store answers a read; the
-/// slowest store seen takes about a second.
-const LOST_WRITE: Duration = Duration::from_millis(1300);
+/// A write takes about this many times as long as a read of a slow store.
+const WRITE_TO_READ: u32 = 3;
 
-/// Pause between two reads that look for the return of a silent store.
-const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// A call that fails within this time was turned away, or its connection was reset; one that fails
+/// later had no answer.
+const PROMPT_FAILURE: Duration = Duration::from_millis(250);
 
-/// A write may take this many times as long as the last one before it is sent again.
-const LIMIT_FACTOR: u32 = 4;
+/// Calls for one write that may be open at once; each may be lost or late.
+const OPEN_CALLS: usize = 4;
 
 /// How a write ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -59,8 +62,6 @@
     confirmed: Duration,
     health: Arc<StoreHealth>,
     record: LeaderRecord,
-    /// Time that the last write took.
-    took: Duration,
     store: Arc<dyn Transactor>,
     version: u64,
 }
@@ -94,8 +95,7 @@
         match store.apply(&transaction).await? {
             Applied::Done { version } => {
                 health.succeed(confirmed);
-                let took = Duration::ZERO;
-                Ok(Some(Self { confirmed, health, record: next, took, store, version }))
+                Ok(Some(Self { confirmed, health, record: next, store, version }))
             }
             Applied::Conflict { .. } => Ok(None),
         }
@@ -131,47 +131,57 @@
         }
     }
 
-    /// Stores `rows`; returns when they are stored or can never be. A call that takes longer than
-    /// usual is joined by a further one, and the first answer decides: the store may be slow, or the
-    /// answer lost.
+    /// Stores `rows`; returns when they are stored or can never be. Where the answer takes long, the
+    /// leader's record tells whether the write is stored. Where it is not, the write is sent again if
+    /// the store answers quickly, and waited for if the store is slow.
     pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitEnd) {
         let next = LeaderRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
         let mut pause = FIRST_PAUSE;
-        let mut limit = (self.took * LIMIT_FACTOR).clamp(SHORTEST_LIMIT, LONGEST_LIMIT);
+        let begun = boot_time();
         let mut calls = FuturesUnordered::new();
         calls.push(self.write(&next, &rows));
-        let mut returned = self.wait_for_return();
+        let mut look = self.look(LOOK_AFTER);
         loop {
-            let (sent, outcome) = tokio::select! {
-                () = &mut returned => {
-                    calls.push(self.write(&next, &rows));
-                    returned = self.wait_for_return();
-                    continue;
-                }
-                Some(answer) = calls.next() => answer,
-                () = tokio::time::sleep(limit), if calls.len() < OPEN_CALLS => {
-                    self.health.delay(boot_time().saturating_sub(limit));
-                    limit = (limit * 2).min(LONGEST_LIMIT);
-                    calls.push(self.write(&next, &rows));
-                    continue;
-                }
-            };
-            self.took = boot_time().saturating_sub(sent);
-            match outcome {
-                Ok(applied) => {
-                    self.health.succeed(sent);
-                    if let Some(end) = self.judge(&next, applied, sent) {
-                        return (self, end);
+            let end = tokio::select! {
+                Some(write) = calls.next(), if !calls.is_empty() => match write.outcome {
+                    Ok(applied) => {
+                        self.health.succeed(write.sent);
+                        self.judge(&next, applied, write.sent)
                     }
-                }
-                Err(error) => {
-                    self.health.fail(sent);
-                    if pause == FIRST_PAUSE {
-                        tracing::warn!(%error, rows = rows.len(), "write has no outcome yet");
+                    Err(error) => {
+                        // Whether the store is silent or only slow is told by the reads.
+                        if write.took < PROMPT_FAILURE {
+                            self.health.fail(write.sent);
+                        }
+                        if pause == FIRST_PAUSE {
+                            tracing::warn!(%error, rows = rows.len(), "write has no outcome yet");
+                        }
+                        tokio::time::sleep(pause).await;
+                        pause = (pause * 2).min(LONGEST_PAUSE);
+                        None
                     }
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                },
+                read = &mut look => {
+                    let (end, after) = match &read.outcome {
+                        Ok(reading) => {
+                            let end = self.judge_reading(&next, reading, read.sent);
+                            let quick = reading.took < QUICK_READ;
+                            if end.is_none() && quick && calls.len() < OPEN_CALLS {
+                                calls.push(self.write(&next, &rows));
+                            }
+                            (end, if quick { LOOK_PAUSE } else { reading.took * WRITE_TO_READ })
+                        }
+                        Err(_) => {
+                            self.note_failure(&read, begun);
+                            (None, LOOK_PAUSE)
+                        }
+                    };
+                    look = self.look(after);
+                    end
                 }
+            };
+            if let Some(end) = end {
+                return (self, end);
             }
             if calls.is_empty() {
                 calls.push(self.write(&next, &rows));
@@ -179,20 +189,35 @@
         }
     }
 
-    /// Ends when the store answers a read though a write has been open for long.
-    fn wait_for_return(&self) -> BoxFuture<'static, ()> {
+    /// Takes in that the record was not read; `since` is when the store may have fallen silent.
+    fn note_failure(&self, read: &Timed<LeaderReading>, since: Duration) {
+        if read.took < PROMPT_FAILURE {
+            self.health.fail(read.sent);
+        } else {
+            self.health.delay(since);
+        }
+    }
+
+    /// Reads the leader's record after a pause.
+    fn look(&self, after: Duration) -> BoxFuture<'static, Timed<LeaderReading>> {
         let store = self.store.clone();
         Box::pin(async move {
-            tokio::time::sleep(LOST_WRITE).await;
-            loop {
-                if LeaderRecord::read_hedged(&store).await.is_ok() {
-                    return;
-                }
-                tokio::time::sleep(PROBE_PAUSE).await;
-            }
+            tokio::time::sleep(after).await;
+            timed(LeaderRecord::read_hedged(&store)).await
         })
     }
 
+    /// Returns how the write of `next` ended as the record tells it, `None` when it is not stored.
+    fn judge_reading(
+        &mut self,
+        next: &LeaderRecord,
+        reading: &LeaderReading,
+        sent: Duration,
+    ) -> Option<CommitEnd> {
+        self.health.succeed(sent);
+        self.judge_record(next, &reading.record, reading.version, sent)
+    }
+
     /// Returns how the write of `next` ended, `None` when it has to be sent again.
     fn judge(
         &mut self,
@@ -200,38 +225,46 @@
         applied: Applied,
         sent: Duration,
     ) -> Option<CommitEnd> {
-        let version = match applied {
-            Applied::Done { version } => version,
+        match applied {
+            Applied::Done { version } => self.judge_record(next, next, version, sent),
             Applied::Conflict { found } => {
                 let current = found.iter().find(|record| record.key == LeaderRecord::key());
                 let Some(current) = current else { return Some(CommitEnd::Deposed) };
                 match LeaderRecord::decode(current) {
-                    Ok(record) if record == *next => current.version,
-                    Ok(record) if record == self.record => {
-                        // The version in an answer may be later than that of the write.
-                        self.version = current.version;
-                        return None;
+                    Ok(record) => self.judge_record(next, &record, current.version, sent),
+                    Err(error) => {
+                        tracing::error!(%error, "leader's record unreadable");
+                        Some(CommitEnd::Deposed)
                     }
-                    _ => return Some(CommitEnd::Deposed),
                 }
             }
-        };
+        }
+    }
+
+    /// Takes in the record that is in force.
+    fn judge_record(
+        &mut self,
+        next: &LeaderRecord,
+        current: &LeaderRecord,
+        version: u64,
+        sent: Duration,
+    ) -> Option<CommitEnd> {
+        if *current != *next && *current != self.record {
+            return Some(CommitEnd::Deposed);
+        }
+        // The version in the answer to a write may be later than that of the write.
         self.version = version;
-        self.record = next.clone();
         self.confirmed = sent;
+        if *current != *next {
+            return None;
+        }
+        self.record = next.clone();
         Some(CommitEnd::Stored)
     }
 
-    fn write(
-        &self,
-        next: &LeaderRecord,
-        rows: &[RowChange],
-    ) -> BoxFuture<'static, (Duration, Result<Applied, TransactError>)> {
+    fn write(&self, next: &LeaderRecord, rows: &[RowChange]) -> BoxFuture<'static, Timed<Applied>> {
         let (store, transaction) = (self.store.clone(), self.transaction(next, rows));
-        Box::pin(async move {
-            let sent = boot_time();
-            (sent, store.apply(&transaction).await)
-        })
+        Box::pin(async move { timed(store.apply(&transaction)).await })
     }
 
     /// Confirms the leadership by a read.
@@ -239,19 +272,17 @@
     /// # Errors
     /// [`TransactError`] when the store does not answer.
     pub async fn confirm(mut self) -> (Self, Result<CommitEnd, TransactError>) {
-        let sent = boot_time();
-        match LeaderRecord::read_hedged(&self.store).await {
-            Ok((record, _)) if record.epoch == self.record.epoch => {
-                self.health.succeed(sent);
-                self.confirmed = sent;
+        let read = timed(LeaderRecord::read_hedged(&self.store)).await;
+        match &read.outcome {
+            Ok(reading) if reading.record.epoch == self.record.epoch => {
+                self.health.succeed(read.sent);
+                self.confirmed = read.sent;
                 (self, Ok(CommitEnd::Stored))
             }
             Ok(_) => (self, Ok(CommitEnd::Deposed)),
             Err(error) => {
-                match error {
-                    TransactError::Unanswered { .. } => self.health.delay(sent),
-                    _ => self.health.fail(sent),
-                }
+                self.note_failure(&read, read.sent);
+                let error = error.clone();
                 (self, Err(error))
             }
         }
@@ -274,6 +305,21 @@
     }
 }
 
+/// Outcome of a call to the store.
+struct Timed<T> {
+    outcome: Result<T, TransactError>,
+    /// Boot time at which it was sent.
+    sent: Duration,
+    /// Time until its outcome.
+    took: Duration,
+}
+
+async fn timed<T>(call: impl Future<Output = Result<T, TransactError>>) -> Timed<T> {
+    let (sent, begun) = (boot_time(), Instant::now());
+    let outcome = call.await;
+    Timed { outcome, sent, took: begun.elapsed() }
+}
+
 fn table(kind: RowKind) -> &'static str {
     match kind {
         RowKind::Job => "jobs",
--- a/crates/coordination/src/leader_record.rs
+++ b/crates/coordination/src/leader_record.rs
@@ -5,13 +5,25 @@
 use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
 use skylarkpulley_store::{Record, RecordKey, TransactError, Transactor};
+use tokio::time::Instant;
 
 /// Time after which a read is joined by a further one, over another connection. A usual read takes
 /// less than 10 ms; one that was sent while the store was silent is never answered.
 const HEDGE: Duration = Duration::from_millis(150);
 
 /// Time for a read and those that join it; a read from a store that is 80 times slower takes 0.35 s.
-pub const READ_LIMIT: Duration = Duration::from_millis(600);
+const READ_LIMIT: Duration = Duration::from_millis(600);
+
+/// What a read of the leader's record found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaderReading {
+    /// The record.
+    pub record: LeaderRecord,
+    /// Time that the read took that was answered.
+    pub took: Duration,
+    /// Version of the record in the store.
+    pub version: u64,
+}
 
 /// The record that names the leader and fences earlier ones.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,17 +65,21 @@
         }
     }
 
-    /// Reads the record within [`READ_LIMIT`]. A read that is slow is joined by further ones, and the
-    /// first answer counts, so that the return of a silent store is noticed soon.
+    /// Reads the record within 0.6 s. A read that is slow is joined by further ones, and the first
+    /// answer counts, so that the return of a silent store is noticed soon.
     ///
     /// # Errors
     /// The first [`TransactError`], or one that tells that there was no answer in time.
-    pub async fn read_hedged(store: &Arc<dyn Transactor>) -> Result<(Self, u64), TransactError> {
+    pub async fn read_hedged(store: &Arc<dyn Transactor>) -> Result<LeaderReading, TransactError> {
         let hedged = async {
             let mut reads = FuturesUnordered::new();
             loop {
                 let store = store.clone();
-                reads.push(async move { Self::read(store.as_ref()).await });
+                reads.push(async move {
+                    let sent = Instant::now();
+                    let (record, version) = Self::read(store.as_ref()).await?;
+                    Ok(LeaderReading { record, took: sent.elapsed(), version })
+                });
                 tokio::select! {
                     Some(answer) = reads.next() => return answer,
                     () = tokio::time::sleep(HEDGE) => {}
--- a/crates/store/src/memory_transactor.rs
+++ b/crates/store/src/memory_transactor.rs
@@ -13,6 +13,8 @@
 /// What happens to the next transaction.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TransactFault {
+    /// It takes effect and is never answered.
+    Hung,
     /// It takes effect, and its answer is lost.
     LostAnswer,
     /// It has no answer, and takes effect when [`MemoryTransactor::deliver_late`] is called, if its
@@ -78,18 +80,16 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-#[async_trait]
-impl Transactor for MemoryTransactor {
-    async fn apply(&self, transaction: &Transaction) -> Result<Applied, TransactError> {
+    /// Applies a transaction with the next fault; `None` when it is never answered.
+    fn apply_next(&self, transaction: &Transaction) -> Option<Result<Applied, TransactError>> {
         let mut state = self.lock();
         let unanswered = |detail: &str| TransactError::Unanswered { detail: detail.to_owned() };
-        match state.faults.pop_front() {
+        Some(match state.faults.pop_front() {
             None => Ok(state.apply(transaction)),
+            Some(TransactFault::Hung) => {
+                state.apply(transaction);
+                return None;
+            }
             Some(TransactFault::LostAnswer) => {
                 state.apply(transaction);
                 Err(unanswered("answer lost"))
@@ -101,6 +101,20 @@
             Some(TransactFault::Refused) => {
                 Err(TransactError::Refused { detail: "injected".to_owned() })
             }
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl Transactor for MemoryTransactor {
+    async fn apply(&self, transaction: &Transaction) -> Result<Applied, TransactError> {
+        match self.apply_next(transaction) {
+            Some(outcome) => outcome,
+            None => std::future::pending().await,
         }
     }
 
