Explain, show and count what the entries do on the platform

An operator had only logs there: `explain` and `status` did not reach the platform's processes, and nothing counted calls or timed the store.

Records in the store: each decision would cost a call. A page for each process that operators put together: an entry does not know beforehand which one decided.

An entry asks the leader and those that the leader hears. Explanations include the runs of a job's tasks. Metrics go through the same client as before into a bounded page that a library renders.

The tests of entries share one rig.

An on-call engineer gets from a job's id to its decisions at any entry.

--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -187,6 +187,7 @@
                 event: decision.event.name().to_owned(),
                 detail: decision.detail,
             };
-        Ok(Response::new(v1::ExplainReply { lines: lines.into_iter().map(line).collect() }))
+        let lines = lines.into_iter().map(line).collect();
+        Ok(Response::new(v1::ExplainReply { lines, ..v1::ExplainReply::default() }))
     }
 }
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use skylarkpulley_jobs::{JobTables, Limits};
@@ -15,8 +16,11 @@
 
 use crate::calls::JobService;
 use crate::leadership::{Leadership, SeenLeader};
+use crate::metered_store::MeteredStore;
+use crate::operators::Operators;
 use crate::peer::PeerClients;
 use crate::placement_policy::PlacementPolicy;
+use crate::records::Records;
 use crate::role::Role;
 use crate::service::{CoordinationService, Shared};
 use crate::store_health::StoreHealth;
@@ -47,6 +51,7 @@
 /// One entry: follows the leader, or leads.
 pub struct Entry {
     age: watch::Receiver<TablesAge>,
+    operators: Operators,
     service: JobService,
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
@@ -62,7 +67,9 @@
         source: Arc<dyn TablesSource>,
         policy: Option<Arc<dyn PlacementPolicy>>,
         clock: Arc<dyn Clock>,
+        records: Records,
     ) -> Self {
+        let store = Arc::new(MeteredStore::new(store, records.metrics.clone()));
         let (inbox_sender, inbox) = watch::channel(None);
         let (leadership_sender, leadership) = watch::channel(Leadership::default());
         let (tables_sender, tables) = watch::channel(JobTables::default());
@@ -77,6 +84,8 @@
             leaving: AtomicBool::new(false),
             leadership: leadership.clone(),
             newer,
+            pings: Mutex::new(BTreeMap::new()),
+            records,
             seen: seen_sender,
             sessions: AtomicU64::new(1),
             tables: tables.clone(),
@@ -88,7 +97,10 @@
             age_sender,
             newer_receiver,
         ));
-        let service = CoordinationServer::new(CoordinationService::new(shared.clone()))
+        let operators =
+            Operators::new(&settings.name, clock.clone(), peers.clone(), shared.clone());
+        let service = CoordinationService::new(shared.clone(), operators.clone());
+        let service = CoordinationServer::new(service)
             .max_decoding_message_size(MESSAGE_LIMIT)
             .max_encoding_message_size(MESSAGE_LIMIT);
         tokio::spawn(async move {
@@ -118,7 +130,17 @@
         };
         tokio::spawn(role.run());
         let service = JobService::new(age.clone(), inbox, leadership, peers);
-        Self { age, service, shared, stop, tables }
+        Self { age, operators, service, shared, stop, tables }
+    }
+
+    /// Returns the interface for operators.
+    pub fn operators(&self) -> &Operators {
+        &self.operators
+    }
+
+    /// Returns what the entry records.
+    pub fn records(&self) -> &Records {
+        &self.shared.records
     }
 
     /// Returns the interface for callers' requests.
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -6,7 +6,7 @@
 use futures::future::BoxFuture;
 use skylarkpulley_jobs::{
     AdviceAnswer, AdviceCall, Coordinator, DecisionKind, JobTables, Limits, Moment, RowKind,
-    Submission, WorkerReport,
+    Submission, Summary, WorkerReport,
 };
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
@@ -21,6 +21,7 @@
 use crate::journal::{CommitEnd, Journal};
 use crate::leadership::SeenLeader;
 use crate::placement_policy::PlacementPolicy;
+use crate::records::Records;
 use crate::store_health::StoreHealth;
 
 /// Time between two looks at what is due with time.
@@ -94,6 +95,11 @@
     },
     /// The predecessor is known not to lead any more.
     PredecessorEnded,
+    /// An operator asks for the state.
+    Summary {
+        /// Where the answer goes.
+        reply: oneshot::Sender<Summary>,
+    },
     /// A session has ended.
     Close {
         /// Number of the session.
@@ -131,6 +137,8 @@
     pub own: mpsc::WeakSender<LeaderMessage>,
     /// Service that knows which workers may run a step, if there is one.
     pub policy: Option<Arc<dyn PlacementPolicy>>,
+    /// What the entry records.
+    pub records: Records,
     /// Leadership with the highest epoch that another entry has named.
     pub seen: watch::Receiver<SeenLeader>,
     /// Times that the safety of leases rests on.
@@ -245,6 +253,7 @@
                     let now = self.now();
                     self.core.tick(now);
                     self.refuse_stuck();
+                    self.note_load();
                 }
                 Ok(()) = tables.changed() => {
                     let tables = tables.borrow_and_update().clone();
@@ -334,6 +343,10 @@
                 self.core.take_advice(now, &call, answer.as_ref());
             }
             LeaderMessage::PredecessorEnded => self.core.end_predecessor(now),
+            LeaderMessage::Summary { reply } => {
+                // The operator may have left.
+                let _ = reply.send(self.core.summary(now));
+            }
             LeaderMessage::Open { session, outbound } => {
                 self.sessions
                     .insert(session, Session { acked: 0, outbound, worker: String::new() });
@@ -502,6 +515,15 @@
         }
     }
 
+    fn note_load(&self) {
+        let metrics = &self.context.records.metrics;
+        let gauges = [("agents", self.sessions.len()), ("callers-waiting", self.waiting.len())];
+        for (name, value) in gauges {
+            metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
+        }
+        metrics.gauge("epoch", self.epoch);
+    }
+
     fn log_decisions(&mut self) {
         for decision in self.core.take_decisions() {
             let event = match decision.kind {
@@ -514,13 +536,10 @@
                 DecisionKind::Quarantined => Event::WorkerQuarantined,
                 DecisionKind::Lost => Event::WorkerLost,
             };
-            tracing::info!(
-                code = event.code(),
-                event = event.name(),
-                id = decision.id,
-                detail = decision.detail,
-                epoch = self.epoch
-            );
+            let detail = format!("{}; epoch {}", decision.detail, self.epoch);
+            let records = &self.context.records;
+            records.metrics.count(event.name());
+            records.decisions.record(self.context.clock.now(), event, &decision.id, &detail);
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/src/metered_store.rs
@@ -0,0 +1,52 @@
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use skylarkpulley_store::{
+    Applied, Page, Record, RecordKey, TransactError, Transaction, Transactor,
+};
+use skylarkpulley_telemetry::Metrics;
+use tokio::time::Instant;
+
+/// A store whose calls are counted and timed.
+pub struct MeteredStore {
+    inner: Arc<dyn Transactor>,
+    metrics: Metrics,
+}
+
+impl MeteredStore {
+    /// Returns `inner` with its calls recorded in `metrics`.
+    pub fn new(inner: Arc<dyn Transactor>, metrics: Metrics) -> Self {
+        Self { inner, metrics }
+    }
+
+    async fn meter<T>(
+        &self,
+        name: &str,
+        call: impl Future<Output = Result<T, TransactError>> + Send,
+    ) -> Result<T, TransactError> {
+        let begun = Instant::now();
+        let outcome = call.await;
+        match &outcome {
+            Ok(_) => self.metrics.time(name, begun.elapsed()),
+            Err(TransactError::Refused { .. }) => self.metrics.count("store.refused"),
+            Err(TransactError::Unanswered { .. }) => self.metrics.count("store.unanswered"),
+            Err(TransactError::Malformed { .. }) => self.metrics.count("store.malformed"),
+        }
+        outcome
+    }
+}
+
+#[async_trait]
+impl Transactor for MeteredStore {
+    async fn apply(&self, transaction: &Transaction) -> Result<Applied, TransactError> {
+        self.meter("store.write", self.inner.apply(transaction)).await
+    }
+
+    async fn read(&self, key: &RecordKey) -> Result<Option<Record>, TransactError> {
+        self.meter("store.read", self.inner.read(key)).await
+    }
+
+    async fn scan(&self, table: &str, after: &str) -> Result<Page, TransactError> {
+        self.meter("store.scan", self.inner.scan(table, after)).await
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/operators.rs
@@ -0,0 +1,218 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use skylarkpulley_admin::{
+    ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus, WorkerStatus,
+};
+use skylarkpulley_jobs::{JobTables, Summary};
+use skylarkpulley_proto::v1;
+use skylarkpulley_types::Clock;
+use tokio::sync::oneshot;
+
+use crate::convert::millis;
+use crate::leader::LeaderMessage;
+use crate::peer::PeerClients;
+use crate::service::Shared;
+
+/// Time for a call to another entry; an operator waits for the slowest.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+
+/// What an entry tells operators.
+#[derive(Clone)]
+pub struct Operators {
+    clock: Arc<dyn Clock>,
+    name: String,
+    peers: Arc<PeerClients>,
+    shared: Arc<Shared>,
+}
+
+impl Operators {
+    pub(crate) fn new(
+        name: &str,
+        clock: Arc<dyn Clock>,
+        peers: Arc<PeerClients>,
+        shared: Arc<Shared>,
+    ) -> Self {
+        Self { clock, name: name.to_owned(), peers, shared }
+    }
+
+    /// Returns what the entries have recorded about a request, job or worker, oldest first. Entries
+    /// that do not answer are left out.
+    pub async fn explain(&self, id: &str) -> Explanation {
+        let mut replies = vec![self.own_lines(id)];
+        let mut asked = BTreeSet::new();
+        let leader = self.shared.leadership.borrow().address.clone();
+        let mut open: BTreeSet<String> = self.shared.heard().into_keys().collect();
+        if !leader.is_empty() && !self.shared.leadership.borrow().own {
+            open.insert(leader);
+        }
+        // The leader hears all entries, so that the second round reaches those that this one does not.
+        for _ in 0..2 {
+            let calls = open.iter().map(|address| self.ask_lines(address, id));
+            let answers: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
+            asked.append(&mut open);
+            let named = answers.iter().flat_map(|reply| reply.entries.iter().cloned());
+            open = named.filter(|address| !asked.contains(address)).collect();
+            replies.extend(answers);
+        }
+        let mut known = BTreeSet::new();
+        replies.retain(|reply| known.insert(reply.process.clone()));
+        let mut lines: Vec<ExplainLine> = replies.into_iter().flat_map(decode_lines).collect();
+        lines.sort_by_key(|line| std::cmp::Reverse(line.age_ms));
+        Explanation { id: id.to_owned(), lines }
+    }
+
+    /// Returns what this entry has recorded.
+    pub(crate) fn own_lines(&self, id: &str) -> v1::ExplainReply {
+        let found = self.shared.records.decisions.explain(id, self.clock.now());
+        let lines = found.into_iter().map(|(age, decision)| {
+            let (part, detail) = (&decision.id, &decision.detail);
+            v1::ExplainLine {
+                age_ms: millis(age),
+                code: u32::from(decision.event.code()),
+                event: decision.event.name().to_owned(),
+                detail: if part == id { detail.clone() } else { format!("{part}: {detail}") },
+            }
+        });
+        v1::ExplainReply {
+            entries: self.shared.heard().into_keys().collect(),
+            lines: lines.collect(),
+            process: self.name.clone(),
+        }
+    }
+
+    async fn ask_lines(&self, address: &str, id: &str) -> Option<v1::ExplainReply> {
+        let mut client = self.peers.client(address)?;
+        let call = client.explain(v1::ExplainRequest { id: id.to_owned() });
+        match tokio::time::timeout(CALL_LIMIT, call).await {
+            Ok(Ok(reply)) => Some(reply.into_inner()),
+            Ok(Err(status)) => {
+                tracing::debug!(address, status = status.message(), "no records");
+                None
+            }
+            Err(_) => {
+                self.peers.replace(address);
+                None
+            }
+        }
+    }
+
+    /// Returns the system as the leader sees it; `None` when no leader answers.
+    pub async fn status(&self) -> Option<Status> {
+        if let Some(status) = self.own_status().await {
+            return Some(status);
+        }
+        let leader = self.shared.leadership.borrow().address.clone();
+        let mut client = self.peers.client(&leader)?;
+        let call = client.system_status(v1::SystemStatusRequest {});
+        let reply = tokio::time::timeout(CALL_LIMIT, call).await.ok()?.ok()?.into_inner();
+        match serde_json::from_slice(&reply.status) {
+            Ok(status) => Some(status),
+            Err(error) => {
+                tracing::warn!(%error, leader, "status not readable");
+                None
+            }
+        }
+    }
+
+    /// Returns the system as this entry sees it if it leads.
+    pub(crate) async fn own_status(&self) -> Option<Status> {
+        let inbox = self.shared.inbox.borrow().clone()?;
+        let (reply, answer) = oneshot::channel();
+        inbox.send(LeaderMessage::Summary { reply }).await.ok()?;
+        let summary = answer.await.ok()?;
+        let tables = self.shared.tables.borrow().clone();
+        Some(self.to_status(&summary, &tables))
+    }
+
+    fn to_status(&self, summary: &Summary, tables: &JobTables) -> Status {
+        let own = ProcessStatus {
+            process: self.name.clone(),
+            kind: "entry".to_owned(),
+            version: tables.version,
+            seen_ms: 0,
+        };
+        let heard = self.shared.heard().into_values().map(|heard| ProcessStatus {
+            process: heard.name,
+            kind: "entry".to_owned(),
+            version: heard.version,
+            seen_ms: millis(heard.at.elapsed()),
+        });
+        let processes: Vec<ProcessStatus> = std::iter::once(own).chain(heard).collect();
+        let oldest = processes.iter().map(|process| process.version).min();
+        Status {
+            entry: self.name.clone(),
+            version: tables.version,
+            oldest_version: oldest.unwrap_or(tables.version),
+            workers: summary.workers.iter().map(to_worker).collect(),
+            teams: to_teams(summary, tables),
+            queues: summary.queues.iter().map(to_queue).collect(),
+            processes,
+            ..Status::default()
+        }
+    }
+}
+
+fn decode_lines(reply: v1::ExplainReply) -> Vec<ExplainLine> {
+    let process = reply.process;
+    let line = |line: v1::ExplainLine| ExplainLine {
+        age_ms: line.age_ms,
+        event: line.event,
+        code: u16::try_from(line.code).unwrap_or(0),
+        process: process.clone(),
+        detail: line.detail,
+    };
+    reply.lines.into_iter().map(line).collect()
+}
+
+fn count(accelerators: i64) -> u32 {
+    u32::try_from(accelerators).unwrap_or(0)
+}
+
+fn to_worker(worker: &skylarkpulley_jobs::WorkerSummary) -> WorkerStatus {
+    WorkerStatus {
+        pool: worker.pool.clone(),
+        name: worker.id.clone(),
+        domain: worker.domain.clone(),
+        rack: worker.rack.clone(),
+        state: worker.state.to_owned(),
+        accelerators: count(worker.accelerators),
+        guaranteed: count(worker.guaranteed),
+        borrowed: count(worker.borrowed),
+        reserved: 0,
+    }
+}
+
+fn to_queue(queue: &skylarkpulley_jobs::QueueSummary) -> QueueStatus {
+    QueueStatus {
+        route: queue.route.clone(),
+        team: queue.team.clone(),
+        waiting: queue.waiting,
+        oldest_ms: millis(queue.oldest),
+    }
+}
+
+/// Guarantees are numbers of accelerators here.
+fn to_teams(summary: &Summary, tables: &JobTables) -> Vec<TeamStatus> {
+    let mut teams = Vec::new();
+    for team in &tables.teams {
+        let own = || summary.queues.iter().filter(|queue| queue.team == team.name);
+        let pools: BTreeSet<&str> = own().map(|queue| queue.pool.as_str()).collect();
+        for pool in pools {
+            let queues = || own().filter(|queue| queue.pool == pool);
+            teams.push(TeamStatus {
+                pool: pool.to_owned(),
+                team: team.name.clone(),
+                weight: 0,
+                waiting: queues().map(|queue| queue.waiting).sum(),
+                used: queues().map(|queue| count(queue.accelerators)).sum(),
+                guarantees: count(team.guarantee.accelerators),
+                claimed: 0,
+                at_risk: 0,
+            });
+        }
+    }
+    teams
+}
--- /dev/null
+++ b/crates/coordination/src/operators_server.rs
@@ -0,0 +1,71 @@
+use std::sync::Arc;
+
+use poem::http::StatusCode;
+use poem::listener::TcpAcceptor;
+use poem::{Endpoint, Request, Response, Server};
+use serde::Serialize;
+use skylarkpulley_admin::ErrorReply;
+use skylarkpulley_telemetry::MetricsPage;
+use tokio::net::TcpListener;
+
+use crate::entry::Entry;
+
+/// The part of the operators' interface that serves status, explanations and metrics.
+struct OperatorsServer {
+    entry: Arc<Entry>,
+    page: Arc<MetricsPage>,
+}
+
+/// Serves operators: `GET /livez`, `/readyz`, `/metrics`, `/v1/status` and `/v1/explain/ID`.
+///
+/// # Errors
+/// When the listener fails.
+pub async fn serve_operators(
+    listener: TcpListener,
+    entry: Arc<Entry>,
+    page: Arc<MetricsPage>,
+) -> std::io::Result<()> {
+    let server = OperatorsServer { entry, page };
+    Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?).run(server).await
+}
+
+impl Endpoint for OperatorsServer {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let operators = self.entry.operators();
+        let path = request.uri().path();
+        if let Some(id) = path.strip_prefix("/v1/explain/") {
+            let found = operators.explain(id).await;
+            if found.lines.is_empty() {
+                return Ok(error(StatusCode::NOT_FOUND, &format!("no record of {id:?}")));
+            }
+            return Ok(json(StatusCode::OK, &found));
+        }
+        Ok(match path {
+            "/livez" => Response::builder().body("live"),
+            "/readyz" if self.entry.is_ready() => Response::builder().body("ready"),
+            "/readyz" => error(StatusCode::SERVICE_UNAVAILABLE, "no leader or no tables"),
+            "/metrics" => Response::builder().content_type("text/plain").body(self.page.render()),
+            "/v1/status" => match operators.status().await {
+                Some(status) => json(StatusCode::OK, &status),
+                None => error(StatusCode::SERVICE_UNAVAILABLE, "no leader answers"),
+            },
+            _ => error(StatusCode::NOT_FOUND, &format!("no page {path:?}")),
+        })
+    }
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    match serde_json::to_vec(body) {
+        Ok(body) => Response::builder().status(status).content_type("application/json").body(body),
+        Err(cause) => {
+            tracing::error!(error = %cause, "answer not encoded");
+            Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).finish()
+        }
+    }
+}
+
+fn error(status: StatusCode, text: &str) -> Response {
+    json(status, &ErrorReply { error: text.to_owned() })
+}
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -327,6 +327,7 @@
             limits: self.settings.limits,
             own: sender.downgrade(),
             policy: self.policy.clone(),
+            records: self.shared.records.clone(),
             seen: self.seen.clone(),
             times: LeaderTimes { confirm: self.settings.confirm, lease: self.settings.lease },
         };
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -1,6 +1,7 @@
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::v1;
@@ -13,6 +14,8 @@
 use crate::convert::{decode_report, millis};
 use crate::leader::LeaderMessage;
 use crate::leadership::{Leadership, SeenLeader};
+use crate::operators::Operators;
+use crate::records::Records;
 use crate::store_health::StoreHealth;
 
 /// Updates that may wait for one agent; it ends the session when it hears nothing.
@@ -21,6 +24,10 @@
 /// Longest time that a forwarded call waits here; the entry that forwards it has its own limit.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
+/// An entry that has sent no ping for this long does not follow this one any more; pings are sent
+/// every 0.3 s and may be late by a time-out and a new connection.
+const HEARD_LIMIT: Duration = Duration::from_secs(3);
+
 /// What the tasks of one entry share.
 pub struct Shared {
     /// Whether the store answers the leader.
@@ -35,22 +42,57 @@
     pub newer: mpsc::Sender<String>,
     /// Leadership with the highest epoch that a peer has named.
     pub seen: watch::Sender<SeenLeader>,
+    /// Entries that have sent a ping, by address.
+    pub pings: Mutex<BTreeMap<String, HeardEntry>>,
+    /// What the entry records.
+    pub records: Records,
     /// Number of the next session.
     pub sessions: AtomicU64,
     /// Tables in force.
     pub tables: watch::Receiver<JobTables>,
 }
 
+/// An entry that has sent a ping.
+#[derive(Clone, Debug)]
+pub struct HeardEntry {
+    /// When the last ping arrived.
+    pub at: Instant,
+    /// Name of the entry.
+    pub name: String,
+    /// Version of its tables.
+    pub version: u64,
+}
+
+impl Shared {
+    /// Returns the entries that have sent a ping lately, by address.
+    pub fn heard(&self) -> BTreeMap<String, HeardEntry> {
+        let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
+        pings.retain(|_, entry| entry.at.elapsed() < HEARD_LIMIT);
+        pings.clone()
+    }
+
+    fn hear(&self, ping: &v1::PingRequest) {
+        let entry = HeardEntry {
+            at: Instant::now(),
+            name: ping.name.clone(),
+            version: ping.tables_version,
+        };
+        let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
+        pings.insert(ping.address.clone(), entry);
+    }
+}
+
 /// The interface between entries and agents.
 #[derive(Clone)]
 pub struct CoordinationService {
+    operators: Operators,
     shared: Arc<Shared>,
 }
 
 impl CoordinationService {
     /// Returns the service over the state of an entry.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    pub fn new(shared: Arc<Shared>, operators: Operators) -> Self {
+        Self { operators, shared }
     }
 }
 
@@ -96,6 +138,7 @@
         request: Request<v1::PingRequest>,
     ) -> Result<Response<v1::PingReply>, Status> {
         let request = request.into_inner();
+        self.shared.hear(&request);
         let leadership = self.shared.leadership.borrow().clone();
         self.shared.seen.send_if_modified(|seen| {
             let higher = request.epoch > seen.epoch;
@@ -131,6 +174,25 @@
             serde_json::to_vec(&tables).map_err(|error| Status::internal(error.to_string()))?;
         Ok(Response::new(v1::FetchTablesReply { version: tables.version, tables: bytes }))
     }
+
+    async fn explain(
+        &self,
+        request: Request<v1::ExplainRequest>,
+    ) -> Result<Response<v1::ExplainReply>, Status> {
+        Ok(Response::new(self.operators.own_lines(&request.into_inner().id)))
+    }
+
+    async fn system_status(
+        &self,
+        _request: Request<v1::SystemStatusRequest>,
+    ) -> Result<Response<v1::SystemStatusReply>, Status> {
+        let Some(status) = self.operators.own_status().await else {
+            return Err(Status::failed_precondition("this entry does not lead"));
+        };
+        let status =
+            serde_json::to_vec(&status).map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(v1::SystemStatusReply { status }))
+    }
 }
 
 async fn read_session(
--- /dev/null
+++ b/crates/coordination/tests/entries/main.rs
@@ -0,0 +1,5 @@
+//! Entries over an in-memory store.
+
+mod operators;
+mod rig;
+mod store_faults;
--- /dev/null
+++ b/crates/coordination/tests/entries/operators.rs
@@ -0,0 +1,72 @@
+//! What entries tell operators.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use skylarkpulley_coordination::{JobAnswer, JobCall};
+use skylarkpulley_store::MemoryTransactor;
+use skylarkpulley_telemetry::Event;
+
+use crate::rig::{job, start, until_ready};
+
+/// Guards against decisions that an operator cannot find because another entry made them, and
+/// against a status that only the leader can give.
+#[tokio::test]
+async fn explain_at_any_entry() {
+    let store = Arc::new(MemoryTransactor::new());
+    let (leader, at_leader) = start("entry-1", store.clone()).await;
+    until_ready(&leader).await;
+    let (follower, at_follower) = start("entry-2", store).await;
+    until_ready(&follower).await;
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let answer = follower.service().call(&JobCall::Submit(job("a")), deadline).await;
+    assert_eq!(answer, JobAnswer::Done);
+    let event = Event::RequestAnswered;
+    follower.records().decisions.record(Instant::now(), event, "a", "submit: done");
+    // The leader hears the follower with its next ping.
+    let status = loop {
+        let status = at_follower.status().await.expect("a status");
+        if status.processes.len() == 2 {
+            break status;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!((status.entry.as_str(), status.version, status.oldest_version), ("entry-1", 7, 7));
+    assert_eq!((status.queues[0].route.as_str(), status.queues[0].waiting), ("looks", 1));
+    assert_eq!((status.teams[0].team.as_str(), status.teams[0].guarantees), ("north", 16));
+    for client in [&at_leader, &at_follower] {
+        let explanation = client.explain("a").await.expect("an explanation");
+        let mut found: Vec<(&str, &str)> = explanation
+            .lines
+            .iter()
+            .map(|line| (line.process.as_str(), line.event.as_str()))
+            .collect();
+        // Ages of different processes are a few milliseconds apart.
+        found.sort_unstable();
+        assert_eq!(found, vec![("entry-1", "job-submitted"), ("entry-2", "request-answered")]);
+    }
+    let event = Event::RunEnded;
+    leader.records().decisions.record(Instant::now(), event, "a.0.0.1", "run 1 on w1: done");
+    let explanation = at_follower.explain("a").await.expect("an explanation");
+    let parts = explanation.lines.iter().filter(|line| line.detail.starts_with("a.0.0.1: run 1"));
+    assert_eq!(parts.count(), 1, "the runs of its tasks belong to a job");
+    assert!(at_leader.explain("b").await.is_err(), "there is no record of it");
+}
+
+/// Guards against an entry that keeps an operator waiting, or answers with an old state, while no
+/// leader can be reached.
+#[tokio::test]
+async fn status_without_leader() {
+    let store = Arc::new(MemoryTransactor::new());
+    let (leader, _) = start("entry-1", store.clone()).await;
+    until_ready(&leader).await;
+    let (follower, at_follower) = start("entry-2", store).await;
+    until_ready(&follower).await;
+    // Both give the leadership up and take no other.
+    follower.leave();
+    leader.leave();
+    while leader.service().leadership().own {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(at_follower.status().await.is_err());
+}
--- /dev/null
+++ b/crates/coordination/tests/entries/rig.rs
@@ -0,0 +1,91 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use skylarkpulley_admin::Client;
+use skylarkpulley_coordination::{
+    Entry, EntrySettings, Records, TablesSource, TablesSourceError, serve_operators,
+};
+use skylarkpulley_jobs::{Guarantee, Job, JobTables, Limits, Step, TeamEntry, WorkerPool};
+use skylarkpulley_store::Transactor;
+use skylarkpulley_telemetry::Metrics;
+use skylarkpulley_types::SystemClock;
+use tokio::net::TcpListener;
+
+/// One version of the tables that never changes.
+struct FixedTables;
+
+#[async_trait]
+impl TablesSource for FixedTables {
+    async fn poll(&self, known: u64) -> Result<Option<JobTables>, TablesSourceError> {
+        if known > 0 {
+            std::future::pending::<()>().await;
+        }
+        let pool = WorkerPool { guarded: true, name: "renders".to_owned(), spare: false };
+        let team = TeamEntry {
+            guarantee: Guarantee { accelerators: 16 },
+            keys: Vec::new(),
+            name: "north".to_owned(),
+        };
+        Ok(Some(JobTables {
+            body_limit: 1000,
+            pools: [("renders".to_owned(), pool)].into(),
+            teams: vec![team],
+            version: 7,
+            ..JobTables::default()
+        }))
+    }
+}
+
+pub fn job(id: &str) -> Box<Job> {
+    Box::new(Job {
+        accepted_ms: 1,
+        advised: false,
+        attempts: 1,
+        class: 1,
+        id: id.to_owned(),
+        payload: String::new(),
+        pool: "renders".to_owned(),
+        route: "looks".to_owned(),
+        schedule: None,
+        slack: 3.0,
+        steps: vec![Step { count: 1, ..Step::default() }],
+        target_ms: 1000,
+        team: "north".to_owned(),
+    })
+}
+
+/// Starts an entry, and returns it with a client of its operators' listener.
+pub async fn start(name: &str, store: Arc<dyn Transactor>) -> (Arc<Entry>, Client) {
+    let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let operators = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = operators.local_addr().expect("an address");
+    let settings = EntrySettings {
+        confirm: Duration::from_secs(12),
+        control: control.local_addr().expect("an address"),
+        lease: Duration::from_secs(8),
+        limits: Limits {
+            lapse: Duration::from_secs(9),
+            open_jobs: 100,
+            reclaim: Duration::from_secs(3),
+            retention: Duration::from_secs(120),
+            stop: Duration::from_millis(900),
+            takeover: Duration::from_secs(12),
+        },
+        name: name.to_owned(),
+    };
+    let (metrics, page) = Metrics::with_page("entry");
+    let (clock, source) = (Arc::new(SystemClock::new()), Arc::new(FixedTables));
+    let records = Records::new(metrics);
+    let entry = Entry::start(settings, control, store, source, None, clock, records);
+    let entry = Arc::new(entry);
+    tokio::spawn(serve_operators(operators, entry.clone(), page));
+    (entry, Client::new(&format!("http://{address}")).expect("a client"))
+}
+
+/// Waits until the entry serves callers.
+pub async fn until_ready(entry: &Entry) {
+    while !entry.is_ready() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/coordination/tests/store_faults.rs
+++ b/crates/coordination/tests/entries/store_faults.rs
@@ -3,73 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_trait::async_trait;
-use skylarkpulley_coordination::{
-    Entry, EntrySettings, JobAnswer, JobCall, JobService, TablesSource, TablesSourceError,
-};
-use skylarkpulley_jobs::{Job, JobTables, Limits, Step, WorkerPool};
+use skylarkpulley_coordination::{Entry, JobAnswer, JobCall, JobService};
 use skylarkpulley_store::{MemoryTransactor, TransactFault};
-use skylarkpulley_types::SystemClock;
-use tokio::net::TcpListener;
 
-struct FixedTables;
+use crate::rig::{job, start, until_ready};
 
-#[async_trait]
-impl TablesSource for FixedTables {
-    async fn poll(&self, known: u64) -> Result<Option<JobTables>, TablesSourceError> {
-        if known > 0 {
-            std::future::pending::<()>().await;
-        }
-        let pool = WorkerPool { guarded: true, name: "renders".to_owned(), spare: false };
-        Ok(Some(JobTables {
-            body_limit: 1000,
-            pools: [("renders".to_owned(), pool)].into(),
-            version: 1,
-            ..JobTables::default()
-        }))
-    }
-}
-
-fn job(id: &str) -> Box<Job> {
-    Box::new(Job {
-        accepted_ms: 1,
-        advised: false,
-        attempts: 1,
-        class: 1,
-        id: id.to_owned(),
-        payload: String::new(),
-        pool: "renders".to_owned(),
-        route: "looks".to_owned(),
-        schedule: None,
-        slack: 3.0,
-        steps: vec![Step { count: 1, ..Step::default() }],
-        target_ms: 1000,
-        team: "north".to_owned(),
-    })
-}
-
-async fn leading_entry(store: Arc<MemoryTransactor>) -> (Entry, JobService) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let settings = EntrySettings {
-        confirm: Duration::from_secs(12),
-        control: listener.local_addr().expect("an address"),
-        lease: Duration::from_secs(8),
-        limits: Limits {
-            lapse: Duration::from_secs(9),
-            open_jobs: 100,
-            reclaim: Duration::from_secs(3),
-            retention: Duration::from_secs(120),
-            stop: Duration::from_millis(900),
-            takeover: Duration::from_secs(12),
-        },
-        name: "entry-1".to_owned(),
-    };
-    let clock = Arc::new(SystemClock::new());
-    let entry = Entry::start(settings, listener, store, Arc::new(FixedTables), None, clock);
+async fn leading_entry(store: Arc<MemoryTransactor>) -> (Arc<Entry>, JobService) {
+    let (entry, _) = start("entry-1", store).await;
+    until_ready(&entry).await;
     let service = entry.service();
-    while !service.leadership().own {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
     (entry, service)
 }
 
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod planning;
 mod preemption;
 mod reports;
+mod summary;
 mod units;
 mod watch;
 
@@ -15,6 +16,7 @@
     ProgressRow, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
 };
 use entry::{JobEntry, Placement};
+pub use summary::{QueueSummary, Summary, WorkerSummary};
 
 /// Version of a job that stores its submission.
 const ACCEPTED_VERSION: u64 = 1;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,7 +25,10 @@
 
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::{AgentAction, AgentCore, AgentLimits, HoldCall, Listing, StartAnswer};
-pub use coordinator::{Coordinator, Decision, DecisionKind, Limits, Moment, Submission, View};
+pub use coordinator::{
+    Coordinator, Decision, DecisionKind, Limits, Moment, QueueSummary, Submission, Summary, View,
+    WorkerSummary,
+};
 pub use estimates::Estimates;
 pub use eviction::{Claim, Eviction, judge_claim};
 pub use fleet::{Fleet, FleetWorker};
--- a/crates/telemetry/src/decisions.rs
+++ b/crates/telemetry/src/decisions.rs
@@ -40,11 +40,15 @@
         ring.push_back(Decision { at, event, id: id.to_owned(), detail: detail.to_owned() });
     }
 
-    /// Returns the decisions about `id`, oldest first, each with its age at `now`.
+    /// Returns the decisions about `id` and about its parts, whose ids continue with a dot, oldest
+    /// first, each with its age at `now`.
     pub fn explain(&self, id: &str, now: Instant) -> Vec<(Duration, Decision)> {
         let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         ring.iter()
-            .filter(|decision| decision.id == id)
+            .filter(|decision| {
+                let rest = decision.id.strip_prefix(id);
+                rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+            })
             .map(|decision| (now.saturating_duration_since(decision.at), decision.clone()))
             .collect()
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 mod event;
 mod logging;
 mod metrics;
+mod metrics_page;
 mod settings_file;
 mod signals;
 
@@ -11,5 +12,6 @@
 pub use event::Event;
 pub use logging::{LogFormat, LogGuard, LogWriter, init_logging};
 pub use metrics::Metrics;
+pub use metrics_page::MetricsPage;
 pub use settings_file::{SettingsError, load_settings};
 pub use signals::wait_for_signal;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -7,7 +7,9 @@
     UdpMetricSink,
 };
 
-/// Metrics of one process, sent in the statsd format over UDP.
+use crate::metrics_page::{MetricsPage, PageSink};
+
+/// Metrics of one process, sent in the statsd format over UDP, or kept on a page.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
@@ -33,6 +35,14 @@
         Ok(Self { client: Arc::new(client) })
     }
 
+    /// Returns metrics that are kept on a page, each name prefixed by `role`, and the page.
+    pub fn with_page(role: &str) -> (Self, Arc<MetricsPage>) {
+        let page = Arc::new(MetricsPage::new());
+        let prefix = format!("skylarkpulley.{role}");
+        let client = StatsdClient::from_sink(&prefix, PageSink::new(page.clone()));
+        (Self { client: Arc::new(client) }, page)
+    }
+
     /// Counts one occurrence of `name`.
     pub fn count(&self, name: &str) {
         // Metrics are best effort; a full queue must not disturb the caller.
