--- a/crates/admin/src/explain.rs
+++ b/crates/admin/src/explain.rs
@@ -23,3 +23,16 @@
     /// Why, in words.
     pub detail: String,
 }
+
+impl ExplainLine {
+    /// Returns the line for an event of `process` that is `age` old.
+    pub fn new(process: &str, age_ms: u64, code: u32, event: &str, detail: &str) -> Self {
+        Self {
+            age_ms,
+            event: event.to_owned(),
+            code: u16::try_from(code).unwrap_or(0),
+            process: process.to_owned(),
+            detail: detail.to_owned(),
+        }
+    }
+}
--- a/crates/bench/src/jobs_replay/baseline.rs
+++ b/crates/bench/src/jobs_replay/baseline.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use skylarkpulley_jobs::Room;
 
@@ -16,7 +17,7 @@
 
 /// A simple policy to compare with.
 pub struct Baseline {
-    jobs: BTreeMap<usize, JobPlan>,
+    jobs: BTreeMap<usize, Rc<JobPlan>>,
     rule: Rule,
     /// Tasks that wait, by class, arrival and number of the job.
     waiting: BTreeMap<(u8, Millis, usize), Vec<usize>>,
@@ -60,7 +61,7 @@
     fn submit(&mut self, _now: Millis, number: usize, job: &JobPlan) {
         let tasks = (0..job.lengths.len()).collect();
         self.waiting.insert((job.class, job.arrival, number), tasks);
-        self.jobs.insert(number, job.clone());
+        self.jobs.insert(number, Rc::new(job.clone()));
     }
 
     fn decide(&mut self, now: Millis, _ended: &[Ended], pool: &Pool) -> Vec<Order> {
@@ -68,7 +69,7 @@
         let mut free = pool.free();
         let mut reserved: Option<Reserved> = None;
         for ((_, _, number), mut tasks) in std::mem::take(&mut self.waiting) {
-            let job = self.jobs[&number].clone();
+            let job = Rc::clone(&self.jobs[&number]);
             while !tasks.is_empty() {
                 let count = if job.gang { tasks.len() } else { 1 };
                 let open = |worker: usize| {
--- a/crates/bench/src/jobs_replay/load.rs
+++ b/crates/bench/src/jobs_replay/load.rs
@@ -54,7 +54,7 @@
     width: f64,
 }
 
-/// Rates and sizes of the users' larger site, from its sheet of requests.
+/// Rates and sizes between those of the two sites of the users, from their sheets of requests.
 const KINDS: [Kind; 3] = [
     Kind {
         class: 0,
--- a/crates/coordination/src/operators.rs
+++ b/crates/coordination/src/operators.rs
@@ -156,15 +156,10 @@
 }
 
 fn decode_lines(reply: v1::ExplainReply) -> Vec<ExplainLine> {
-    let process = reply.process;
-    let line = |line: v1::ExplainLine| ExplainLine {
-        age_ms: line.age_ms,
-        event: line.event,
-        code: u16::try_from(line.code).unwrap_or(0),
-        process: process.clone(),
-        detail: line.detail,
+    let line = |line: &v1::ExplainLine| {
+        ExplainLine::new(&reply.process, line.age_ms, line.code, &line.event, &line.detail)
     };
-    reply.lines.into_iter().map(line).collect()
+    reply.lines.iter().map(line).collect()
 }
 
 fn count(accelerators: i64) -> u32 {
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -64,14 +64,7 @@
         confirm: Duration::from_secs(12),
         control: control.local_addr().expect("an address"),
         lease: Duration::from_secs(8),
-        limits: Limits {
-            lapse: Duration::from_secs(9),
-            open_jobs: 100,
-            reclaim: Duration::from_secs(3),
-            retention: Duration::from_secs(120),
-            stop: Duration::from_millis(900),
-            takeover: Duration::from_secs(12),
-        },
+        limits: Limits::default(),
         name: name.to_owned(),
     };
     let (metrics, page) = Metrics::with_page("entry");
--- a/crates/entry/src/admin_server.rs
+++ b/crates/entry/src/admin_server.rs
@@ -175,13 +175,9 @@
 async fn explain(Data(admin): Data<&Admin>, Path(id): Path<String>) -> Response {
     let hub = &admin.hub;
     let own = hub.decisions.explain(&id, hub.clock.now()).into_iter().map(|(age, decision)| {
-        ExplainLine {
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            event: decision.event.name().to_owned(),
-            code: decision.event.code(),
-            process: hub.name.clone(),
-            detail: decision.detail,
-        }
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let (code, event) = (decision.event.code(), decision.event.name());
+        ExplainLine::new(&hub.name, age, u32::from(code), event, &decision.detail)
     });
     let mut lines: Vec<ExplainLine> = own.collect();
     let agents = admin.status.controls().await;
@@ -200,12 +196,8 @@
     let Ok(Ok(reply)) = tokio::time::timeout(CALL_LIMIT, call).await else {
         return Vec::new();
     };
-    let line = |line: v1::ExplainLine| ExplainLine {
-        age_ms: line.age_ms,
-        event: line.event,
-        code: u16::try_from(line.code).unwrap_or(0),
-        process: process.clone(),
-        detail: line.detail,
+    let line = |line: v1::ExplainLine| {
+        ExplainLine::new(&process, line.age_ms, line.code, &line.event, &line.detail)
     };
     reply.into_inner().lines.into_iter().map(line).collect()
 }
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -47,6 +47,20 @@
     pub takeover: Duration,
 }
 
+impl Default for Limits {
+    /// Returns limits for workers that accept leases of 8 s and stop a run within 0.9 s.
+    fn default() -> Self {
+        Self {
+            lapse: Duration::from_secs(9),
+            open_jobs: 100,
+            reclaim: Duration::from_secs(3),
+            retention: Duration::from_secs(120),
+            stop: Duration::from_millis(900),
+            takeover: Duration::from_secs(12),
+        }
+    }
+}
+
 /// Answer to a submission.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Submission {
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -25,14 +25,12 @@
         }
         let vacancy = self.vacancy(now, unit, demand, view, allowed);
         let claim = Claim {
-            class: unit.rank.class,
             guaranteed: protected,
             slack_ms: unit.rank.start_ms.cast_signed() - now.wall_ms.cast_signed(),
             vacancy: vacancy.as_ref().map(|(after, _)| *after),
             waited: unit.waited,
         };
         let limit = match judge_claim(&claim, self.limits.stop, self.limits.reclaim) {
-            Eviction::Never => return false,
             Eviction::Wait => {
                 if let Some((_, chosen)) = vacancy {
                     keep_free(view, demand, &map_back(allowed, &chosen));
--- a/crates/jobs/src/eviction.rs
+++ b/crates/jobs/src/eviction.rs
@@ -24,8 +24,6 @@
 /// Work that has no room.
 #[derive(Clone, Copy, Debug)]
 pub struct Claim {
-    /// Priority class.
-    pub class: u8,
     /// Whether it is within its team's guarantee.
     pub guaranteed: bool,
     /// Time until it must start to meet its objective; negative when that has passed.
@@ -46,8 +44,6 @@
 /// What a claim does about the runs in its way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Eviction {
-    /// It leaves them alone.
-    Never,
     /// It keeps the room for itself where they end first.
     Wait,
     /// It stops runs if no more than this many core-seconds are lost.
@@ -57,16 +53,13 @@
     },
 }
 
-/// Decides whether a claim waits for runs to end or stops them. `stop` is the longest time that a stop
+/// Decides whether a claim that may stop other runs waits for runs to end or stops them. `stop` is the longest time that a stop
 /// takes, `reclaim` the time within which a guaranteed job must start.
 ///
 /// Load pattern: short urgent jobs arrive while longer work fills the pool. Stopping runs that are
 /// about to end throws their work away and gains nothing; waiting for a fixed time before the stop
 /// makes a claim late that could not have been served otherwise.
 pub fn judge_claim(claim: &Claim, stop: Duration, reclaim: Duration) -> Eviction {
-    if !Claim::may_stop(claim.class, claim.guaranteed) {
-        return Eviction::Never;
-    }
     let slack = Duration::from_millis(u64::try_from(claim.slack_ms).unwrap_or(0));
     let share = slack.mul_f64(SLACK_SHARE);
     let left = if claim.guaranteed {
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -15,17 +15,6 @@
     pub rows: BTreeMap<(RowKind, String), Vec<u8>>,
 }
 
-pub fn limits() -> Limits {
-    Limits {
-        lapse: Duration::from_secs(9),
-        open_jobs: 100,
-        reclaim: Duration::from_secs(3),
-        retention: Duration::from_secs(120),
-        stop: Duration::from_millis(900),
-        takeover: Duration::from_secs(12),
-    }
-}
-
 pub fn tables() -> JobTables {
     let pool = WorkerPool { guarded: true, name: POOL.to_owned(), spare: false };
     let team = |name: &str, accelerators| TeamEntry {
@@ -105,8 +94,11 @@
 impl Rig {
     pub fn new(workers: u32) -> Self {
         let now = Moment { at: Instant::now(), wall_ms: 1_000_000 };
-        let mut rig =
-            Self { core: Coordinator::new(limits(), tables(), now), now, rows: BTreeMap::new() };
+        let mut rig = Self {
+            core: Coordinator::new(Limits::default(), tables(), now),
+            now,
+            rows: BTreeMap::new(),
+        };
         for number in 0..workers {
             rig.core.report(rig.now, &report(&worker(number, 1), &[]));
         }
@@ -146,7 +138,7 @@
 
     /// Replaces the coordinator by one that has read the rows.
     pub fn take_over(&mut self) {
-        let mut core = Coordinator::new(limits(), tables(), self.now);
+        let mut core = Coordinator::new(Limits::default(), tables(), self.now);
         for ((kind, key), value) in &self.rows {
             if *kind == RowKind::Job {
                 let state = self.rows.get(&(RowKind::Progress, key.clone()));
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -9,7 +9,6 @@
 
 fn claim(guaranteed: bool, slack_ms: i64, vacancy_ms: u64) -> Claim {
     Claim {
-        class: 0,
         guaranteed,
         slack_ms,
         vacancy: Some(Duration::from_millis(vacancy_ms)),
@@ -60,8 +59,7 @@
         other => panic!("{other:?}"),
     };
     assert!(waste(&claim(false, -100, 5000)) < waste(&claim(false, 1000, 5000)));
-    let low = Claim { class: 1, ..claim(false, 1000, 5000) };
-    assert_eq!(judge_claim(&low, STOP, RECLAIM), Eviction::Never);
+    assert!(!Claim::may_stop(1, false) && Claim::may_stop(0, false) && Claim::may_stop(1, true));
 }
 
 /// Guards against deadlines from estimates that are off by a factor of two and more: runs of a route
