Place no new work on workers whose agents are silent

A worker whose agent is cut off without a reset, or frozen, looked open: its session ends only when the connection is found broken, so that new work was placed there for the 8.8 s until its leases have lapsed, and again afterwards. Found by reading what ends a session while looking at the leader's cost.

Keep-alive probes on sessions: they double the messages, and the report every second says the same.

The coordinator takes a worker out of use when its agent has not reported for 1.6 s, logs it (401), and takes it back with the next report. Its runs go on under their leases.

Two tests let seconds pass without any report; their workers report now.

Work no longer waits behind agents that are gone.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -535,6 +535,7 @@
                 DecisionKind::Ended => Event::JobEnded,
                 DecisionKind::Quarantined => Event::WorkerQuarantined,
                 DecisionKind::Lost => Event::WorkerLost,
+                DecisionKind::Silent => Event::AgentSilent,
             };
             let detail = format!("{}; epoch {}", decision.detail, self.epoch);
             let records = &self.context.records;
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -135,6 +135,8 @@
     Quarantined,
     /// The runs of a worker are lost.
     Lost,
+    /// The agent of a worker is silent.
+    Silent,
 }
 
 impl Coordinator {
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -43,6 +43,7 @@
 impl Coordinator {
     /// Does what is due with time: lapsed workers, runs that stand still, ended jobs, placement.
     pub fn tick(&mut self, now: Moment) {
+        self.close_silent(now);
         self.expire_workers(now);
         self.stop_stalled(now);
         self.leave_draining(now);
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -8,7 +8,28 @@
 /// healthy task of 11 s gains a percent every 110 ms.
 const STALL: Duration = Duration::from_secs(3);
 
+/// A worker whose agent has not reported for this long gets no new work. Agents report every second;
+/// a silent connection would otherwise be found out only when the leases have lapsed.
+const SILENT: Duration = Duration::from_millis(1600);
+
 impl Coordinator {
+    /// Takes workers out of use whose agents are silent, until they report again. Their runs go on
+    /// under their leases.
+    pub(super) fn close_silent(&mut self, now: Moment) {
+        let mut silent = Vec::new();
+        for (id, worker) in &mut self.fleet.workers {
+            let age = now.at.saturating_duration_since(worker.seen);
+            if worker.session && age > SILENT {
+                worker.session = false;
+                silent.push((id.clone(), age));
+            }
+        }
+        for (id, age) in silent {
+            let detail = format!("no report for {} ms; no new work", age.as_millis());
+            self.decide(&id, DecisionKind::Silent, detail);
+        }
+    }
+
     /// Moves runs that stand still.
     pub(super) fn stop_stalled(&mut self, now: Moment) {
         let mut stalled = Vec::new();
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -111,6 +111,16 @@
         self.core.tick(self.now);
     }
 
+    /// Passes time with reports of the workers, none of which has started a run yet.
+    pub fn pass_reporting(&mut self, millis: u64, workers: &[u32]) {
+        for _ in 0..millis / 100 {
+            for number in workers {
+                self.core.report(self.now, &report(&worker(*number, 1), &[]));
+            }
+            self.pass(100);
+        }
+    }
+
     pub fn submit(&mut self, mut job: Job) {
         job.accepted_ms = self.now.wall_ms;
         assert!(matches!(self.core.submit(self.now, job), Submission::Accepted { .. }));
