Move runs that are ordered and never start; count no time without reports

What the state allows: a run that is ordered and neither listed nor refused was waited for without end, since only listed runs were watched. Also found: a run counted as standing still for the time in which its agent was silent, so that healthy workers went into quarantine when their agents came back.

A run that is stored and ordered, on a worker whose agent reports, and not listed for 5 s is fenced and placed elsewhere. Time without reports, or before the row is stored, does not count for runs that stand still either.

Tests, failing first: `tick_never_starts`, `tick_silence_is_no_stall`.

--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -8,6 +8,10 @@
 /// healthy task of 11 s gains a percent every 110 ms.
 const STALL: Duration = Duration::from_secs(3);
 
+/// A run that is ordered and neither listed nor refused for this long is fenced and moved: several
+/// tries of its agent, each with its time-out, and a report.
+const UNSTARTED: Duration = Duration::from_secs(5);
+
 /// A worker whose agent has not reported for this long gets no new work. Agents report every second;
 /// a silent connection would otherwise be found out only when the leases have lapsed.
 const SILENT: Duration = Duration::from_millis(1600);
@@ -30,23 +34,28 @@
         }
     }
 
-    /// Moves runs that stand still.
+    /// Moves runs that stand still, and those that never start. Time in which nothing is heard of the
+    /// worker, or in which a start is not ordered yet, does not count.
     pub(super) fn stop_stalled(&mut self, now: Moment) {
         let mut stalled = Vec::new();
         for (id, worker) in &self.fleet.workers {
-            if !worker.session || !worker.reached {
-                continue;
-            }
             for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(placement) = entry.placement(&task.key) else { continue };
+                let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
+                let durable = entry.durable;
                 let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
-                let limit = STALL + Duration::from_millis(step.estimate_ms / 10);
-                let idle = now.at.saturating_duration_since(placement.progressed);
                 // A filling task stands still while the others on its worker need all of it.
                 let waits = step.fills && worker.runs.len() > 1;
-                let stands = placement.seen && !placement.stop && idle > limit;
-                if stands && !step.lasting && !waits {
+                let stall = STALL + Duration::from_millis(step.estimate_ms / 10);
+                let lasting = step.lasting;
+                let Some(placement) = entry.placement_mut(&task.key) else { continue };
+                let heard = worker.session && worker.reached;
+                if !heard || placement.stop || durable < placement.version {
+                    placement.progressed = now.at;
+                    continue;
+                }
+                let idle = now.at.saturating_duration_since(placement.progressed);
+                let stands = placement.seen && !lasting && !waits && idle > stall;
+                if stands || (!placement.seen && idle > UNSTARTED) {
                     stalled.push((id.clone(), task.clone(), idle));
                 }
             }
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -131,6 +131,51 @@
     assert_eq!(rig.starts().len(), 2, "it has reported again");
 }
 
+/// Guards against a run that waits for ever on a worker that neither starts nor refuses it (one play
+/// of mix 14183 of novias-vc ended with such a task), and against counting the time of an outage of
+/// the store.
+#[test]
+fn tick_never_starts() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("a", 1, step(1, 8)));
+    let (id, task, run) = rig.starts().remove(0);
+    rig.pass_reporting(4800, &[0, 1]);
+    assert_eq!(rig.stops(), vec![]);
+    rig.pass_reporting(400, &[0, 1]);
+    assert_eq!(rig.stops(), vec![(task.clone(), run)]);
+    let number = id[1..].parse().expect("a number");
+    let mut refused = report(&worker(number, 1), &[]);
+    refused.refused = vec![RunRefusal { kind: RefusalKind::Fenced, run, task }];
+    rig.core.report(rig.now, &refused);
+    rig.settle();
+    let starts = rig.starts();
+    assert!(starts.len() == 1 && starts[0].0 != id, "{starts:?}");
+
+    let mut stored_late = job("b", 1, step(1, 8));
+    stored_late.accepted_ms = rig.now.wall_ms;
+    rig.core.submit(rig.now, stored_late);
+    rig.core.place(rig.now);
+    rig.pass_reporting(6000, &[0, 1]);
+    rig.settle();
+    assert!(rig.stops().iter().all(|(task, _)| task.job != "b"), "it was not ordered yet");
+}
+
+/// Guards against runs that count as standing still for the time in which nothing was heard of their
+/// worker, so that a healthy worker is given up when it comes back.
+#[test]
+fn tick_silence_is_no_stall() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, step(1, 8)));
+    let runs: Vec<_> = rig.starts().into_iter().map(|(_, task, run)| (task, run)).collect();
+    rig.core.report(rig.now, &report(&worker(0, 1), &runs));
+    for _ in 0..30 {
+        rig.pass(200);
+    }
+    rig.core.report(rig.now, &report(&worker(0, 1), &runs));
+    rig.pass(200);
+    assert_eq!(rig.stops(), vec![]);
+}
+
 /// Guards against a guarantee that waits behind borrowed work, and against stopping more than its
 /// shape needs.
 #[test]
