Keep the calls of an agent in a file of their own

The parameters and answers of an agent's calls to its worker move to `agent_calls.rs`. Nothing else changes.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod agent;
+mod agent_calls;
 mod coordinator;
 mod estimates;
 mod eviction;
@@ -24,7 +25,8 @@
 mod worker;
 
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
-pub use agent::{AgentAction, AgentCore, AgentLimits, HoldCall, Listing, StartAnswer};
+pub use agent::AgentCore;
+pub use agent_calls::{AgentAction, AgentLimits, HoldCall, Listing, StartAnswer};
 pub use coordinator::{
     Coordinator, Decision, DecisionKind, Limits, Moment, QueueSummary, Submission, Summary, View,
     WorkerSummary,
