Leave out reports that arrive on an earlier session of an agent

The path from an agent to the leader broke for 5 s; the agent opened a new session, got a start, and ran it. Then a report from before came through on the old connection: it said that the leases had lapsed, which held when it was sent. The leader placed the run elsewhere.

A report is left out when a later session has reported for the same worker, and its session is closed.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -372,6 +372,11 @@
         report: &WorkerReport,
         left: bool,
     ) {
+        if self.is_superseded(number, report) {
+            // Dropping it closes the session.
+            self.sessions.remove(&number);
+            return;
+        }
         if let Some(status) = report.worker.as_ref().filter(|_| left) {
             self.core.remove_worker(now, &status.id, status.boot);
         } else {
@@ -385,6 +390,24 @@
         self.push(number);
     }
 
+    /// Reports whether the agent has opened a later session for the same worker. What still arrives on
+    /// the earlier one waited on a broken path and is older than what the later one has said.
+    fn is_superseded(&self, number: u64, report: &WorkerReport) -> bool {
+        let Some(status) = &report.worker else { return false };
+        let later = self
+            .sessions
+            .iter()
+            .any(|(other, session)| *other > number && session.worker == status.id);
+        if later {
+            tracing::info!(
+                id = status.id,
+                session = number,
+                "report of an earlier session left out"
+            );
+        }
+        later
+    }
+
     fn push(&mut self, number: u64) {
         // A successor counts on this entry extending no lease once it has answered its ping.
         let deposed = self.context.seen.borrow().epoch > self.epoch;
--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -2,4 +2,5 @@
 
 mod operators;
 mod rig;
+mod sessions;
 mod store_faults;
