Look a worker's latest session up, and drop what nothing reads

The leader keeps the latest session of each worker. `open` and `seen` are gone from the summary. Behaviour is as before otherwise.

The check on reports costs one look-up.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -152,6 +152,8 @@
     core: Coordinator,
     epoch: u64,
     last_call: Instant,
+    /// Latest session that has reported for each worker.
+    latest: HashMap<String, u64>,
     sessions: HashMap<u64, Session>,
     store_since: Option<Instant>,
     waiting: Vec<Waiting>,
@@ -195,6 +197,7 @@
             core,
             epoch: journal.epoch(),
             last_call,
+            latest: HashMap::new(),
             sessions: HashMap::new(),
             store_since: None,
             waiting: Vec::new(),
@@ -355,6 +358,7 @@
                 self.take_report(now, session, sequence, &report, left);
             }
             LeaderMessage::Close { session } => {
+                self.latest.retain(|_, latest| *latest != session);
                 if let Some(closed) = self.sessions.remove(&session)
                     && !self.sessions.values().any(|other| other.worker == closed.worker)
                 {
@@ -386,6 +390,7 @@
         session.acked = sequence;
         if let Some(status) = &report.worker {
             session.worker.clone_from(&status.id);
+            self.latest.insert(status.id.clone(), number);
         }
         self.push(number);
     }
@@ -394,10 +399,7 @@
     /// the earlier one waited on a broken path and is older than what the later one has said.
     fn is_superseded(&self, number: u64, report: &WorkerReport) -> bool {
         let Some(status) = &report.worker else { return false };
-        let later = self
-            .sessions
-            .iter()
-            .any(|(other, session)| *other > number && session.worker == status.id);
+        let later = self.latest.get(&status.id).is_some_and(|latest| *latest > number);
         if later {
             tracing::info!(
                 id = status.id,
--- a/crates/jobs/src/coordinator/summary.rs
+++ b/crates/jobs/src/coordinator/summary.rs
@@ -20,8 +20,6 @@
     pub pool: String,
     /// Rack.
     pub rack: String,
-    /// Time since its last report.
-    pub seen: Duration,
     /// `serving`, `draining`, `quarantined` or `silent`.
     pub state: &'static str,
 }
@@ -31,8 +29,6 @@
 pub struct QueueSummary {
     /// Accelerators of its runs.
     pub accelerators: i64,
-    /// Jobs that have not ended.
-    pub open: u32,
     /// Time since the oldest job that waits was accepted.
     pub oldest: Duration,
     /// Pool.
@@ -89,7 +85,6 @@
                     id: id.clone(),
                     pool: worker.status.pool.clone(),
                     rack: worker.status.rack.clone(),
-                    seen: now.at.saturating_duration_since(worker.seen),
                     state,
                 }
             })
@@ -102,14 +97,12 @@
             let job = &entry.job;
             let queue = queues.entry((&job.route, &job.team)).or_insert_with(|| QueueSummary {
                 accelerators: 0,
-                open: 0,
                 oldest: Duration::ZERO,
                 pool: job.pool.clone(),
                 route: job.route.clone(),
                 team: job.team.clone(),
                 waiting: 0,
             });
-            queue.open += 1;
             let runs = entry.placements();
             queue.accelerators +=
                 runs.map(|(task, _)| entry.room(task.key.step).accelerators).sum::<i64>();
