Judge a gang by the member that is furthest behind

Cause: members of a gang have unequal work and end together. A member that had done its work made no progress while it waited for the others, was taken as stalled, and its whole gang was stopped near its end; its worker was quarantined. The same happened to members that waited for one that started late. Remaining times and learned run times had the same mistake. Remaining time, draining and reservations use the slowest member, counted from when the gang was complete; a gang is learned from once. The stop's log line names the member, its evidence and what the stop destroys. The checkpoint interval comes from the settings.

--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -37,6 +37,7 @@
         let start = Instant::now();
         let now = Timestamp { monotonic: start, wall_ms: START_WALL_MS };
         let limits = Limits {
+            checkpoint: Duration::from_secs(1),
             lapse: Duration::from_secs(9),
             open_jobs: 10_000,
             reclaim: Duration::from_millis(3400),
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -21,6 +21,9 @@
     /// Permit of the placement policy.
     pub permit: String,
     pub placed_at: Instant,
+    /// Since when the run works, and its progress in percent then; `None` until all members of its
+    /// gang are listed.
+    pub progress_start: Option<(Instant, u8)>,
     pub run: u32,
     /// Whether the run is ordered to stop.
     pub stopping: bool,
@@ -115,6 +118,7 @@
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
+                progress_start: None,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
@@ -222,6 +226,38 @@
         (0..count).map(|index| TaskKey { index, ..*key }).collect()
     }
 
+    /// Records that a worker has listed the run of `key` at `percent`. A gang works from the time at
+    /// which all of its members are listed; until then none of them can make progress.
+    pub fn record_listed(&mut self, key: &TaskKey, percent: u8, now: Instant) {
+        let Some(placement) = self.placement_mut(key) else { return };
+        if percent > placement.percent {
+            placement.percent = percent;
+            placement.last_progress = now;
+        }
+        if placement.listed {
+            return;
+        }
+        placement.listed = true;
+        placement.last_progress = now;
+        let members = self.members(key);
+        let listed =
+            |member: &TaskKey| self.placement(member).is_some_and(|placement| placement.listed);
+        if !members.iter().all(listed) {
+            return;
+        }
+        for member in &members {
+            if let Some(placement) = self.placement_mut(member) {
+                placement.last_progress = now;
+                placement.progress_start = Some(match (placement.full_run, members.len()) {
+                    (true, 1) => (placement.placed_at, 0),
+                    (true, _) => (now, 0),
+                    // It continued from a checkpoint, or an earlier coordinator started it.
+                    (false, _) => (now, placement.percent),
+                });
+            }
+        }
+    }
+
     /// Records how a run ended; `None` means that it was lost with its worker.
     pub fn apply_end(
         &mut self,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,6 +1,7 @@
 mod absences;
 mod commits;
 mod entry;
+mod gang_time;
 mod planning;
 mod preemption;
 mod reports;
@@ -33,6 +34,8 @@
 /// Limits of the coordinator, from the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Run time between two checkpoints of a task that records them.
+    pub checkpoint: Duration,
     /// Time after the last report of a silent worker until its leases have lapsed, clock drift
     /// included.
     pub lapse: Duration,
@@ -52,6 +55,7 @@
     /// Returns limits for workers that accept leases of 8 s and stop a run within 0.9 s.
     fn default() -> Self {
         Self {
+            checkpoint: Duration::from_secs(1),
             lapse: Duration::from_secs(9),
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::entry::Placement;
+use super::gang_time::GangTimes;
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
@@ -17,9 +18,6 @@
 /// larger tasks.
 const MAX_HEADROOM_WAIT: Duration = Duration::from_secs(2);
 
-/// Progress in percent from which the remaining time of a run is estimated from its speed so far.
-pub(super) const MIN_RELIABLE_PERCENT: u8 = 5;
-
 /// Number of blocked units for which resources are reserved. More reservations would leave too much
 /// of the pool idle.
 const MAX_RESERVATIONS: usize = 2;
@@ -433,6 +431,7 @@
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
+                progress_start: None,
                 run,
                 stopping: false,
                 version,
@@ -482,6 +481,7 @@
         allowed: &[usize],
     ) -> Option<(Duration, Vec<usize>)> {
         let mut ends: Vec<(Duration, usize, Resources)> = Vec::new();
+        let mut gang_times = GangTimes::new();
         for (position, index) in allowed.iter().enumerate() {
             let Some(worker) = self.fleet.workers.get(&view.candidates[*index].id) else {
                 continue;
@@ -492,7 +492,7 @@
                 let lasting =
                     entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
                 if !placement.stopping && !lasting {
-                    let remaining = self.remaining_time(now, task, placement);
+                    let remaining = self.cached_time(now, task, &mut gang_times);
                     ends.push((remaining, position, entry.resources(task.key.step)));
                 }
             }
@@ -523,26 +523,6 @@
         Some((ends.get(high - 1)?.0, chosen_workers))
     }
 
-    /// Estimates the remaining time of a run, from its progress if there is enough of it.
-    pub(super) fn remaining_time(
-        &self,
-        now: Timestamp,
-        task: &TaskId,
-        placement: &Placement,
-    ) -> Duration {
-        let elapsed = now.monotonic.saturating_duration_since(placement.placed_at);
-        if placement.percent >= MIN_RELIABLE_PERCENT {
-            let percent = f64::from(placement.percent.min(100));
-            return elapsed.mul_f64((100.0 - percent) / percent);
-        }
-        let expected = self.jobs.get(&task.job).and_then(|entry| {
-            let step = entry.job.steps.get(task.key.step as usize)?;
-            Some(self.estimates.correct(&entry.job.route, step.estimate_ms))
-        });
-        let estimate = expected.unwrap_or(0);
-        Duration::from_millis(estimate).saturating_sub(elapsed).max(Duration::from_millis(500))
-    }
-
     fn remove_ended_jobs(&mut self, now: Timestamp) {
         let retention = self.limits.retention;
         let expired: Vec<String> = self
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -110,7 +110,7 @@
         let mut seconds =
             now.monotonic.saturating_duration_since(placement.placed_at).as_secs_f64();
         if step.is_some_and(|step| step.checkpoints) {
-            seconds = seconds.min(1.0);
+            seconds = seconds.min(self.limits.checkpoint.as_secs_f64());
         }
         seconds * entry.resources(task.key.step).weight()
     }
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -164,7 +164,8 @@
         self.end_run(now, &end.task, Some(end.kind), &end.checkpoint);
     }
 
-    /// Records the run time of a run that began without a checkpoint and is done.
+    /// Records the run time of a run that began without a checkpoint and is done. A gang counts once,
+    /// from the time at which all of its members were present.
     fn record_run_time(&mut self, now: Timestamp, end: &RunEnd) {
         let Some(entry) = self.jobs.get(&end.task.job).filter(|_| end.kind == EndKind::Done) else {
             return;
@@ -174,8 +175,13 @@
         else {
             return;
         };
-        if placement.full_run && !step.lasting {
-            let run_time = now.monotonic.saturating_duration_since(placement.placed_at);
+        let counted = entry.tasks.get(&end.task.key).is_some_and(|task| task.done);
+        let started_at = match placement.progress_start {
+            Some((since, _)) if step.gang => since,
+            _ => placement.placed_at,
+        };
+        if placement.full_run && !step.lasting && !counted {
+            let run_time = now.monotonic.saturating_duration_since(started_at);
             self.estimates.observe(&entry.job.route, step.estimate_ms, run_time);
         }
     }
@@ -232,15 +238,8 @@
             }
             let Some(entry) = self.jobs.get_mut(&run.task.job) else { continue };
             entry.started = true;
+            entry.record_listed(&run.task.key, run.percent, now.monotonic);
             let Some(placement) = entry.placement_mut(&run.task.key) else { continue };
-            if !placement.listed {
-                placement.listed = true;
-                placement.last_progress = now.monotonic;
-            }
-            if run.percent > placement.percent {
-                placement.percent = run.percent;
-                placement.last_progress = now.monotonic;
-            }
             if !run.checkpoint.is_empty() {
                 placement.checkpoint.clone_from(&run.checkpoint);
             }
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -1,8 +1,9 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::planning::MIN_RELIABLE_PERCENT;
+use super::entry::JobEntry;
 use super::{Coordinator, DecisionKind, Timestamp};
-use crate::Fault;
+use crate::{Fault, RunProgress, TaskId, TaskKey, find_stalled};
 
 /// A run without progress for this long, plus a tenth of its estimate, is moved. A healthy task of
 /// 11 s gains one percent every 110 ms.
@@ -38,44 +39,101 @@
     /// Moves runs that make no progress, and runs that never start. Time without reports of the
     /// worker, and time before the start is ordered, does not count.
     pub(super) fn stop_stalled(&mut self, now: Timestamp) {
+        self.reset_unobserved(now);
         let mut stalled = Vec::new();
+        let mut judged = BTreeSet::new();
         for (id, worker) in &self.fleet.workers {
             for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
-                let durable = entry.durable_version;
-                let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
-                // A filling task makes no progress while the other runs on its worker use all
-                // cores.
-                let may_pause = step.fills && worker.runs.len() > 1;
-                let stall_timeout = STALL_TIMEOUT + Duration::from_millis(step.estimate_ms / 10);
-                let lasting = step.lasting;
-                let Some(placement) = entry.placement_mut(&task.key) else { continue };
-                let reachable = worker.has_session && worker.is_reached;
-                if !reachable || placement.stopping || durable < placement.version {
-                    placement.last_progress = now.monotonic;
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let idle = now.monotonic.saturating_duration_since(placement.last_progress);
+                if !placement.stopping && !placement.listed && idle > START_TIMEOUT {
+                    let reason = format!("not started within {} ms on {id}", idle.as_millis());
+                    stalled.push((id.clone(), task.clone(), reason));
                     continue;
                 }
-                let idle = now.monotonic.saturating_duration_since(placement.last_progress);
-                let makes_no_progress =
-                    placement.listed && !lasting && !may_pause && idle > stall_timeout;
-                if makes_no_progress || (!placement.listed && idle > START_TIMEOUT) {
-                    stalled.push((id.clone(), task.clone(), idle));
+                let gang = (task.job.as_str(), task.key.occurrence, task.key.step);
+                if entry.is_gang(task.key.step) && !judged.insert(gang) {
+                    continue;
                 }
+                let Some((key, reason)) = self.stalled_member(now, entry, &task.key) else {
+                    continue;
+                };
+                let Some(placement) = entry.placement(&key) else { continue };
+                stalled.push((placement.worker.clone(), TaskId::new(&task.job, key), reason));
             }
         }
-        for (id, task, idle) in stalled {
-            self.stop_run(&task, &format!("no progress for {} ms on {id}", idle.as_millis()));
+        for (id, task, reason) in stalled {
+            self.stop_run(&task, &reason);
             if let Some(worker) = self.fleet.workers.get_mut(&id) {
                 worker.health.record_fault(now.monotonic, &task.job, Fault::Stalled);
-                self.record_decision(
-                    &id,
-                    DecisionKind::Quarantined,
-                    format!("{task} made no progress"),
-                );
+                let detail = format!("{task} made no progress");
+                self.record_decision(&id, DecisionKind::Quarantined, detail);
+            }
+        }
+    }
+
+    /// Restarts the count of the time without progress for runs that cannot be observed.
+    fn reset_unobserved(&mut self, now: Timestamp) {
+        for worker in self.fleet.workers.values() {
+            let reachable = worker.has_session && worker.is_reached;
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
+                let (durable, alone) = (entry.durable_version, worker.runs.len() == 1);
+                // A filling task makes no progress while the other runs on its worker use all
+                // cores.
+                let step = entry.job.steps.get(task.key.step as usize);
+                let may_pause = step.is_some_and(|step| step.fills && !alone);
+                let Some(placement) = entry.placement_mut(&task.key) else { continue };
+                let pauses = may_pause && placement.listed;
+                if !reachable || placement.stopping || durable < placement.version || pauses {
+                    placement.last_progress = now.monotonic;
+                }
             }
         }
     }
 
+    /// Returns the member of the gang of `key`, or `key` itself, that has stalled, and the evidence
+    /// for it.
+    fn stalled_member(
+        &self,
+        now: Timestamp,
+        entry: &JobEntry,
+        key: &TaskKey,
+    ) -> Option<(TaskKey, String)> {
+        let step = entry.job.steps.get(key.step as usize).filter(|step| !step.lasting)?;
+        let members = entry.members(key);
+        let mut progress = Vec::new();
+        let mut worked = Duration::ZERO;
+        for member in &members {
+            let placement = entry.placement(member).filter(|placement| !placement.stopping)?;
+            let idle = now.monotonic.saturating_duration_since(placement.last_progress);
+            progress.push(RunProgress {
+                idle,
+                listed: placement.listed,
+                percent: placement.percent,
+            });
+            let since = placement.progress_start.map_or(now.monotonic, |start| start.0);
+            worked = worked.max(now.monotonic.saturating_duration_since(since));
+        }
+        let at_stake = if step.checkpoints { worked.min(self.limits.checkpoint) } else { worked };
+        let timeout = STALL_TIMEOUT + Duration::from_millis(step.estimate_ms / 10);
+        let index = find_stalled(&progress, timeout, at_stake)?;
+        let RunProgress { idle, percent, .. } = progress[index];
+        let worker = entry.placement(&members[index]).map_or("", |run| run.worker.as_str());
+        let lost = at_stake.as_secs_f64()
+            * entry.resources(key.step).weight()
+            * members.len() as f64;
+        let reason = format!(
+            "no progress of member {} for {} ms at {percent} percent on {worker}, members {}, \
+             destroys {lost:.0} core-seconds",
+            members[index].index,
+            idle.as_millis(),
+            members.len(),
+        );
+        Some((members[index], reason))
+    }
+
     /// Moves runs off draining workers if they will not end before their worker leaves. Other runs
     /// continue there until they end.
     pub(super) fn move_off_draining(&mut self, now: Timestamp) {
@@ -86,9 +144,8 @@
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
                 let Some(step) = entry.job.steps.get(task.key.step as usize) else { continue };
-                let predictable = placement.percent >= MIN_RELIABLE_PERCENT || step.lasting;
-                let ends_late =
-                    step.lasting || self.remaining_time(now, task, placement) > remaining;
+                let predictable = step.lasting || self.has_progress(task);
+                let ends_late = step.lasting || self.remaining_time(now, task) > remaining;
                 if !placement.stopping && predictable && ends_late {
                     to_move.push(task.clone());
                 }
