Repeat lost starts soon; replay wide gangs on 240 workers

Cause: a start without an answer was repeated after 1.3 s. A gang of 25 whose members give up after 3 to 5 s rarely formed while half of the orders were lost. The replays of crates/bench play 240 workers on racks of 12 with 24 teams, gangs of 8 and 25 with uneven members, lost starts and takeovers.

--- a/crates/bench/src/jobs_replay/baseline.rs
+++ b/crates/bench/src/jobs_replay/baseline.rs
@@ -65,7 +65,12 @@
         self.jobs.insert(number, Rc::new(job.clone()));
     }
 
-    fn decide(&mut self, now: Millis, _ended: &[EndedRun], pool: &Pool) -> Vec<Order> {
+    fn decide(&mut self, now: Millis, ended: &[EndedRun], pool: &Pool) -> Vec<Order> {
+        for end in ended.iter().filter(|end| !end.done) {
+            let job = &self.jobs[&end.run.job];
+            let key = (job.class, job.arrival, end.run.job);
+            self.waiting.entry(key).or_default().push(end.run.index);
+        }
         let mut orders = Vec::new();
         let mut free = pool.free();
         let mut reservation: Option<Reservation> = None;
--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -2,18 +2,14 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_jobs::{
-    Coordinator, EndKind, Guarantee, Job, JobTables, Limits, RunEnd, RunReport, Step, TaskId,
-    TaskKey, TeamEntry, Timestamp, WorkerPool, WorkerReport, WorkerStatus,
+    Coordinator, EndKind, Guarantee, Job, JobTables, Limits, RowKind, RunEnd, RunReport, Step,
+    TaskId, TaskKey, TeamEntry, Timestamp, WorkerPool, WorkerReport, WorkerStatus,
 };
 
-use super::pool::{MAX_STOP_TIME, WORKER_RESOURCES};
-use super::{EndedRun, JobPlan, Millis, Order, Policy, Pool, Run};
+use super::pool::{DECISION_INTERVAL, WORKER_RESOURCES};
+use super::{EndedRun, JobPlan, Millis, Order, Policy, Pool, Run, Setup};
 
 const POOL: &str = "workers";
-const TEAM: &str = "all";
-
-/// Number of accelerators that are guaranteed to class 0, about a quarter of the pool.
-const GUARANTEED_ACCELERATORS: i64 = 24;
 
 /// Time of day at the start of a replay.
 const START_WALL_MS: u64 = 1_000_000;
@@ -28,40 +24,68 @@
     end_queues: BTreeMap<usize, Vec<(u64, RunEnd)>>,
     /// Number of the last end of each worker.
     end_numbers: BTreeMap<usize, u64>,
+    limits: Limits,
+    rows: BTreeMap<(RowKind, String), Vec<u8>>,
+    setup: Setup,
     start: Instant,
+    tables: JobTables,
 }
 
 impl Coordinated {
-    /// Returns a coordinator to which all `workers` workers of a replay have reported.
-    pub fn new(workers: usize) -> Self {
+    /// Returns a coordinator to which all workers of `setup` have reported.
+    pub fn new(setup: &Setup) -> Self {
         let start = Instant::now();
-        let now = Timestamp { monotonic: start, wall_ms: START_WALL_MS };
         let limits = Limits {
             checkpoint: Duration::from_secs(1),
             lapse: Duration::from_secs(9),
             open_jobs: 10_000,
-            reclaim: Duration::from_millis(3400),
+            reclaim: Duration::from_millis(2500 + setup.stop),
             retention: Duration::from_secs(1000),
-            stop: Duration::from_millis(MAX_STOP_TIME),
+            stop: Duration::from_millis(setup.stop),
             takeover: Duration::ZERO,
         };
         let pool = WorkerPool { guarded: true, name: POOL.to_owned(), spare: false };
-        let guarantee = Guarantee { accelerators: GUARANTEED_ACCELERATORS };
+        let guarantee = Guarantee { accelerators: setup.guarantee };
+        let team = |number| TeamEntry { guarantee, keys: Vec::new(), name: team_name(number) };
         let tables = JobTables {
             pools: [(POOL.to_owned(), pool)].into(),
-            teams: vec![TeamEntry { guarantee, keys: Vec::new(), name: TEAM.to_owned() }],
+            teams: (0..setup.teams).map(team).collect(),
             version: 1,
             ..JobTables::default()
         };
-        let core = Coordinator::new(limits, tables, now);
-        let mut policy =
-            Self { core, end_queues: BTreeMap::new(), end_numbers: BTreeMap::new(), start };
-        for worker in 0..workers {
+        let now = Timestamp { monotonic: start, wall_ms: START_WALL_MS };
+        let core = Coordinator::new(limits, tables.clone(), now);
+        let mut policy = Self {
+            core,
+            end_queues: BTreeMap::new(),
+            end_numbers: BTreeMap::new(),
+            limits,
+            rows: BTreeMap::new(),
+            setup: setup.clone(),
+            start,
+            tables,
+        };
+        for worker in 0..setup.workers {
             policy.report(0, worker, &[]);
         }
         policy
     }
 
+    /// Replaces the coordinator by a successor that restores the stored rows.
+    fn take_over(&mut self, now: Millis) {
+        let time = self.timestamp(now);
+        let mut core = Coordinator::new(self.limits, self.tables.clone(), time);
+        for ((kind, key), value) in &self.rows {
+            if *kind == RowKind::Job {
+                let progress = self.rows.get(&(RowKind::Progress, key.clone()));
+                let restored = core.restore(key, value, progress.map(Vec::as_slice), time);
+                restored.expect("rows that the coordinator has written");
+            }
+        }
+        core.end_predecessor(time);
+        self.core = core;
+    }
+
     fn timestamp(&self, now: Millis) -> Timestamp {
         Timestamp {
             monotonic: self.start + Duration::from_millis(now),
@@ -75,14 +99,15 @@
             id: worker_id(worker),
             incarnation: 1,
             pool: POOL.to_owned(),
-            rack: format!("rack-{}", worker / 3),
+            rack: format!("rack-{}", worker / self.setup.rack),
             resources: WORKER_RESOURCES,
             ..WorkerStatus::default()
         };
         let acknowledged = self.core.orders(&status.id).ended_through;
         let end_queue = self.end_queues.entry(worker).or_default();
         end_queue.retain(|(number, _)| *number > acknowledged);
-        let running = runs.iter().filter(|run| run.worker == worker).map(|run| RunReport {
+        let listed = runs.iter().filter(|run| run.worker == worker && run.is_present(now));
+        let running = listed.map(|run| RunReport {
             checkpoint: "saved".to_owned(),
             percent: run.percent(now),
             run: self.core.run_number(&task_id(run)).unwrap_or(0),
@@ -100,7 +125,13 @@
     }
 
     fn commit_all(&mut self) {
-        while self.core.begin_commit().is_some() {
+        while let Some(rows) = self.core.begin_commit() {
+            for row in rows {
+                match row.value {
+                    Some(value) => self.rows.insert((row.kind, row.key), value),
+                    None => self.rows.remove(&(row.kind, row.key)),
+                };
+            }
             self.core.end_commit();
         }
     }
@@ -108,12 +139,14 @@
 
 impl Policy for Coordinated {
     fn submit(&mut self, now: Millis, number: usize, job: &JobPlan) {
+        let number_of_team = job.team;
         let step = Step {
             checkpoints: job.checkpoints,
             count: u32::try_from(job.lengths.len()).unwrap_or(u32::MAX),
             estimate_ms: job.estimate,
             gang: job.gang,
             resources: job.resources,
+            same_rack: job.same_rack,
             ..Step::default()
         };
         let job = Job {
@@ -129,7 +162,7 @@
             slack: job.slack,
             steps: vec![step],
             target_ms: job.target,
-            team: TEAM.to_owned(),
+            team: team_name(number_of_team),
         };
         self.core.submit(self.timestamp(now), job);
     }
@@ -144,9 +177,13 @@
             let end_report = RunEnd { checkpoint: "saved".to_owned(), kind, run, task };
             self.end_queues.entry(end.run.worker).or_default().push((*number, end_report));
         }
+        if self.setup.takeovers.contains(&now) {
+            self.take_over(now);
+        }
         for worker in 0..pool.size() {
             if ended.iter().any(|end| end.run.worker == worker)
                 || now.is_multiple_of(REPORT_INTERVAL)
+                || pool.runs.iter().any(|run| run.worker == worker && is_news(run, now))
             {
                 self.report(now, worker, &pool.runs);
             }
@@ -172,8 +209,17 @@
     }
 }
 
+/// Reports whether the worker has carried out the start of `run` since the last decision.
+fn is_news(run: &Run, now: Millis) -> bool {
+    run.is_present(now) && now < run.start + DECISION_INTERVAL
+}
+
+fn team_name(number: usize) -> String {
+    format!("team-{number:02}")
+}
+
 fn worker_id(worker: usize) -> String {
-    format!("worker-{worker:02}")
+    format!("worker-{worker:03}")
 }
 
 fn job_id(number: usize) -> String {
--- a/crates/bench/src/jobs_replay/load.rs
+++ b/crates/bench/src/jobs_replay/load.rs
@@ -34,10 +34,14 @@
     pub lengths: Vec<Millis>,
     /// Resources of one task.
     pub resources: Resources,
+    /// Whether the tasks are slower on more than one rack.
+    pub same_rack: bool,
     /// Multiple of the run time of the longest task in the objective for the completion time.
     pub slack: f64,
     /// Constant part of the objective for the completion time.
     pub target: Millis,
+    /// Number of the team.
+    pub team: usize,
 }
 
 /// Distribution of the jobs of one class: arrivals per second (`rate`), mean number of tasks
@@ -151,11 +155,95 @@
         gang,
         lengths,
         resources: Resources { accelerators, cores: kind.cores, memory: kind.memory },
+        same_rack: false,
         slack: kind.slack,
         target: kind.target,
+        team: 0,
     }
 }
 
+/// Period during which the jobs of a wide load arrive.
+const WIDE_ARRIVAL_PERIOD: Millis = 20_000;
+
+/// Share of the members of a wide gang that need one rack.
+const SAME_RACK_SHARE: f64 = 0.6;
+
+/// Rates and widths of the users' deployment of 240 workers: gangs of about 8 and 25, and bulk
+/// work of about 78 tasks.
+const WIDE_KINDS: [JobKind; 3] = [
+    JobKind {
+        class: 0,
+        cores: 7500,
+        estimate_sigma: 0.2,
+        length: 2500.0,
+        length_sigma: 0.5,
+        memory: 39_000,
+        rate: 5.3,
+        slack: 1.5,
+        target: 250,
+        width: 7.6,
+    },
+    JobKind {
+        class: 1,
+        cores: 26_000,
+        estimate_sigma: 0.5,
+        length: 11_000.0,
+        length_sigma: 0.3,
+        memory: 110_000,
+        rate: 0.62,
+        slack: 3.0,
+        target: 1000,
+        width: 25.0,
+    },
+    JobKind {
+        class: 2,
+        cores: 5600,
+        estimate_sigma: 0.2,
+        length: 6100.0,
+        length_sigma: 0.3,
+        memory: 16_000,
+        rate: 0.92,
+        slack: 3.0,
+        target: 3000,
+        width: 78.0,
+    },
+];
+
+/// Generates a load for 240 workers, in the order of arrival: wide gangs whose members have unequal
+/// work, and twice as many urgent jobs during a tenth of the time.
+pub fn generate_wide(teams: usize, seed: u64) -> Vec<JobPlan> {
+    let mut rng = Rng::with_seed(seed);
+    let mut jobs = Vec::new();
+    for kind in &WIDE_KINDS {
+        let mut at = 0.0;
+        loop {
+            let in_burst = kind.class == 0 && (4000.0..6000.0).contains(&at);
+            let rate = if in_burst { kind.rate * 2.0 } else { kind.rate };
+            at += -(1.0 - rng.f64()).ln() / rate * 1000.0;
+            if at >= WIDE_ARRIVAL_PERIOD as f64 {
+                break;
+            }
+            jobs.push(generate_wide_job(kind, at as Millis, teams, &mut rng));
+        }
+    }
+    jobs.sort_by_key(|job| job.arrival);
+    jobs
+}
+
+fn generate_wide_job(kind: &JobKind, arrival: Millis, teams: usize, rng: &mut Rng) -> JobPlan {
+    let mut job = generate_job(kind, arrival, rng);
+    job.gang = kind.class < 2;
+    job.same_rack = job.gang && rng.f64() < SAME_RACK_SHARE;
+    job.team = rng.usize(0..teams);
+    if job.gang {
+        let length = job.lengths[0] as f64;
+        for member in &mut job.lengths {
+            *member = (length * lognormal(0.3, rng)).max(100.0) as Millis;
+        }
+    }
+    job
+}
+
 /// Returns a factor with a mean of about 1, whose logarithm has a standard deviation of about
 /// `sigma`.
 fn lognormal(sigma: f64, rng: &mut Rng) -> f64 {
--- a/crates/bench/src/jobs_replay/mod.rs
+++ b/crates/bench/src/jobs_replay/mod.rs
@@ -7,12 +7,14 @@
 mod load;
 mod pool;
 mod score;
+mod setup;
 
 pub use baseline::{Baseline, Rule};
 pub use coordinated::Coordinated;
-pub use load::{JobPlan, Load, generate};
+pub use load::{JobPlan, Load, generate, generate_wide};
 pub use pool::{EndedRun, Order, Policy, Pool, Run, replay};
 pub use score::Score;
+pub use setup::Setup;
 
 /// Milliseconds since the start of the replay.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -0,0 +1,52 @@
+use super::Millis;
+
+/// Size and faults of the pool in a replay.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Accelerators that are guaranteed to each team.
+    pub guarantee: i64,
+    /// Share of the starts that are lost. The worker's agent repeats them.
+    pub lost_starts: f64,
+    /// Workers that share a rack.
+    pub rack: usize,
+    /// Maximum time that a worker takes to stop a run.
+    pub stop: Millis,
+    /// Times at which the coordinator is replaced by a successor that restores the stored rows.
+    pub takeovers: Vec<Millis>,
+    /// Number of teams.
+    pub teams: usize,
+    /// Number of workers.
+    pub workers: usize,
+}
+
+impl Setup {
+    /// Returns a pool of 11 workers without faults.
+    pub fn small() -> Self {
+        Self {
+            guarantee: 24,
+            lost_starts: 0.0,
+            rack: 3,
+            stop: 900,
+            takeovers: Vec::new(),
+            teams: 1,
+            workers: 11,
+        }
+    }
+
+    /// Returns a pool of 240 workers on racks of 12, of which 24 teams hold three fifths.
+    pub fn large() -> Self {
+        Self { guarantee: 48, rack: 12, stop: 200, teams: 24, workers: 240, ..Self::small() }
+    }
+
+    /// Returns the setup with this share of lost starts.
+    pub fn with_lost_starts(mut self, share: f64) -> Self {
+        self.lost_starts = share;
+        self
+    }
+
+    /// Returns the setup with takeovers at these times.
+    pub fn with_takeovers(mut self, times: &[Millis]) -> Self {
+        self.takeovers = times.to_vec();
+        self
+    }
+}
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -15,6 +15,11 @@
 /// compared with the time within which a gang must be complete.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay before a start that was not answered is sent again. A gang of 25 forms only if every one
+/// of its starts is carried out within a few seconds, and a repeated start of a run that is there
+/// has no effect.
+const START_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Delay before an answered stop is sent again because the worker still lists the run.
 const STOP_REPEAT_DELAY: Duration = Duration::from_millis(1500);
 
@@ -250,7 +255,9 @@
         let key = (task.clone(), run);
         let calls = self.calls.entry(key.clone()).or_default();
         calls.starting = false;
-        calls.start_after = Some(now + CALL_RETRY_DELAY);
+        let unanswered = answer == StartAnswer::Unanswered;
+        let delay = if unanswered { START_RETRY_DELAY } else { CALL_RETRY_DELAY };
+        calls.start_after = Some(now + delay);
         match answer {
             // A run that was reported as lapsed is fenced, whatever the worker answers to its
             // start.
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -121,9 +121,8 @@
         let index = find_stalled(&progress, timeout, at_stake)?;
         let RunProgress { idle, percent, .. } = progress[index];
         let worker = entry.placement(&members[index]).map_or("", |run| run.worker.as_str());
-        let lost = at_stake.as_secs_f64()
-            * entry.resources(key.step).weight()
-            * members.len() as f64;
+        let lost =
+            at_stake.as_secs_f64() * entry.resources(key.step).weight() * members.len() as f64;
         let reason = format!(
             "no progress of member {} for {} ms at {percent} percent on {worker}, members {}, \
              destroys {lost:.0} core-seconds",
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -387,3 +387,16 @@
     rig.answer(call.number, INCARNATION, &[], &[]);
     assert!(rig.core.report(rig.now).unreached);
 }
+
+/// Guards against gangs that do not form because one of their starts is lost and repeated only when
+/// the other members have given up waiting.
+#[test]
+fn actions_start_repeated_soon() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    assert_eq!(rig.core.actions(rig.now).len(), 1);
+    rig.core.handle_start_answer(rig.now, &task(), 1, StartAnswer::Unanswered);
+    assert!(rig.core.actions(rig.now).is_empty(), "no loop without a delay");
+    rig.advance(100);
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Start(start_order(1))]);
+}
