Plan with less work on large pools

The leader planned after each message, however long a round took. Change: names are shared, run ends are computed once a round, tasks of a step are counted on workers only where a step limits them, and after a round the leader handles messages for twice the time that the round took, at most 60 ms.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -27,6 +27,13 @@
 /// Interval at which the coordinator handles what has become due.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Multiple of the time of a round of planning that must pass before the next one, so that a leader
+/// with many workers and little processor time also handles reports and calls.
+const PLAN_PAUSE_FACTOR: u32 = 2;
+
+/// Longest pause between two rounds of planning.
+const MAX_PLAN_PAUSE: Duration = Duration::from_millis(60);
+
 /// Time without a write after which the leadership is confirmed by a read.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -218,7 +225,9 @@
         let mut store_call: Option<BoxFuture<'static, (Journal, StoreCall)>> = None;
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut plan_after = tokio::time::Instant::now();
         loop {
+            let plan_due = self.coordinator.is_plan_due();
             tokio::select! {
                 message = inbox.recv() => match message {
                     Some(message) => {
@@ -269,13 +278,18 @@
                     self.coordinator.set_tables(&tables);
                 }
                 Ok(()) = stop.changed() => {}
+                () = tokio::time::sleep_until(plan_after), if plan_due => {}
             }
             if *stop.borrow() && store_call.is_none() {
                 return LeadershipEnd::Stopped;
             }
-            if self.coordinator.is_plan_due() {
+            let started = tokio::time::Instant::now();
+            if self.coordinator.is_plan_due() && started >= plan_after {
                 let now = self.now();
                 self.coordinator.place(now);
+                let took = started.elapsed();
+                let pause = (took * PLAN_PAUSE_FACTOR).min(MAX_PLAN_PAUSE);
+                plan_after = started + took + pause;
             }
             if let Some(journal) = idle_journal.take() {
                 self.start_store_call(journal, &mut idle_journal, &mut store_call);
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -38,9 +38,21 @@
     pub(super) candidates: Vec<Candidate>,
     /// Resources that are free once the runs that are ordered to stop have ended.
     pub(super) future_free: Vec<Resources>,
+    /// When the runs on the candidates are expected to end by themselves, the earliest first.
+    /// `None` until a claim needs them, and after runs were ordered to stop.
+    pub(super) run_ends: Option<Vec<RunEndTime>>,
     reservations: usize,
 }
 
+/// When a run is expected to end by itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RunEndTime {
+    after: Duration,
+    /// Index of its worker among the candidates of the view.
+    index: usize,
+    resources: Resources,
+}
+
 impl Coordinator {
     /// Handles everything that depends on time: silent and lapsed workers, runs without progress,
     /// draining workers, ended jobs and placement.
@@ -77,8 +89,12 @@
     }
 
     fn pool_view(&self, pool: &str, now: Timestamp) -> PoolView {
-        let mut view =
-            PoolView { candidates: Vec::new(), future_free: Vec::new(), reservations: 0 };
+        let mut view = PoolView {
+            candidates: Vec::new(),
+            future_free: Vec::new(),
+            run_ends: None,
+            reservations: 0,
+        };
         for (id, worker) in &self.fleet.workers {
             if worker.status.pool != pool || !worker.is_open(now.monotonic) {
                 continue;
@@ -92,9 +108,9 @@
             }
             view.candidates.push(Candidate {
                 free: worker.free(),
-                id: id.clone(),
+                id: id.as_str().into(),
                 penalty: worker.health.penalty(),
-                rack: worker.status.rack.clone(),
+                rack: worker.status.rack.as_str().into(),
                 same_step: 0,
             });
             view.future_free.push(future_free);
@@ -181,7 +197,7 @@
             allowed.into_iter().partition(|index| permits(index));
         others.sort_by_key(|index| std::cmp::Reverse(view.candidates[*index].free.accelerators));
         let ids: Vec<String> =
-            others.iter().map(|index| view.candidates[*index].id.clone()).collect();
+            others.iter().map(|index| view.candidates[*index].id.to_string()).collect();
         if with_permit.len() < unit.keys.len()
             && let Some(call) = self.advice.next_call(&step, &ids, now.monotonic)
         {
@@ -203,7 +219,7 @@
         let others: Vec<usize> = allowed
             .iter()
             .copied()
-            .filter(|index| view.candidates[*index].id != task.avoided_worker)
+            .filter(|index| *view.candidates[*index].id != *task.avoided_worker)
             .collect();
         if others.is_empty() { allowed } else { others }
     }
@@ -227,7 +243,7 @@
         let sizes = view
             .candidates
             .iter()
-            .filter_map(|candidate| Some(self.fleet.workers.get(&candidate.id)?.status.resources));
+            .filter_map(|candidate| Some(self.fleet.workers.get(&*candidate.id)?.status.resources));
         let largest = sizes
             .max_by_key(|resources| (resources.accelerators, resources.cores, resources.memory));
         if largest.is_none_or(|largest| !is_small(&demand.resources, &largest)) {
@@ -295,7 +311,7 @@
         if unaffected.len() == allowed.len()
             || choose_workers(
                 demand,
-                &self.count_same_step(unit, select_candidates(view, &unaffected, true)),
+                &self.count_same_step(unit, demand, select_candidates(view, &unaffected, true)),
             )
             .is_none()
         {
@@ -353,11 +369,12 @@
         view: &PoolView,
         allowed: &[usize],
     ) -> Option<Vec<usize>> {
-        let candidates = self.count_same_step(unit, select_candidates(view, allowed, false));
+        let candidates =
+            self.count_same_step(unit, demand, select_candidates(view, allowed, false));
         let chosen = choose_workers(demand, &candidates)?;
         let near = demand.near_rack.as_deref();
         let far =
-            near.is_some_and(|near| chosen.iter().any(|index| candidates[*index].rack != near));
+            near.is_some_and(|near| chosen.iter().any(|index| &*candidates[*index].rack != near));
         let possible = near.is_some_and(|near| {
             self.fleet.workers.values().any(|worker| {
                 worker.has_reported
@@ -371,12 +388,17 @@
         Some(to_view_indexes(allowed, &chosen))
     }
 
-    /// Counts the tasks of the same step and occurrence on each candidate.
+    /// Counts the tasks of the same step and occurrence on each candidate, if the demand limits
+    /// them.
     pub(super) fn count_same_step(
         &self,
         unit: &Unit,
+        demand: &Demand,
         mut candidates: Vec<Candidate>,
     ) -> Vec<Candidate> {
+        if demand.spread == 0 {
+            return candidates;
+        }
         let (Some(entry), Some(first)) = (self.jobs.get(&unit.job), unit.keys.first()) else {
             return candidates;
         };
@@ -385,7 +407,7 @@
                 continue;
             }
             let worker_candidate =
-                candidates.iter_mut().find(|candidate| candidate.id == placement.worker);
+                candidates.iter_mut().find(|candidate| *candidate.id == *placement.worker);
             if let Some(candidate) = worker_candidate {
                 candidate.same_step += 1;
             }
@@ -415,7 +437,7 @@
             let candidate = &mut view.candidates[*index];
             candidate.free.subtract(&demand.resources);
             view.future_free[*index].subtract(&demand.resources);
-            let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
+            let Some(worker) = self.fleet.workers.get(&*candidate.id) else { continue };
             let Some(task) = entry.tasks.get_mut(key) else { continue };
             let step = StepId::new(&unit.job, key);
             let permit =
@@ -435,9 +457,9 @@
                 run,
                 stopping: false,
                 version,
-                worker: candidate.id.clone(),
+                worker: candidate.id.to_string(),
             });
-            placements.push((TaskId::new(&unit.job, *key), candidate.id.clone()));
+            placements.push((TaskId::new(&unit.job, *key), candidate.id.to_string()));
         }
         for (task, worker) in &placements {
             self.fleet.occupy(worker, task, run, &demand.resources);
@@ -477,35 +499,34 @@
         now: Timestamp,
         unit: &Unit,
         demand: &Demand,
-        view: &PoolView,
+        view: &mut PoolView,
         allowed: &[usize],
     ) -> Option<(Duration, Vec<usize>)> {
-        let mut ends: Vec<(Duration, usize, Resources)> = Vec::new();
-        let mut gang_times = GangTimes::new();
+        if view.run_ends.is_none() {
+            view.run_ends = Some(self.run_ends(now, view));
+        }
+        let mut positions = vec![None; view.candidates.len()];
         for (position, index) in allowed.iter().enumerate() {
-            let Some(worker) = self.fleet.workers.get(&view.candidates[*index].id) else {
-                continue;
-            };
-            for task in worker.runs.keys() {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(placement) = entry.placement(&task.key) else { continue };
-                let lasting =
-                    entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting);
-                if !placement.stopping && !lasting {
-                    let remaining = self.cached_time(now, task, &mut gang_times);
-                    ends.push((remaining, position, entry.resources(task.key.step)));
-                }
-            }
+            positions[*index] = Some(position);
         }
+        let ends: Vec<(usize, &RunEndTime)> = view
+            .run_ends
+            .iter()
+            .flatten()
+            .filter_map(|end| Some((positions[end.index]?, end)))
+            .collect();
         if ends.is_empty() {
             return None;
         }
-        ends.sort_by_key(|(remaining, position, _)| (*remaining, *position));
-        let after_stops = self.count_same_step(unit, select_candidates(view, allowed, true));
-        let fit = |count: usize| {
-            let mut candidates = after_stops.clone();
-            for (_, position, resources) in &ends[..count] {
-                candidates[*position].free.add(resources);
+        let after_stops =
+            self.count_same_step(unit, demand, select_candidates(view, allowed, true));
+        let mut candidates = after_stops.clone();
+        let mut fit = |count: usize| {
+            for (candidate, initial) in candidates.iter_mut().zip(&after_stops) {
+                candidate.free = initial.free;
+            }
+            for (position, end) in &ends[..count] {
+                candidates[*position].free.add(&end.resources);
             }
             choose_workers(demand, &candidates)
         };
@@ -520,7 +541,29 @@
                 None => low = middle + 1,
             }
         }
-        Some((ends.get(high - 1)?.0, chosen_workers))
+        Some((ends.get(high - 1)?.1.after, chosen_workers))
+    }
+
+    /// Returns when the runs on the candidates are expected to end by themselves, the earliest
+    /// first. Lasting runs and runs that are ordered to stop are left out.
+    fn run_ends(&self, now: Timestamp, view: &PoolView) -> Vec<RunEndTime> {
+        let mut gang_times = GangTimes::new();
+        let mut ends = Vec::new();
+        for (index, candidate) in view.candidates.iter().enumerate() {
+            let Some(worker) = self.fleet.workers.get(&*candidate.id) else { continue };
+            for task in worker.runs.keys() {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = entry.placement(&task.key) else { continue };
+                let step = entry.job.steps.get(task.key.step as usize);
+                if placement.stopping || step.is_some_and(|step| step.lasting) {
+                    continue;
+                }
+                let after = self.cached_time(now, task, &mut gang_times);
+                ends.push(RunEndTime { after, index, resources: entry.resources(task.key.step) });
+            }
+        }
+        ends.sort_by_key(|end| (end.after, end.index));
+        ends
     }
 
     fn remove_ended_jobs(&mut self, now: Timestamp) {
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -40,7 +40,7 @@
             }
             ClaimDecision::Stop { max_lost_work } => max_lost_work,
         };
-        let candidates = self.count_same_step(unit, select_candidates(view, allowed, true));
+        let candidates = self.count_same_step(unit, demand, select_candidates(view, allowed, true));
         let (preemptible_runs, groups) = self.preemptible_runs(now, unit, &candidates, guaranteed);
         let Some(plan) = choose_victims(demand, &candidates, &preemptible_runs) else {
             return false;
@@ -48,6 +48,7 @@
         if plan.lost_work > max_lost_work {
             return false;
         }
+        view.run_ends = None;
         for group in &plan.groups {
             let reason = format!("preempted for {} of tier {}", unit.job, unit.rank.tier);
             self.stop_run(&groups[*group], &reason);
@@ -72,7 +73,7 @@
         let mut groups: Vec<TaskId> = Vec::new();
         let mut group_numbers: BTreeMap<(String, u32, u32, u32), usize> = BTreeMap::new();
         for (position, candidate) in candidates.iter().enumerate() {
-            let Some(worker) = self.fleet.workers.get(&candidate.id) else { continue };
+            let Some(worker) = self.fleet.workers.get(&*candidate.id) else { continue };
             for task in worker.runs.keys() {
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::Resources;
 
@@ -8,11 +9,11 @@
     /// Free resources.
     pub free: Resources,
     /// Id of the worker.
-    pub id: String,
+    pub id: Arc<str>,
     /// Penalty from its health; workers with a lower one are preferred.
     pub penalty: u32,
     /// Rack of the worker.
-    pub rack: String,
+    pub rack: Arc<str>,
     /// Number of tasks of the same step and occurrence that it already runs.
     pub same_step: u32,
 }
@@ -87,7 +88,7 @@
 fn pack(demand: &Demand, candidates: &[Candidate], mut order: Vec<usize>) -> Option<Vec<usize>> {
     order.sort_by_key(|index| {
         let candidate = &candidates[*index];
-        let far = demand.near_rack.as_deref().is_some_and(|near| near != candidate.rack);
+        let far = demand.near_rack.as_deref().is_some_and(|near| near != &*candidate.rack);
         let free = &candidate.free;
         let most_cores = if demand.fills { -free.cores } else { 0 };
         (far, candidate.penalty, most_cores, free.accelerators, free.cores, free.memory, *index)
