Let entries with room lead, and few watch the leader

Change: crates/coordination/src/standby.rs ranks the entries by processor time (from the settings) and address; the leader tells each its rank with the answer to its ping. Fields are added to the protocol; an entry of the earlier build gets and sends rank 0.

--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -3,7 +3,7 @@
 
 use skylarkpulley_jobs::{Job, JobState};
 use skylarkpulley_proto::v1;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::leader::LeaderMessage;
 use crate::leadership::Leadership;
@@ -70,6 +70,7 @@
 pub struct JobService {
     availability: watch::Receiver<TablesAvailability>,
     inbox: watch::Receiver<Option<mpsc::Sender<LeaderMessage>>>,
+    leader_failed: Arc<Notify>,
     leadership: watch::Receiver<Leadership>,
     peers: Arc<PeerClients>,
 }
@@ -79,10 +80,11 @@
     pub(crate) fn new(
         availability: watch::Receiver<TablesAvailability>,
         inbox: watch::Receiver<Option<mpsc::Sender<LeaderMessage>>>,
+        leader_failed: Arc<Notify>,
         leadership: watch::Receiver<Leadership>,
         peers: Arc<PeerClients>,
     ) -> Self {
-        Self { availability, inbox, leadership, peers }
+        Self { availability, inbox, leader_failed, leadership, peers }
     }
 
     /// Returns the leadership as this entry knows it.
@@ -118,6 +120,12 @@
         }
     }
 
+    /// Drops the connection to the leader and lets this entry check the leader at once.
+    fn drop_leader(&self, leadership: &Leadership) {
+        self.peers.drop_connection(&leadership.address);
+        self.leader_failed.notify_one();
+    }
+
     fn is_isolated(&self) -> bool {
         !self.leadership.borrow().reachable && !self.availability.borrow().answered
     }
@@ -149,11 +157,11 @@
                     status = status.message(),
                     "job call to the leader failed; sending it again over a new connection"
                 );
-                self.peers.drop_connection(&leadership.address);
+                self.drop_leader(leadership);
                 JobAnswer::Unknown
             }
             Err(_) => {
-                self.peers.drop_connection(&leadership.address);
+                self.drop_leader(leadership);
                 JobAnswer::Unknown
             }
         }
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -10,7 +10,7 @@
 use skylarkpulley_store::Transactor;
 use skylarkpulley_types::Clock;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
@@ -38,6 +38,8 @@
 pub struct EntrySettings {
     /// Address of the listener to which other entries and agents connect.
     pub control: SocketAddr,
+    /// Processor time that the entry may use, in thousandths of a core.
+    pub cores: u64,
     /// Limits of the coordinator.
     pub limits: Limits,
     /// Name of the VM.
@@ -79,9 +81,11 @@
         let (newer_tables, newer_tables_receiver) = mpsc::channel(4);
         let (reported_sender, reported_leader) = watch::channel(ReportedLeader::default());
         let peers = Arc::new(PeerClients::new());
+        let leader_failed = Arc::new(Notify::new());
         let shared = Arc::new(Shared {
             health: Arc::new(StoreHealth::new()),
             inbox: inbox.clone(),
+            leader_failed: leader_failed.clone(),
             leadership: leadership.clone(),
             newer_tables,
             pings: Mutex::new(BTreeMap::new()),
@@ -122,6 +126,7 @@
             leadership: leadership_sender,
             peers: peers.clone(),
             policy,
+            rank: 0,
             reported_leader,
             settings,
             shared: shared.clone(),
@@ -130,7 +135,8 @@
             tables: tables.clone(),
         };
         tokio::spawn(role.run());
-        let service = JobService::new(availability.clone(), inbox, leadership, peers);
+        let service =
+            JobService::new(availability.clone(), inbox, leader_failed, leadership, peers);
         Self { availability, operators, service, shared, stop, tables }
     }
 
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -17,10 +17,12 @@
 use crate::peer::PeerClients;
 use crate::placement_policy::PlacementPolicy;
 use crate::service::Shared;
+use crate::standby::{ping_interval, takeover_delay};
 use crate::tables_task::TablesAvailability;
 
-/// Time between two pings to the leader.
-const PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two notifications of a predecessor that does not answer, and between the end of a
+/// leadership and the next look at the leader's record.
+const NOTIFY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time limit for one ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
@@ -73,6 +75,8 @@
     pub leadership: watch::Sender<Leadership>,
     pub peers: Arc<PeerClients>,
     pub policy: Option<Arc<dyn PlacementPolicy>>,
+    /// Number of entries that should take over before this one, by the last ping.
+    pub rank: u64,
     pub reported_leader: watch::Receiver<ReportedLeader>,
     pub settings: EntrySettings,
     pub shared: Arc<Shared>,
@@ -173,7 +177,8 @@
     /// Takes over from a suspected leader unless another entry has done so.
     async fn replace_leader(&mut self, suspect: &LeaderRecord) {
         let jitter = millis(MAX_TAKEOVER_JITTER);
-        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..=jitter))).await;
+        let jitter = Duration::from_millis(fastrand::u64(0..=jitter));
+        tokio::time::sleep(takeover_delay(self.rank) + jitter).await;
         match LeaderRecord::read(self.store.as_ref()).await {
             Ok((record, version)) if record.epoch == suspect.epoch => {
                 self.take_over(&record, version).await;
@@ -211,11 +216,13 @@
             };
             failures = 0;
             let reply = reply.into_inner();
+            self.rank = reply.standby_rank;
             if let Some(end) = self.evaluate_ping(record, &reply).await {
                 return end;
             }
             tokio::select! {
-                () = tokio::time::sleep(PING_INTERVAL) => {}
+                () = tokio::time::sleep(ping_interval(self.rank)) => {}
+                () = self.shared.leader_failed.notified() => {}
                 Ok(()) = self.reported_leader.changed() => {
                     if self.reported_leader.borrow().epoch > record.epoch {
                         return FollowEnd::Changed;
@@ -284,6 +291,7 @@
             tables_version: self.tables.borrow().version,
             store_answers: self.availability.borrow().answered,
             leader,
+            cores: self.settings.cores,
         }
     }
 
@@ -389,7 +397,7 @@
         tracing::info!(code = event.code(), event = event.name(), epoch, reason = ?end);
         if end == LeadershipEnd::Stopped {
             // Gives another entry time to replace the record before this entry reads it again.
-            tokio::time::sleep(PING_INTERVAL).await;
+            tokio::time::sleep(NOTIFY_INTERVAL).await;
         }
         Ok(())
     }
@@ -418,7 +426,7 @@
             }
             peers.drop_connection(&address);
         }
-        tokio::time::sleep(PING_INTERVAL).await;
+        tokio::time::sleep(NOTIFY_INTERVAL).await;
     }
     false
 }
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -6,7 +6,7 @@
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::v1;
 use skylarkpulley_proto::v1::coordination_server::Coordination;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
@@ -16,6 +16,7 @@
 use crate::leadership::{Leadership, ReportedLeader};
 use crate::operators::Operators;
 use crate::records::Records;
+use crate::standby::{Standby, standby_rank};
 use crate::store_health::StoreHealth;
 
 /// Number of updates that may wait for one agent. Further ones are dropped; an agent that receives
@@ -46,6 +47,8 @@
     pub pings: Mutex<BTreeMap<String, PeerEntry>>,
     /// Decisions and metrics that the entry records.
     pub records: Records,
+    /// Notified when a call to the leader fails.
+    pub leader_failed: Arc<Notify>,
     /// Number of the next session.
     pub sessions: AtomicU64,
     /// Whether the entry is shutting down.
@@ -57,6 +60,8 @@
 /// An entry that has sent a ping.
 #[derive(Clone, Debug)]
 pub struct PeerEntry {
+    /// Processor time that it may use, in thousandths of a core.
+    pub cores: u64,
     /// When the last ping arrived.
     pub last_ping: Instant,
     /// Name of the entry.
@@ -73,14 +78,20 @@
         pings.clone()
     }
 
-    fn record_ping(&self, ping: &v1::PingRequest) {
+    /// Records a ping. Returns the number of entries that should take over before its sender does.
+    fn record_ping(&self, ping: &v1::PingRequest) -> u64 {
         let entry = PeerEntry {
+            cores: ping.cores,
             last_ping: Instant::now(),
             name: ping.name.clone(),
             version: ping.tables_version,
         };
         let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
         pings.insert(ping.address.clone(), entry);
+        pings.retain(|_, entry| entry.last_ping.elapsed() < PEER_SILENCE_LIMIT);
+        let peers: Vec<Standby> =
+            pings.iter().map(|(address, entry)| Standby { address, cores: entry.cores }).collect();
+        standby_rank(&peers, &Standby { address: &ping.address, cores: ping.cores })
     }
 }
 
@@ -142,7 +153,7 @@
         request: Request<v1::PingRequest>,
     ) -> Result<Response<v1::PingReply>, Status> {
         let request = request.into_inner();
-        self.shared.record_ping(&request);
+        let standby_rank = self.shared.record_ping(&request);
         let leadership = self.shared.leadership.borrow().clone();
         self.shared.reported_leader.send_if_modified(|reported| {
             let higher = request.epoch > reported.epoch;
@@ -165,6 +176,7 @@
             leads: leadership.is_local,
             store_age_ms: millis(self.shared.health.confirmation_age()),
             tables_version: version,
+            standby_rank,
             leaving: self.shared.shutting_down.load(Ordering::Relaxed),
             failing_ms: millis(
                 self.shared.health.failing_for().max(self.shared.health.overdue_for()),
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -62,6 +62,7 @@
     let address = operators.local_addr().expect("an address");
     let settings = EntrySettings {
         confirmation_limit: Duration::from_secs(12),
+        cores: 0,
         control: control.local_addr().expect("an address"),
         lease: Duration::from_secs(8),
         limits: Limits::default(),
