Learn the speeds of workers, and prefer fast ones for urgent work

An urgent gang is as slow as its slowest member and was late on slow workers although it started at once. Change: crates/jobs/src/speed.rs learns a level for each worker from the progress of its runs against their expected run times; work of class 0 prefers fast workers, other work is placed as before. The replays have workers of different speeds, begin runs without rounding, and an example prints the wide loads. The reason of a preemption names slack, waiting time and what the claim destroys.

--- a/crates/bench/examples/jobs_replay.rs
+++ b/crates/bench/examples/jobs_replay.rs
@@ -1,10 +1,14 @@
 //! Prints the scores of the coordinator and of simple policies with the same lists of jobs.
 
 use skylarkpulley_bench::jobs_replay::{
-    Baseline, Coordinated, Load, Policy, Rule, Score, Setup, generate, replay,
+    Baseline, Coordinated, Load, Policy, Rule, Score, Setup, generate, generate_wide, replay,
 };
 
 const SEEDS: u64 = 20;
+const WIDE_SEEDS: u64 = 5;
+
+/// Speeds of the workers of a mixed pool, in turn.
+const MIXED_SPEEDS: [f64; 7] = [1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0];
 
 /// Name and constructor of a policy.
 type Candidate = (&'static str, fn() -> Box<dyn Policy>);
@@ -22,13 +26,35 @@
             for seed in 1..=SEEDS {
                 total.add(&replay(&Setup::small(), &generate(load, seed), policy().as_mut(), seed));
             }
-            println!(
-                "{:<14} {name:<12} {:>7.4} {:>13} {:>19.0}",
-                format!("{load:?}"),
-                total.earned_share(),
-                total.urgent_late,
-                total.waste
-            );
+            print_score(&format!("{load:?}"), name, &total);
+        }
+    }
+    let large = Setup::large();
+    let setups = [
+        ("wide", large.clone()),
+        ("mixed speeds", large.clone().with_speeds(&MIXED_SPEEDS)),
+        ("lost starts", large.clone().with_lost_starts(0.5).with_speeds(&MIXED_SPEEDS)),
+        ("takeovers", large.with_takeovers(&[3000, 6000, 9000, 12_000])),
+    ];
+    for (load, setup) in setups {
+        let mut totals = [Score::default(); 3];
+        for seed in 1..=WIDE_SEEDS {
+            let jobs = generate_wide(setup.teams, seed);
+            totals[0].add(&replay(&setup, &jobs, &mut Coordinated::new(&setup), seed));
+            totals[1].add(&replay(&setup, &jobs, &mut Baseline::new(Rule::FirstFit), seed));
+            totals[2].add(&replay(&setup, &jobs, &mut Baseline::new(Rule::Easy), seed));
+        }
+        for (name, total) in ["coordinator", "first fit", "EASY"].into_iter().zip(&totals) {
+            print_score(load, name, total);
         }
     }
 }
+
+fn print_score(load: &str, name: &str, score: &Score) {
+    println!(
+        "{load:<14} {name:<12} {:>7.4} {:>13} {:>19.0}",
+        score.earned_share(),
+        score.urgent_late,
+        score.waste
+    );
+}
--- a/crates/bench/src/jobs_replay/pool.rs
+++ b/crates/bench/src/jobs_replay/pool.rs
@@ -42,8 +42,6 @@
     pub job: usize,
     /// Resources of the task.
     pub resources: Resources,
-    /// Time of the start order.
-    pub ordered: Millis,
     /// When the worker carries out the start.
     pub start: Millis,
     /// Remaining run time of the task at the start of the run.
@@ -133,14 +131,18 @@
 
     /// Lets gangs begin whose members are all present, and single runs that are present.
     fn begin_runs(&mut self, now: Millis, jobs: &[JobPlan]) {
-        let mut present: BTreeMap<usize, usize> = BTreeMap::new();
+        let mut gangs: BTreeMap<usize, (usize, Millis)> = BTreeMap::new();
         for run in self.runs.iter().filter(|run| run.gang && run.is_present(now)) {
-            *present.entry(run.job).or_default() += 1;
+            let (members, latest) = gangs.entry(run.job).or_default();
+            *members += 1;
+            *latest = run.start.max(*latest);
         }
         for run in self.runs.iter_mut().filter(|run| run.begun.is_none() && run.is_present(now)) {
-            let members = present.get(&run.job).copied().unwrap_or_default();
-            if !run.gang || members == jobs[run.job].lengths.len() {
-                run.begun = Some(now);
+            let (members, latest) = gangs.get(&run.job).copied().unwrap_or_default();
+            if !run.gang {
+                run.begun = Some(run.start);
+            } else if members == jobs[run.job].lengths.len() {
+                run.begun = Some(latest);
             }
         }
     }
@@ -162,7 +164,7 @@
         }
         let mut waste = 0.0;
         let mut ended = Vec::new();
-        let remaining = &mut self.remaining;
+        let (remaining, setup) = (&mut self.remaining, &self.setup);
         self.runs.retain(|run| {
             let complete = run.begun.is_some_and(|begun| now >= begun + run.work);
             let done = if run.gang { !incomplete_gangs.contains(&run.job) } else { complete };
@@ -179,7 +181,9 @@
             if done {
                 remaining[run.job][run.index] = 0;
             } else {
-                remaining[run.job][run.index] = run.work - saved;
+                // Work at the usual speed; a new place on one rack makes up for a far one.
+                let left = (run.work - saved) as f64 * setup.speed(run.worker);
+                remaining[run.job][run.index] = left as Millis;
                 waste += (occupied - saved) as f64 / 1000.0 * run.resources.weight();
             }
             ended.push(EndedRun { done, run: *run });
@@ -220,13 +224,13 @@
                 );
                 let start = self.start_time(now);
                 let work = self.remaining[job][index] * self.far_factor(job, worker, jobs);
+                let work = (work as f64 / self.setup.speed(worker)) as Millis;
                 self.runs.push(Run {
                     begun: None,
                     early_end: None,
                     gang: jobs[job].gang,
                     index,
                     job,
-                    ordered: now,
                     resources,
                     start,
                     work,
--- a/crates/bench/src/jobs_replay/setup.rs
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -9,6 +9,8 @@
     pub lost_starts: f64,
     /// Workers that share a rack.
     pub rack: usize,
+    /// Speeds of the workers, in turn.
+    pub speeds: Vec<f64>,
     /// Maximum time that a worker takes to stop a run.
     pub stop: Millis,
     /// Times at which the coordinator is replaced by a successor that restores the stored rows.
@@ -20,12 +22,18 @@
 }
 
 impl Setup {
+    /// Returns the speed of a worker.
+    pub fn speed(&self, worker: usize) -> f64 {
+        self.speeds[worker % self.speeds.len()]
+    }
+
     /// Returns a pool of 11 workers without faults.
     pub fn small() -> Self {
         Self {
             guarantee: 24,
             lost_starts: 0.0,
             rack: 3,
+            speeds: vec![1.0],
             stop: 900,
             takeovers: Vec::new(),
             teams: 1,
@@ -44,6 +52,12 @@
         self
     }
 
+    /// Returns the setup with workers of these speeds, in turn.
+    pub fn with_speeds(mut self, speeds: &[f64]) -> Self {
+        self.speeds = speeds.to_vec();
+        self
+    }
+
     /// Returns the setup with takeovers at these times.
     pub fn with_takeovers(mut self, times: &[Millis]) -> Self {
         self.takeovers = times.to_vec();
--- a/crates/bench/tests/jobs_replay.rs
+++ b/crates/bench/tests/jobs_replay.rs
@@ -97,3 +97,11 @@
 fn coordinator_wide_takeovers() {
     assert_beats_baselines_wide(&Setup::large().with_takeovers(&[3000, 6000, 9000, 12_000]));
 }
+
+/// Guards against urgent gangs that are late because one member is on a slow worker.
+#[test]
+fn coordinator_wide_speeds() {
+    assert_beats_baselines_wide(
+        &Setup::large().with_speeds(&[1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0]),
+    );
+}
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -50,7 +50,14 @@
         }
         view.run_ends = None;
         for group in &plan.groups {
-            let reason = format!("preempted for {} of tier {}", unit.job, unit.rank.tier);
+            let reason = format!(
+                "preempted for {} of tier {}, slack {} ms, waited {} ms, the claim destroys {:.0} core-seconds",
+                unit.job,
+                unit.rank.tier,
+                claim.slack_ms,
+                claim.waited.as_millis(),
+                plan.lost_work
+            );
             self.stop_run(&groups[*group], &reason);
         }
         for run in preemptible_runs.iter().filter(|run| plan.groups.contains(&run.group)) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod reclaim;
 mod row;
+mod speed;
 mod tables;
 mod task;
 mod worker;
@@ -42,6 +43,7 @@
 pub use placing::{Candidate, Demand, choose_workers};
 pub use progress::{RunProgress, find_stalled};
 pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
+pub use speed::WorkerSpeed;
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use worker::{
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -5,3 +5,4 @@
 mod interleavings;
 mod rig;
 mod rules;
+mod speeds;
