--- a/crates/bench/src/jobs_replay/pool.rs
+++ b/crates/bench/src/jobs_replay/pool.rs
@@ -169,7 +169,8 @@
             let complete = run.begun.is_some_and(|begun| now >= begun + run.work);
             let done = if run.gang { !incomplete_gangs.contains(&run.job) } else { complete };
             let stopped = run.early_end.is_some_and(|at| now >= at);
-            if !done && !stopped && !(run.gang && broken_gangs.contains(&run.job)) {
+            let broken = run.gang && broken_gangs.contains(&run.job);
+            if !(done || stopped || broken) {
                 return true;
             }
             let occupied = now.saturating_sub(run.start);
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,5 +1,6 @@
 mod absences;
 mod commits;
+mod earliest_fit;
 mod entry;
 mod gang_time;
 mod planning;
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -74,12 +74,22 @@
     pack(demand, candidates, all)
 }
 
+/// Order in which racks are preferred for a gang, the lowest first; compared field by field.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct RackScore {
+    far: bool,
+    penalty: u32,
+    /// Level of the speed of the slowest worker.
+    speed_level: i8,
+    free_accelerators: i64,
+}
+
 fn choose_rack(demand: &Demand, candidates: &[Candidate]) -> Option<Vec<usize>> {
     let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
     for (index, candidate) in candidates.iter().enumerate() {
         racks.entry(&candidate.rack).or_default().push(index);
     }
-    let mut best: Option<((bool, u32, i8, i64), Vec<usize>)> = None;
+    let mut best: Option<(RackScore, Vec<usize>)> = None;
     for (rack, members) in racks {
         let free_accelerators: i64 =
             members.iter().map(|index| candidates[*index].free.accelerators).sum();
@@ -87,7 +97,8 @@
         let penalty = chosen.iter().map(|index| candidates[*index].penalty).sum();
         let far = demand.near_rack.as_deref().is_some_and(|near| near != rack);
         let slowest = chosen.iter().map(|index| demand.speed_level(&candidates[*index])).max();
-        let score = (far, penalty, slowest.unwrap_or(0), free_accelerators);
+        let speed_level = slowest.unwrap_or(0);
+        let score = RackScore { far, penalty, speed_level, free_accelerators };
         if best.as_ref().is_none_or(|(other, _)| score < *other) {
             best = Some((score, chosen));
         }
