Prefer no workers by their speed

Cause: the preference for fast workers helped the large site (three pairs) and cost smaller ones, where it scattered urgent work over workers that larger tasks need. Speeds as a last tie-break in packing were not tried.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -25,8 +25,6 @@
     /// gang are listed.
     pub progress_start: Option<(Instant, u8)>,
     pub run: u32,
-    /// Whether the run has been counted in the speed of its worker.
-    pub speed_known: bool,
     /// Whether the run is ordered to stop.
     pub stopping: bool,
     /// Version of the job that must be durable before the start is ordered.
@@ -122,7 +120,6 @@
                 placed_at: now,
                 progress_start: None,
                 run: task_row.run,
-                speed_known: false,
                 stopping: row.cancelled || row.failed,
                 version: 1,
                 worker: worker.id.clone(),
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -103,7 +103,6 @@
                 penalty: worker.health.penalty(),
                 rack: worker.status.rack.as_str().into(),
                 same_step: 0,
-                speed_level: worker.speed.level(),
             });
             view.future_free.push(future_free);
         }
@@ -269,7 +268,6 @@
             resources: entry.resources(key.step),
             same_rack: step.same_rack && keys.len() > 1,
             spread: step.spread,
-            urgent: entry.job.class == 0,
         };
         if demand.same_rack && !self.any_rack_fits(&entry.job.pool, &demand, step.label.as_deref())
         {
@@ -448,7 +446,6 @@
                 placed_at: now.monotonic,
                 progress_start: None,
                 run,
-                speed_known: false,
                 stopping: false,
                 version,
                 worker: candidate.id.to_string(),
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -10,10 +10,6 @@
 /// long, is ordered to stop, so that the agent determines whether it has ended.
 const VANISHED_AFTER: Duration = Duration::from_secs(2);
 
-/// Progress in percent from which the speed of a worker is derived from a run. The time of its
-/// start is known with an error of up to 0.3 s.
-const MIN_SPEED_PROGRESS: u8 = 30;
-
 /// A worker that refused a run for want of free resources gets no new work for this long. Whatever
 /// occupies the resources is unknown to the coordinator, and is stopped or listed within the
 /// interval of a report. Refused starts are charged.
@@ -247,37 +243,10 @@
             if !run.checkpoint.is_empty() {
                 placement.checkpoint.clone_from(&run.checkpoint);
             }
-            self.learn_speed(now, &run.task);
         }
         self.stop_vanished(now, status, report);
     }
 
-    /// Counts a run once in the speed of its worker, as soon as its run time can be extrapolated.
-    fn learn_speed(&mut self, now: Timestamp, task: &TaskId) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        let Some(step) = entry.job.steps.get(task.key.step as usize) else { return };
-        let (estimate, far) = (step.estimate_ms, step.same_rack || step.near_rack.is_some());
-        // A task on a far rack is slower for another reason.
-        if step.lasting || step.fills || (far && !step.gang) {
-            return;
-        }
-        let route = entry.job.route.clone();
-        let Some(placement) = entry.placement_mut(&task.key) else { return };
-        let Some((since, start_percent)) = placement.progress_start else { return };
-        let progress = placement.percent.saturating_sub(start_percent);
-        if placement.speed_known || placement.percent >= 100 || progress < MIN_SPEED_PROGRESS {
-            return;
-        }
-        placement.speed_known = true;
-        let elapsed = now.monotonic.saturating_duration_since(since);
-        let actual = elapsed.mul_f64(100.0 / f64::from(progress));
-        let expected = Duration::from_millis(self.estimates.correct(&route, estimate));
-        let worker = placement.worker.clone();
-        if let Some(worker) = self.fleet.workers.get_mut(&worker) {
-            worker.speed.observe(expected, actual);
-        }
-    }
-
     fn stop_vanished(&mut self, now: Timestamp, status: &WorkerStatus, report: &WorkerReport) {
         let Some(worker) = self.fleet.workers.get(&status.id) else { return };
         let mut vanished = Vec::new();
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::{Health, Resources, TaskId, WorkerSpeed, WorkerStatus};
+use crate::{Health, Resources, TaskId, WorkerStatus};
 
 /// State of one worker as the coordinator knows it.
 #[derive(Clone, Debug)]
@@ -27,8 +27,6 @@
     pub occupied: Resources,
     /// Runs that occupy resources, with their numbers.
     pub runs: BTreeMap<TaskId, u32>,
-    /// Speed, learned from its runs.
-    pub speed: WorkerSpeed,
     /// Status from the last report.
     pub status: WorkerStatus,
 }
@@ -47,7 +45,6 @@
             last_report,
             occupied: Resources::default(),
             runs: BTreeMap::new(),
-            speed: WorkerSpeed::new(),
             status: WorkerStatus { id: id.to_owned(), incarnation, ..WorkerStatus::default() },
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,7 +21,6 @@
 mod progress;
 mod reclaim;
 mod row;
-mod speed;
 mod tables;
 mod task;
 mod worker;
@@ -43,7 +42,6 @@
 pub use placing::{Candidate, Demand, choose_workers};
 pub use progress::{RunProgress, find_stalled};
 pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
-pub use speed::WorkerSpeed;
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use worker::{
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -14,8 +14,6 @@
     pub penalty: u32,
     /// Rack of the worker.
     pub rack: Arc<str>,
-    /// Level of its speed; a lower one is faster.
-    pub speed_level: i8,
     /// Number of tasks of the same step and occurrence that it already runs.
     pub same_step: u32,
 }
@@ -35,16 +33,9 @@
     pub same_rack: bool,
     /// Maximum number of tasks on one worker; 0 means no limit.
     pub spread: u32,
-    /// Whether fast workers are preferred.
-    pub urgent: bool,
 }
 
 impl Demand {
-    /// Returns the level of the speed of a candidate, if it matters for the tasks.
-    fn speed_level(&self, candidate: &Candidate) -> i8 {
-        if self.urgent { candidate.speed_level } else { 0 }
-    }
-
     /// Returns how many of the tasks fit into `free` on a worker that already runs `same_step`
     /// tasks of the step.
     pub fn slots(&self, free: &Resources, same_step: u32) -> u32 {
@@ -79,8 +70,6 @@
 struct RackScore {
     far: bool,
     penalty: u32,
-    /// Level of the speed of the slowest worker.
-    speed_level: i8,
     free_accelerators: i64,
 }
 
@@ -96,9 +85,7 @@
         let Some(chosen) = pack(demand, candidates, members) else { continue };
         let penalty = chosen.iter().map(|index| candidates[*index].penalty).sum();
         let far = demand.near_rack.as_deref().is_some_and(|near| near != rack);
-        let slowest = chosen.iter().map(|index| demand.speed_level(&candidates[*index])).max();
-        let speed_level = slowest.unwrap_or(0);
-        let score = RackScore { far, penalty, speed_level, free_accelerators };
+        let score = RackScore { far, penalty, free_accelerators };
         if best.as_ref().is_none_or(|(other, _)| score < *other) {
             best = Some((score, chosen));
         }
@@ -112,9 +99,8 @@
         let far = demand.near_rack.as_deref().is_some_and(|near| near != &*candidate.rack);
         let free = &candidate.free;
         let most_cores = if demand.fills { -free.cores } else { 0 };
-        let speed = demand.speed_level(candidate);
         let room = (free.accelerators, free.cores, free.memory);
-        (far, candidate.penalty, speed, most_cores, room, *index)
+        (far, candidate.penalty, most_cores, room, *index)
     });
     let mut chosen = Vec::new();
     for index in order {
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -5,4 +5,3 @@
 mod interleavings;
 mod rig;
 mod rules;
-mod speeds;
