Log why and at what age runs are lost with their worker

Cause: the line of a lost worker read 'has left' for a crash and for a departure, and did not tell which of its runs had just been started. The hypotheses on tasks that crash their workers could not be told apart.

Change: LossCause names the cause; the line adds the last report, whether the agent reached the worker, and the age of each run. A start that was not carried out names the incarnation. No decision changes.

--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -312,7 +312,8 @@
             CallOutcome::Paused => true,
             CallOutcome::Start(task, run, answer) => {
                 if answer != StartAnswer::Started {
-                    tracing::warn!(id = %task, run, ?answer, "worker did not start the run");
+                    let boot = self.core.status().map(|status| status.incarnation);
+                    tracing::warn!(id = %task, run, boot, ?answer, "worker did not start the run");
                 }
                 self.core.handle_start_answer(now, &task, run, answer);
                 false
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -2,8 +2,8 @@
 
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
-    EndKind, Fault, FleetWorker, RefusalKind, RunEnd, RunRefusal, StepId, TaskId, WorkerReport,
-    WorkerStatus,
+    EndKind, Fault, FleetWorker, LossCause, RefusalKind, RunEnd, RunRefusal, StepId, TaskId,
+    WorkerReport, WorkerStatus,
 };
 
 /// A run that its worker has listed before, and lists neither as running nor as ended for this
@@ -42,11 +42,7 @@
             self.handle_refusal(now, status, refusal);
         }
         if report.lapsed {
-            self.end_lost_runs(
-                now,
-                &status.id,
-                "its leases lapsed while its agent could not reach it",
-            );
+            self.end_lost_runs(now, &status.id, LossCause::Lapsed);
         } else if report.listed {
             self.update_runs(now, status, report);
         }
@@ -55,10 +51,12 @@
 
     /// Removes a worker that is certainly gone, and ends its runs.
     pub fn remove_worker(&mut self, now: Timestamp, id: &str, incarnation: u64) {
-        if self.fleet.workers.get(id).is_none_or(|worker| worker.status.incarnation > incarnation) {
+        let Some(worker) = self.fleet.workers.get(id) else { return };
+        if worker.status.incarnation > incarnation {
             return;
         }
-        self.end_lost_runs(now, id, "the worker has left");
+        let cause = LossCause::of_departure(&worker.status);
+        self.end_lost_runs(now, id, cause);
         self.fleet.workers.remove(id);
     }
 
@@ -77,7 +75,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in silent {
-            self.end_lost_runs(now, &id, "its agent is silent and its leases have lapsed");
+            self.end_lost_runs(now, &id, LossCause::Silent);
         }
     }
 
@@ -92,12 +90,13 @@
         if replaced {
             return false;
         }
-        let current = self.fleet.workers.get(&status.id).map(|worker| worker.status.incarnation);
+        let current = self.fleet.workers.get(&status.id).map(|worker| &worker.status);
         match current {
-            Some(incarnation) if incarnation > status.incarnation => return false,
-            Some(incarnation) if incarnation == status.incarnation => return true,
-            Some(_) => {
-                self.end_lost_runs(now, &status.id, "the worker has restarted");
+            Some(current) if current.incarnation > status.incarnation => return false,
+            Some(current) if current.incarnation == status.incarnation => return true,
+            Some(current) => {
+                let cause = LossCause::of_departure(current);
+                self.end_lost_runs(now, &status.id, cause);
                 self.fleet.workers.remove(&status.id);
             }
             None => {}
@@ -110,7 +109,7 @@
 
     /// Removes the workers whose address a new incarnation has taken over.
     fn end_earlier_incarnations(&mut self, now: Timestamp, status: &WorkerStatus) {
-        let earlier: Vec<String> = self
+        let earlier: Vec<(String, LossCause)> = self
             .fleet
             .workers
             .iter()
@@ -120,27 +119,45 @@
                     && worker.status.address == status.address
                     && worker.status.incarnation < status.incarnation
             })
-            .map(|(id, _)| id.clone())
+            .map(|(id, worker)| (id.clone(), LossCause::of_departure(&worker.status)))
             .collect();
-        for id in earlier {
-            self.end_lost_runs(now, &id, "a later incarnation has its address");
+        for (id, cause) in earlier {
+            self.end_lost_runs(now, &id, cause);
             self.fleet.workers.remove(&id);
         }
     }
 
-    fn end_lost_runs(&mut self, now: Timestamp, id: &str, reason: &str) {
+    fn end_lost_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) {
         let Some(worker) = self.fleet.workers.get(id) else { return };
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         if runs.is_empty() {
             return;
         }
-        self.record_decision(id, DecisionKind::Lost, format!("{} runs lost: {reason}", runs.len()));
+        let ages: Vec<String> =
+            runs.iter().filter_map(|task| self.describe_age(now, task)).collect();
+        let silence = now.monotonic.saturating_duration_since(worker.last_report);
+        let detail = format!(
+            "{} runs lost: {cause}; last report {} ms ago, reached {}, runs {}",
+            runs.len(),
+            silence.as_millis(),
+            worker.is_reached,
+            ages.join(" "),
+        );
+        self.record_decision(id, DecisionKind::Lost, detail);
         for task in runs {
             let checkpoint = self.checkpoint(&task);
             self.end_run(now, &task, None, &checkpoint);
         }
     }
 
+    /// Returns a run with the time since its placement and whether its worker has listed it.
+    fn describe_age(&self, now: Timestamp, task: &TaskId) -> Option<String> {
+        let placement = self.jobs.get(&task.job)?.placement(&task.key)?;
+        let age = now.monotonic.saturating_duration_since(placement.placed_at);
+        let listed = if placement.listed { "listed" } else { "unlisted" };
+        Some(format!("{task}/{}:{}ms:{listed}", placement.run, age.as_millis()))
+    }
+
     fn checkpoint(&self, task: &TaskId) -> String {
         let placement = self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
         placement.map_or_else(String::new, |placement| placement.checkpoint.clone())
