--- /dev/null
+++ b/crates/jobs/tests/coordinator/crashing_pool.rs
@@ -0,0 +1,201 @@
+use std::collections::BTreeMap;
+
+use skylarkpulley_jobs::{
+    EndKind, JobState, Orders, RunEnd, RunReport, TaskId, WorkerReport, WorkerStatus,
+};
+
+use crate::rig::{Rig, worker};
+
+/// Length of one step of the simulation in milliseconds.
+const STEP_MS: u64 = 100;
+
+/// Time from a crash of a worker until its next incarnation, in milliseconds.
+const RESTART_MS: u64 = 3300;
+
+/// Time after which an agent reports that it does not reach its worker, in milliseconds.
+const UNREACHED_MS: u64 = 1500;
+
+/// Run time of a task that does not crash its worker, in milliseconds.
+const RUN_MS: u64 = 2000;
+
+/// Start of the ids of jobs whose task 0 crashes each worker that starts it.
+pub const CRASHING: &str = "crashing";
+
+/// A worker and its agent, which survives the crashes of the worker.
+struct SimWorker {
+    crashed_at: Option<u64>,
+    ended: BTreeMap<u64, RunEnd>,
+    incarnation: u64,
+    number: u32,
+    /// Time for which each run has worked, in milliseconds.
+    runs: BTreeMap<(TaskId, u32), u64>,
+}
+
+/// Workers that carry out the orders of a coordinator, and crash when they start certain tasks.
+pub struct CrashingPool {
+    /// Crashes of workers under each task that was running or starting there.
+    pub crashes: BTreeMap<TaskId, u32>,
+    pub rig: Rig,
+    /// Starts that the workers carried out, by task.
+    pub starts: BTreeMap<TaskId, u32>,
+    /// Starts of a task after the third crash that it caused.
+    pub starts_after_third: BTreeMap<TaskId, u32>,
+    /// Milliseconds since the start.
+    pub time_ms: u64,
+    workers: Vec<SimWorker>,
+}
+
+impl SimWorker {
+    fn status(&self) -> WorkerStatus {
+        worker(self.number, self.incarnation)
+    }
+
+    fn report(&self, time_ms: u64) -> WorkerReport {
+        let down_ms = self.crashed_at.map_or(0, |at| time_ms - at);
+        let running = self.runs.iter().map(|((task, run), worked_ms)| RunReport {
+            checkpoint: String::new(),
+            percent: u8::try_from(worked_ms * 100 / RUN_MS).unwrap_or(100),
+            run: *run,
+            task: task.clone(),
+        });
+        WorkerReport {
+            ended: self.ended.values().cloned().collect(),
+            ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
+            listed: true,
+            running: running.collect(),
+            unreached: down_ms >= UNREACHED_MS,
+            worker: Some(self.status()),
+            ..WorkerReport::default()
+        }
+    }
+
+    /// Lets the runs work for one step and ends those that are complete.
+    fn work(&mut self) {
+        for worked_ms in self.runs.values_mut() {
+            *worked_ms += STEP_MS;
+        }
+        let done: Vec<(TaskId, u32)> =
+            self.runs.iter().filter(|(_, ms)| **ms >= RUN_MS).map(|(run, _)| run.clone()).collect();
+        for run in done {
+            self.end(&run, EndKind::Done);
+        }
+    }
+
+    fn end(&mut self, key: &(TaskId, u32), kind: EndKind) {
+        if self.runs.remove(key).is_none() {
+            return;
+        }
+        let number = self.ended.keys().next_back().copied().unwrap_or(0) + 1;
+        let (task, run) = key.clone();
+        self.ended.insert(number, RunEnd { checkpoint: String::new(), kind, run, task });
+    }
+}
+
+impl CrashingPool {
+    pub fn new(workers: u32) -> Self {
+        let sim = |number| SimWorker {
+            crashed_at: None,
+            ended: BTreeMap::new(),
+            incarnation: 1,
+            number,
+            runs: BTreeMap::new(),
+        };
+        Self {
+            crashes: BTreeMap::new(),
+            rig: Rig::new(workers),
+            starts: BTreeMap::new(),
+            starts_after_third: BTreeMap::new(),
+            time_ms: 0,
+            workers: (0..workers).map(sim).collect(),
+        }
+    }
+
+    /// Plays `millis` in steps of 100 ms.
+    pub fn play(&mut self, millis: u64) {
+        for _ in 0..millis / STEP_MS {
+            self.step();
+        }
+    }
+
+    /// Crashes all workers at once, for a cause outside of their tasks. Their agents survive.
+    pub fn crash_all(&mut self) {
+        for index in 0..self.workers.len() {
+            self.crash(index);
+        }
+    }
+
+    pub fn state(&self, job: &str) -> Option<JobState> {
+        self.rig.core.view(job).map(|view| view.state)
+    }
+
+    /// Returns the ids of workers that run nothing and are up.
+    pub fn idle_workers(&self) -> usize {
+        self.workers
+            .iter()
+            .filter(|worker| worker.crashed_at.is_none() && worker.runs.is_empty())
+            .count()
+    }
+
+    fn step(&mut self) {
+        for index in 0..self.workers.len() {
+            let time_ms = self.time_ms;
+            let worker = &mut self.workers[index];
+            if worker.crashed_at.is_some_and(|at| time_ms >= at + RESTART_MS) {
+                worker.crashed_at = None;
+                worker.incarnation += 1;
+                worker.runs.clear();
+                worker.ended.clear();
+            }
+            if worker.crashed_at.is_none() {
+                worker.work();
+                self.carry_out(index);
+            }
+            let report = self.workers[index].report(time_ms);
+            self.rig.core.report(self.rig.now, &report);
+        }
+        self.rig.advance(STEP_MS);
+        self.rig.place_and_commit();
+        self.time_ms += STEP_MS;
+    }
+
+    fn carry_out(&mut self, index: usize) {
+        let id = format!("w{}", self.workers[index].number);
+        let Orders { ended_through, incarnation, start, stop, .. } = self.rig.core.orders(&id);
+        let worker = &mut self.workers[index];
+        if incarnation != worker.incarnation {
+            return;
+        }
+        worker.ended.retain(|number, _| *number > ended_through);
+        for run in &stop {
+            worker.end(run, EndKind::Stopped);
+        }
+        for order in start {
+            let key = (order.task.clone(), order.run);
+            let ended =
+                worker.ended.values().any(|end| end.task == order.task && end.run == order.run);
+            if ended || worker.runs.contains_key(&key) {
+                continue;
+            }
+            *self.starts.entry(order.task.clone()).or_default() += 1;
+            if self.crashes.get(&order.task).is_some_and(|crashes| *crashes >= 3) {
+                *self.starts_after_third.entry(order.task.clone()).or_default() += 1;
+            }
+            worker.runs.insert(key, 0);
+            if order.task.job.starts_with(CRASHING) && order.task.key.index == 0 {
+                self.crash(index);
+                return;
+            }
+        }
+    }
+
+    fn crash(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        if worker.crashed_at.is_some() {
+            return;
+        }
+        worker.crashed_at = Some(self.time_ms);
+        for (task, _) in worker.runs.keys() {
+            *self.crashes.entry(task.clone()).or_default() += 1;
+        }
+    }
+}
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the coordinator: placement, ends of runs, guarantees, takeovers, and invariants under
 //! random faults.
 
+mod crashes;
+mod crashing_pool;
 mod gangs;
 mod interleavings;
 mod rig;
