Give up tasks under which workers crash again and again

Cause: only ends that a worker reports as failed counted. A run that is lost with its worker left no trace, so its task was started again in the same round of planning, beside whatever else waited, without limit.

Change: a crash is recorded, in the job's row, for the runs that had not survived their start; a suspect task starts alone and its worker gets no other work until it has survived. After three crashes, two of them without another explanation, or after five, the job ends as failed. A lapse counts when the worker restarts without having answered since; the loss of a VM and of a drained worker does not count. The simulated pool now numbers ends through a whole incarnation and lets gangs wait for the crashing member.

Evidence: crash_starts_limited, crash_counted_over_takeovers, crash_gang_limited and crash_others_complete failed before, also with the corrected simulation (15 starts after the third crash), and pass.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -602,6 +602,8 @@
                 DecisionKind::Stopped => Event::JobPreempted,
                 DecisionKind::Ended => Event::JobEnded,
                 DecisionKind::Quarantined => Event::WorkerQuarantined,
+                DecisionKind::CrashRecorded => Event::CrashRecorded,
+                DecisionKind::GivenUp => Event::JobGivenUp,
                 DecisionKind::Lost => Event::WorkerLost,
                 DecisionKind::Silent => Event::AgentSilent,
             };
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -1,7 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::{EndKind, Job, JobState, ProgressRow, Resources, TaskId, TaskKey, TaskRow, WorkerRow};
+use crate::{
+    CrashRecord, CrashRow, EndKind, Job, JobState, ProgressRow, Resources, TaskId, TaskKey,
+    TaskRow, WorkerRow,
+};
 
 /// A run that may be alive on a worker.
 #[derive(Clone, Debug)]
@@ -16,6 +19,8 @@
     pub last_progress: Instant,
     /// Whether the worker has listed the run.
     pub listed: bool,
+    /// When the worker first listed the run.
+    pub listed_at: Option<Instant>,
     /// Progress in percent.
     pub percent: u8,
     /// Permit of the placement policy.
@@ -24,6 +29,10 @@
     /// Since when the run works, and its progress in percent then; `None` until all members of its
     /// gang are listed.
     pub progress_start: Option<(Instant, u8)>,
+    /// Whether the run has survived its start.
+    pub proven: bool,
+    /// Whether an earlier coordinator placed the run.
+    pub restored: bool,
     pub run: u32,
     /// Whether the run is ordered to stop.
     pub stopping: bool,
@@ -38,6 +47,9 @@
     /// Worker on which the last run failed; another one is preferred.
     pub avoided_worker: String,
     pub checkpoint: String,
+    pub crash_record: CrashRecord,
+    /// When a worker last crashed under the task.
+    pub crashed_at: Option<Instant>,
     pub done: bool,
     /// Number of the last run that was counted as failed. A gang thereby counts one failure per
     /// run.
@@ -115,16 +127,25 @@
                 incarnation: worker.incarnation,
                 last_progress: now,
                 listed: false,
+                listed_at: None,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
                 progress_start: None,
+                proven: false,
+                restored: true,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
                 worker: worker.id.clone(),
             });
         }
+        for crash_row in &row.crashes {
+            let Some(task) = entry.tasks.get_mut(&crash_row.key) else { continue };
+            task.crash_record =
+                CrashRecord { crashes: crash_row.crashes, unshared: crash_row.unshared };
+            task.crashed_at = Some(now);
+        }
         entry.stored_state = entry.state();
         entry
     }
@@ -145,8 +166,15 @@
                 worker: worker.and_then(|row| workers.binary_search(&row).ok()),
             }
         });
+        let suspects = self.tasks.iter().filter(|(_, task)| task.crash_record.is_suspect());
+        let crashes = suspects.map(|(key, task)| CrashRow {
+            crashes: task.crash_record.crashes,
+            key: *key,
+            unshared: task.crash_record.unshared,
+        });
         ProgressRow {
             cancelled: self.cancelled,
+            crashes: crashes.collect(),
             ended_ms: self.ended_ms,
             failed: self.failed,
             started: self.started,
@@ -217,6 +245,12 @@
         })
     }
 
+    /// Returns the tasks that may have crashed a worker.
+    pub fn suspects(&self) -> impl Iterator<Item = TaskId> {
+        let suspects = self.tasks.iter().filter(|(_, task)| task.crash_record.is_suspect());
+        suspects.map(|(key, _)| TaskId::new(&self.job.id, *key))
+    }
+
     /// Returns the tasks of the gang of `key`, or only `key` if its step is not a gang.
     pub fn members(&self, key: &TaskKey) -> Vec<TaskKey> {
         if !self.is_gang(key.step) {
@@ -238,6 +272,7 @@
             return;
         }
         placement.listed = true;
+        placement.listed_at = Some(now);
         placement.last_progress = now;
         let members = self.members(key);
         let listed =
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,5 +1,6 @@
 mod absences;
 mod commits;
+mod crashes;
 mod earliest_fit;
 mod entry;
 mod gang_time;
@@ -107,6 +108,8 @@
     plan_due: bool,
     /// Time from which the predecessor extends no leases.
     predecessor_end: Instant,
+    /// Tasks that may have crashed a worker and whose job has not ended.
+    suspects: BTreeSet<TaskId>,
     tables: JobTables,
     waiting_jobs: BTreeSet<String>,
 }
@@ -139,6 +142,10 @@
     Ended,
     /// A worker is in quarantine.
     Quarantined,
+    /// A worker crashed under a task that may have caused it.
+    CrashRecorded,
+    /// A job ended as failed because workers crash under one of its tasks.
+    GivenUp,
     /// The runs of a worker are lost.
     Lost,
     /// The agent of a worker is silent.
@@ -161,6 +168,7 @@
             open_write: None,
             plan_due: true,
             predecessor_end: now.monotonic + limits.takeover,
+            suspects: BTreeSet::new(),
             tables,
             waiting_jobs: BTreeSet::new(),
         }
@@ -201,6 +209,7 @@
         }
         if !entry.is_ended() {
             self.waiting_jobs.insert(key.to_owned());
+            self.suspects.extend(entry.suspects());
         }
         self.jobs.insert(key.to_owned(), entry);
         Ok(())
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -53,6 +53,7 @@
         self.stop_stalled(now);
         self.move_off_draining(now);
         self.remove_ended_jobs(now);
+        self.clear_crash_records(now);
         self.place(now);
     }
 
@@ -146,6 +147,7 @@
         let allowed = self.with_permits(now, unit, view, allowed);
         let allowed = self.without_failed_worker(unit, keys, view, allowed);
         let allowed = self.without_interference(unit, &demand, view, allowed);
+        let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
         if let Some(chosen) = self.choose_now(unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
@@ -441,10 +443,13 @@
                 incarnation: worker.status.incarnation,
                 last_progress: now.monotonic,
                 listed: false,
+                listed_at: None,
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
                 progress_start: None,
+                proven: false,
+                restored: false,
                 run,
                 stopping: false,
                 version,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -32,6 +32,9 @@
         }
         worker.has_reported = true;
         worker.is_reached = !report.unreached;
+        if worker.is_reached {
+            worker.lapsed_starts.clear();
+        }
         worker.has_session = true;
         worker.last_report = now.monotonic;
         worker.status = status.clone();
@@ -130,7 +133,7 @@
     fn end_lost_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) {
         let Some(worker) = self.fleet.workers.get(id) else { return };
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
-        if runs.is_empty() {
+        if runs.is_empty() && worker.lapsed_starts.is_empty() {
             return;
         }
         let ages: Vec<String> =
@@ -144,6 +147,7 @@
             ages.join(" "),
         );
         self.record_decision(id, DecisionKind::Lost, detail);
+        self.record_crash(now, id, cause);
         for task in runs {
             let checkpoint = self.checkpoint(&task);
             self.end_run(now, &task, None, &checkpoint);
@@ -257,6 +261,9 @@
             entry.started = true;
             entry.record_listed(&run.task.key, run.percent, now.monotonic);
             let Some(placement) = entry.placement_mut(&run.task.key) else { continue };
+            if !report.unreached {
+                placement.prove(now.monotonic);
+            }
             if !run.checkpoint.is_empty() {
                 placement.checkpoint.clone_from(&run.checkpoint);
             }
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -21,6 +21,9 @@
     pub health: Health,
     /// Whether its agent can reach it.
     pub is_reached: bool,
+    /// Tasks whose runs lapsed before they had survived their start, while the worker has not
+    /// answered its agent since. If it restarts next, it crashed under them.
+    pub lapsed_starts: Vec<TaskId>,
     /// When the last report that renewed its lease arrived.
     pub last_report: Instant,
     /// Resources that the runs occupy.
@@ -42,6 +45,7 @@
             has_session: false,
             health: Health::new(),
             is_reached: true,
+            lapsed_starts: Vec::new(),
             last_report,
             occupied: Resources::default(),
             runs: BTreeMap::new(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod agent_calls;
 mod coordinator;
+mod crash_record;
 mod estimates;
 mod eviction;
 mod fleet;
@@ -33,6 +34,7 @@
     Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
     View, WorkerSummary,
 };
+pub use crash_record::CrashRecord;
 pub use estimates::Estimates;
 pub use eviction::{Claim, ClaimDecision, decide_claim};
 pub use fleet::{Fleet, FleetWorker};
@@ -43,7 +45,7 @@
 pub use pacing::Pacer;
 pub use placing::{Candidate, Demand, choose_workers};
 pub use progress::{RunProgress, find_stalled};
-pub use row::{ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
+pub use row::{CrashRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use worker::{
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -83,12 +83,43 @@
     }
 }
 
+/// Crashes of workers under one task. Stored as an array, like [`TaskRow`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "PackedCrash", into = "PackedCrash")]
+pub struct CrashRow {
+    /// Workers that crashed under a run of the task.
+    pub crashes: u32,
+    /// The task.
+    pub key: TaskKey,
+    /// Those of `crashes` that no run of another job can have caused.
+    pub unshared: u32,
+}
+
+/// Occurrence, step, index, crashes, unshared.
+type PackedCrash = (u32, u32, u32, u32, u32);
+
+impl From<PackedCrash> for CrashRow {
+    fn from((occurrence, step, index, crashes, unshared): PackedCrash) -> Self {
+        Self { crashes, key: TaskKey { occurrence, step, index }, unshared }
+    }
+}
+
+impl From<CrashRow> for PackedCrash {
+    fn from(row: CrashRow) -> Self {
+        let TaskKey { occurrence, step, index } = row.key;
+        (occurrence, step, index, row.crashes, row.unshared)
+    }
+}
+
 /// Durable state of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ProgressRow {
     /// Whether its caller cancelled it.
     #[serde(default, skip_serializing_if = "is_false")]
     pub cancelled: bool,
+    /// Crashes of workers under tasks of the job.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashRow>,
     /// When the last task ended, milliseconds since 1970; `None` while the job is open.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_ms: Option<u64>,
--- a/crates/jobs/tests/coordinator/crashes.rs
+++ b/crates/jobs/tests/coordinator/crashes.rs
@@ -14,7 +14,6 @@
 
 /// Guards against a task that crashes worker after worker because a lost run was not counted.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_starts_limited() {
     let mut pool = CrashingPool::new(4);
     pool.rig.submit(job(CRASHING, 1, step(1, 1)));
@@ -26,7 +25,6 @@
 
 /// Guards against losing the count of crashes with the leader.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_counted_over_takeovers() {
     let mut pool = CrashingPool::new(4);
     pool.rig.submit(job(CRASHING, 1, step(1, 1)));
@@ -41,7 +39,6 @@
 /// Guards against giving up the jobs that run beside a task that crashes its workers, on a pool
 /// where several such tasks arrive among many others.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_others_complete() {
     let mut pool = CrashingPool::new(11);
     for number in 0..4 {
@@ -64,7 +61,6 @@
 
 /// Guards against a gang that crashes the worker of one member again and again.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_gang_limited() {
     let mut pool = CrashingPool::new(4);
     pool.rig.submit(job(CRASHING, 1, Step { gang: true, ..step(3, 4) }));
--- a/crates/jobs/tests/coordinator/crashing_pool.rs
+++ b/crates/jobs/tests/coordinator/crashing_pool.rs
@@ -25,6 +25,8 @@
 struct SimWorker {
     crashed_at: Option<u64>,
     ended: BTreeMap<u64, RunEnd>,
+    /// Number of the last end in this incarnation.
+    ends: u64,
     incarnation: u64,
     number: u32,
     /// Time for which each run has worked, in milliseconds.
@@ -71,8 +73,11 @@
 
     /// Lets the runs work for one step and ends those that are complete.
     fn work(&mut self) {
-        for worked_ms in self.runs.values_mut() {
-            *worked_ms += STEP_MS;
+        for ((task, _), worked_ms) in &mut self.runs {
+            // The other members of a gang wait for the one that crashes its worker.
+            if !task.job.starts_with(CRASHING) {
+                *worked_ms += STEP_MS;
+            }
         }
         let done: Vec<(TaskId, u32)> =
             self.runs.iter().filter(|(_, ms)| **ms >= RUN_MS).map(|(run, _)| run.clone()).collect();
@@ -85,7 +90,8 @@
         if self.runs.remove(key).is_none() {
             return;
         }
-        let number = self.ended.keys().next_back().copied().unwrap_or(0) + 1;
+        self.ends += 1;
+        let number = self.ends;
         let (task, run) = key.clone();
         self.ended.insert(number, RunEnd { checkpoint: String::new(), kind, run, task });
     }
@@ -96,6 +102,7 @@
         let sim = |number| SimWorker {
             crashed_at: None,
             ended: BTreeMap::new(),
+            ends: 0,
             incarnation: 1,
             number,
             runs: BTreeMap::new(),
@@ -145,6 +152,7 @@
                 worker.incarnation += 1;
                 worker.runs.clear();
                 worker.ended.clear();
+                worker.ends = 0;
             }
             if worker.crashed_at.is_none() {
                 worker.work();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -60,6 +60,8 @@
     LeaseLapsed = 314, "lease-lapsed", "A task was stopped because its lease was not renewed.";
     CommandFenced = 315, "command-fenced", "A command with an older epoch was refused.";
     RunPaced = 316, "run-paced", "A worker was ordered to change the speed of a filling task because of the serving tasks on it.";
+    CrashRecorded = 317, "crash-recorded", "A worker crashed under a task that may have caused it; the next run of the task is isolated.";
+    JobGivenUp = 318, "job-given-up", "A job ended as failed because workers crash under one of its tasks.";
     AgentJoined = 400, "agent-joined", "An agent opened a session.";
     AgentSilent = 401, "agent-silent", "An agent sent nothing within the time-out and gets no new work.";
     AgentLeaving = 402, "agent-leaving", "An agent or its upstream is leaving.";
