Report a worker that is down at the first refused connection

Callers saw: work was placed on crashed workers for up to 1.5 s and waited there until the worker was back, 3 s later.

Change: a refused connection marks the worker as down until it answers a listing; a listing that breaks is repeated after 30 ms.

--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -14,6 +14,7 @@
 pub fn encode_report(report: &WorkerReport) -> v1::WorkerUpdate {
     v1::WorkerUpdate {
         agent: report.agent.clone(),
+        attempted: report.attempted.iter().map(|(task, run)| encode_run_id(task, *run)).collect(),
         ended: report.ended.iter().map(encode_end).collect(),
         ended_through: report.ended_through,
         lapsed: report.lapsed,
@@ -85,6 +86,11 @@
 pub fn decode_report(update: v1::WorkerUpdate) -> WorkerReport {
     WorkerReport {
         agent: update.agent,
+        attempted: update
+            .attempted
+            .into_iter()
+            .filter_map(|run| Some((task_id(&run.task)?, run.run)))
+            .collect(),
         ended: update.ended.into_iter().filter_map(decode_end).collect(),
         ended_through: update.ended_through,
         lapsed: update.lapsed,
--- a/crates/coordination/src/worker_control.rs
+++ b/crates/coordination/src/worker_control.rs
@@ -20,6 +20,8 @@
     pub id: String,
     /// Cause.
     pub detail: String,
+    /// Whether no process listens at the worker's address.
+    pub down: bool,
 }
 
 /// Interface to the workers. Implementations never send a call twice.
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -35,6 +35,10 @@
 /// Delay before the next listing after the worker did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay before the next listing after the first failed one. A worker that crashes breaks the open
+/// connection; the next one tells whether it is down.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(30);
+
 /// Interval at which the task checks for actions and reports that have become due.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -136,6 +140,7 @@
             clock: self.clock.clone(),
             control: self.control.clone(),
             core,
+            failed_listings: 0,
             outgoing,
             worker: None,
         };
@@ -159,6 +164,8 @@
     clock: Arc<dyn Clock>,
     control: Arc<dyn WorkerControl>,
     core: AgentCore,
+    /// Listings that failed since the last successful one.
+    failed_listings: u32,
     outgoing: watch::Sender<AgentUpdate>,
     worker: Option<WorkerAddress>,
 }
@@ -288,6 +295,7 @@
         let now = self.clock.now();
         match outcome {
             CallOutcome::Listing(number, Ok(listing)) => {
+                self.failed_listings = 0;
                 self.core.handle_listing(now, number, &listing);
                 if self.core.has_ends() {
                     add_delay(ACK_DELAY, calls);
@@ -297,7 +305,12 @@
             }
             CallOutcome::Listing(_, Err(error)) => {
                 tracing::debug!(%error, "worker did not answer a listing; requesting it again");
-                add_delay(RETRY_DELAY, calls);
+                if error.down {
+                    self.core.record_down();
+                }
+                self.failed_listings += 1;
+                let first = self.failed_listings == 1 && !error.down;
+                add_delay(if first { FIRST_RETRY_DELAY } else { RETRY_DELAY }, calls);
                 false
             }
             CallOutcome::Pace(task, run, percent, answer) => {
@@ -326,6 +339,9 @@
                         %error,
                         "stop not confirmed by the worker; the run may continue"
                     );
+                    if error.down {
+                        self.core.record_down();
+                    }
                 }
                 self.core.handle_stop_answer(now, &task, run, answer.is_ok());
                 false
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -73,6 +73,8 @@
     answered_report: Option<Instant>,
     calls: BTreeMap<RunKey, RunCalls>,
     clock: Option<ClockReading>,
+    /// Whether no process listened at the worker's address at the last call.
+    down: bool,
     ended: BTreeMap<u64, RunEnd>,
     epoch: u64,
     /// Whether runs of an earlier incarnation may still start here. Nothing is reported until they
@@ -117,6 +119,7 @@
             answered_report: None,
             calls: BTreeMap::new(),
             clock: None,
+            down: false,
             ended: BTreeMap::new(),
             epoch: 0,
             fencing_earlier: false,
@@ -279,6 +282,7 @@
                 }
             }
             StartAnswer::Late | StartAnswer::Outdated => {}
+            StartAnswer::Down => self.down = true,
             StartAnswer::Unanswered => calls.start_uncertain = true,
         }
     }
@@ -294,6 +298,12 @@
         }
     }
 
+    /// Records that no process listens at the worker's address. The worker counts as unreached until
+    /// it answers a listing.
+    pub fn record_down(&mut self) {
+        self.down = true;
+    }
+
     /// Returns the parameters of the next call that extends the leases.
     pub fn next_renewal(&mut self, now: Instant) -> RenewalCall {
         self.last_call += 1;
@@ -342,6 +352,7 @@
         self.last_contact =
             Some(requested_at.map_or(now, |requested_at| now.min(requested_at + LISTING_VALIDITY)));
         self.has_listing = true;
+        self.down = false;
         self.clock = Some(ClockReading { ms: listing.clock_ms as f64, received: now });
         self.running =
             listing.running.iter().map(|run| ((run.task.clone(), run.run), run.clone())).collect();
@@ -376,8 +387,10 @@
             }
         }
         let reportable = self.has_listing && !self.fencing_earlier;
+        let uncertain = self.calls.iter().filter(|(_, calls)| calls.start_uncertain);
         WorkerReport {
             agent: self.name.clone(),
+            attempted: uncertain.map(|(run, _)| run.clone()).collect(),
             ended: self.ended.values().cloned().collect(),
             ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
             lapsed,
@@ -429,7 +442,7 @@
 
     fn is_reached(&self, now: Instant) -> bool {
         let last_contact = self.last_contact.unwrap_or(self.known_since);
-        now.saturating_duration_since(last_contact) < UNREACHED_AFTER
+        !self.down && now.saturating_duration_since(last_contact) < UNREACHED_AFTER
     }
 
     fn switch_incarnation(&mut self, now: Instant, incarnation: u64) {
@@ -449,6 +462,7 @@
         }
         self.incarnation = incarnation;
         self.clock = None;
+        self.down = false;
         self.ended.clear();
         self.latest_deadline = None;
         self.lapse_reported = None;
--- a/crates/jobs/src/agent_calls.rs
+++ b/crates/jobs/src/agent_calls.rs
@@ -36,6 +36,8 @@
     Outdated,
     /// The worker did not answer and may still carry out the order later.
     Unanswered,
+    /// No process listens at the address of the worker; nothing was started.
+    Down,
 }
 
 /// Answer of a worker to a renewal call.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -106,6 +106,8 @@
 pub struct WorkerReport {
     /// Name of the agent's VM.
     pub agent: String,
+    /// Runs whose start had no answer, so that the worker may have carried it out.
+    pub attempted: Vec<(TaskId, u32)>,
     /// Ends that are not acknowledged yet, in order of their numbers.
     pub ended: Vec<RunEnd>,
     /// Number of the last entry of `ended` in this incarnation.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -400,3 +400,32 @@
     rig.advance(100);
     assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Start(start_order(1))]);
 }
+
+/// Guards against reporting a crashed worker as reached for 1.5 s. Work was placed on it meanwhile,
+/// and counted as having been there when it crashed.
+#[test]
+fn report_down_at_once() {
+    let mut rig = Rig::new();
+    assert!(!rig.core.report(rig.now).unreached);
+    rig.core.record_down();
+    assert!(rig.core.report(rig.now).unreached);
+    rig.order_start(1);
+    assert!(rig.core.actions(rig.now).is_empty(), "nothing is started on a worker that is down");
+    rig.list(INCARNATION, &[], &[]);
+    assert!(!rig.core.report(rig.now).unreached);
+}
+
+/// Guards against taking a start that never reached its worker for one that may have crashed it,
+/// and against missing one whose answer was lost.
+#[test]
+fn report_attempted_unanswered() {
+    for (answer, attempted) in
+        [(StartAnswer::Down, Vec::new()), (StartAnswer::Unanswered, vec![(task(), 1)])]
+    {
+        let mut rig = Rig::new();
+        rig.order_start(1);
+        assert_eq!(rig.core.actions(rig.now).len(), 1);
+        rig.core.handle_start_answer(rig.now, &task(), 1, answer);
+        assert_eq!(rig.core.report(rig.now).attempted, attempted, "{answer:?}");
+    }
+}
