Blame only starts that may have crashed their worker

Cause: the crash limit counted runs whose start never reached the worker, crashes of whole VMs, and starts that met a wave of crashes by coincidence.

Change: suspect are listed runs and starts without an answer, and only when the agent has outlived its worker. Where several workers of the pool crash under runs that had survived their start, no crash counts as unshared, and such crashes themselves count under no task.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -19,6 +19,17 @@
 /// A run that lasts this long clears the record of its task. A crash after it has another cause.
 const CLEARED_AFTER: Duration = Duration::from_secs(30);
 
+/// Time for which a crash that no start explains counts as a sign of another cause. Covers the
+/// restart of the workers that crashed at the same time.
+const UNEXPLAINED_KEPT: Duration = Duration::from_secs(10);
+
+/// Number of such crashes in a pool that discount the evidence against its tasks.
+const MIN_UNEXPLAINED: usize = 2;
+
+/// On large pools, where single workers crash every now and then, one worker in this many must have
+/// crashed.
+const UNEXPLAINED_DIVISOR: usize = 20;
+
 /// Longest time after a crash for which a suspect task waits for a worker on which nothing else is
 /// starting.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(3);
@@ -33,77 +44,107 @@
     }
 }
 
+/// A crash of a worker that no start explains.
+#[derive(Clone, Debug)]
+pub struct UnexplainedCrash {
+    at: Instant,
+    pool: String,
+}
+
 impl Coordinator {
-    /// Records the loss of a worker under the tasks that may have caused it.
+    /// Records the crash of a worker under the tasks that may have caused it. Only a crash that the
+    /// agent has outlived counts: otherwise the VM was lost, which no task can cause.
     ///
-    /// Suspect are the runs that have not survived their start; if there are none, all runs, none of
-    /// which is then the only explanation. A run that this coordinator has not seen counts only if the agent has outlived the worker:
-    /// otherwise the VM was lost, and with it the runs of every task.
+    /// Suspect are the runs that may have started and had not survived it. If there are none, and no
+    /// sign of another cause, the runs that had survived it are, but none of them is the only
+    /// explanation.
     pub(super) fn record_crash(&mut self, now: Timestamp, id: &str, cause: LossCause) {
-        let suspects = match cause {
-            LossCause::Crashed => self.crash_suspects(id),
+        let Some(worker) = self.fleet.workers.get_mut(id).filter(|worker| !worker.is_reached)
+        else {
+            return;
+        };
+        match cause {
+            LossCause::Crashed => {}
             LossCause::Lapsed => {
-                let unproven = self.unproven_runs(id, true);
+                let lapsed_starts = self.unproven_runs(id);
                 if let Some(worker) = self.fleet.workers.get_mut(id) {
-                    worker.lapsed_starts = unproven;
+                    worker.lapsed_starts = lapsed_starts;
                 }
                 return;
             }
             LossCause::Left | LossCause::Silent => return,
+        }
+        let pool = worker.status.pool.clone();
+        let mut starting = std::mem::take(&mut worker.lapsed_starts);
+        starting.extend(self.unproven_runs(id));
+        let surviving = self.runs_where(id, |run| run.proven);
+        let jobs: BTreeSet<&str> = starting.iter().map(|task| task.job.as_str()).collect();
+        let other_cause = self.has_other_cause(now, &pool);
+        let unshared = jobs.len() == 1 && !other_cause;
+        if starting.is_empty() {
+            self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
+        }
+        let suspects = match (starting.is_empty(), other_cause) {
+            (false, _) => starting,
+            (true, false) => surviving,
+            (true, true) => Vec::new(),
         };
-        let jobs: BTreeSet<&str> = suspects.iter().map(|task| task.job.as_str()).collect();
-        let starting = suspects.iter().any(|task| !self.is_proven(task));
-        let unshared = starting && jobs.len() == 1;
         for task in &suspects {
-            let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
-            let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.done) else {
-                continue;
-            };
-            state.crash_record.record(unshared);
-            state.crashed_at = Some(now.monotonic);
-            let record = state.crash_record;
-            self.suspects.insert(task.clone());
-            let detail = format!(
-                "{id} crashed under it, crashes {}, unshared {}, suspects {}",
-                record.crashes,
-                record.unshared,
-                suspects.len()
-            );
-            self.record_decision(&task.to_string(), DecisionKind::CrashRecorded, detail);
-            if record.is_exhausted() {
-                self.give_up(now, task, record);
-            }
+            self.record_crash_under(now, id, task, unshared, suspects.len());
         }
     }
 
-    fn crash_suspects(&mut self, id: &str) -> Vec<TaskId> {
-        let Some(worker) = self.fleet.workers.get_mut(id) else { return Vec::new() };
-        let lapsed_starts = std::mem::take(&mut worker.lapsed_starts);
-        if !lapsed_starts.is_empty() {
-            return lapsed_starts;
-        }
-        let agent_survived = !worker.is_reached;
-        let unproven = self.unproven_runs(id, agent_survived);
-        if !unproven.is_empty() || !agent_survived {
-            return unproven;
+    fn record_crash_under(
+        &mut self,
+        now: Timestamp,
+        id: &str,
+        task: &TaskId,
+        unshared: bool,
+        suspects: usize,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.done) else {
+            return;
+        };
+        state.crash_record.record(unshared);
+        state.crashed_at = Some(now.monotonic);
+        let record = state.crash_record;
+        self.suspects.insert(task.clone());
+        self.mark_changed(&task.job);
+        let detail = format!(
+            "{id} crashed under it, crashes {}, unshared {}, suspects {suspects}",
+            record.crashes, record.unshared,
+        );
+        self.record_decision(&task.to_string(), DecisionKind::CrashRecorded, detail);
+        if record.is_exhausted() {
+            self.give_up(now, task, record);
         }
-        let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
-        worker.runs.keys().cloned().collect()
     }
 
-    /// Returns the runs of a worker whose start was ordered and that have not survived it. Runs
-    /// that an earlier coordinator placed and that were not listed since are left out unless
-    /// `with_restored`.
-    fn unproven_runs(&self, id: &str, with_restored: bool) -> Vec<TaskId> {
+    /// Reports whether workers of the pool crash for a cause outside of their tasks: several have
+    /// crashed lately, or are down, under runs that had all survived their start.
+    fn has_other_cause(&mut self, now: Timestamp, pool: &str) -> bool {
+        self.unexplained_crashes
+            .retain(|crash| now.monotonic.saturating_duration_since(crash.at) < UNEXPLAINED_KEPT);
+        let recent = self.unexplained_crashes.iter().filter(|crash| crash.pool == pool).count();
+        let members = || self.fleet.workers.iter().filter(|(_, worker)| worker.status.pool == pool);
+        let down = members()
+            .filter(|(id, worker)| !worker.is_reached && self.unproven_runs(id).is_empty())
+            .count();
+        recent + down >= MIN_UNEXPLAINED.max(members().count() / UNEXPLAINED_DIVISOR)
+    }
+
+    /// Returns the runs of a worker that may have started there and have not survived it.
+    fn unproven_runs(&self, id: &str) -> Vec<TaskId> {
+        self.runs_where(id, |run| (run.listed || run.attempted) && !run.proven)
+    }
+
+    fn runs_where(&self, id: &str, matches: impl Fn(&Placement) -> bool) -> Vec<TaskId> {
         let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
-        let unproven = worker.runs.keys().filter(|task| {
-            let Some(entry) = self.jobs.get(&task.job) else { return false };
-            let Some(placement) = entry.placement(&task.key) else { return false };
-            let ordered = entry.durable_version >= placement.version;
-            let observed = with_restored || placement.listed || !placement.restored;
-            ordered && observed && !placement.proven
-        });
-        unproven.cloned().collect()
+        let placement =
+            |task: &TaskId| self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
+        let runs = worker.runs.keys().filter(|task| placement(task).is_some_and(&matches));
+        runs.cloned().collect()
     }
 
     fn is_proven(&self, task: &TaskId) -> bool {
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -11,6 +11,8 @@
 pub struct Placement {
     /// Address of the worker.
     pub address: String,
+    /// Whether a start had no answer, so that the worker may have carried it out.
+    pub attempted: bool,
     pub checkpoint: String,
     /// Whether the run began without a checkpoint, and under this coordinator.
     pub full_run: bool,
@@ -31,8 +33,6 @@
     pub progress_start: Option<(Instant, u8)>,
     /// Whether the run has survived its start.
     pub proven: bool,
-    /// Whether an earlier coordinator placed the run.
-    pub restored: bool,
     pub run: u32,
     /// Whether the run is ordered to stop.
     pub stopping: bool,
@@ -122,6 +122,7 @@
             };
             task.placement = Some(Placement {
                 address: worker.address.clone(),
+                attempted: false,
                 checkpoint: task_row.checkpoint.clone(),
                 full_run: false,
                 incarnation: worker.incarnation,
@@ -133,7 +134,6 @@
                 placed_at: now,
                 progress_start: None,
                 proven: false,
-                restored: true,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -11,13 +11,14 @@
 mod units;
 mod watch;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::{
     Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobState, JobTables, Orders,
     ProgressRow, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
 };
+use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
 pub use summary::{QueueSummary, Summary, WorkerSummary};
 
@@ -111,6 +112,7 @@
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
     tables: JobTables,
+    unexplained_crashes: VecDeque<UnexplainedCrash>,
     waiting_jobs: BTreeSet<String>,
 }
 
@@ -170,6 +172,7 @@
             predecessor_end: now.monotonic + limits.takeover,
             suspects: BTreeSet::new(),
             tables,
+            unexplained_crashes: VecDeque::new(),
             waiting_jobs: BTreeSet::new(),
         }
     }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -438,6 +438,7 @@
             task.run = run;
             task.placement = Some(Placement {
                 address: worker.status.address.clone(),
+                attempted: false,
                 checkpoint: task.checkpoint.clone(),
                 full_run: task.checkpoint.is_empty(),
                 incarnation: worker.status.incarnation,
@@ -449,7 +450,6 @@
                 placed_at: now.monotonic,
                 progress_start: None,
                 proven: false,
-                restored: false,
                 run,
                 stopping: false,
                 version,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::entry::Placement;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
     EndKind, Fault, FleetWorker, LossCause, RefusalKind, RunEnd, RunRefusal, StepId, TaskId,
@@ -131,9 +132,10 @@
     }
 
     fn end_lost_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) {
+        self.record_crash(now, id, cause);
         let Some(worker) = self.fleet.workers.get(id) else { return };
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
-        if runs.is_empty() && worker.lapsed_starts.is_empty() {
+        if runs.is_empty() {
             return;
         }
         let ages: Vec<String> =
@@ -147,19 +149,23 @@
             ages.join(" "),
         );
         self.record_decision(id, DecisionKind::Lost, detail);
-        self.record_crash(now, id, cause);
         for task in runs {
             let checkpoint = self.checkpoint(&task);
             self.end_run(now, &task, None, &checkpoint);
         }
     }
 
-    /// Returns a run with the time since its placement and whether its worker has listed it.
+    /// Returns a run with the time since its placement and how far its start is known to have come.
     fn describe_age(&self, now: Timestamp, task: &TaskId) -> Option<String> {
         let placement = self.jobs.get(&task.job)?.placement(&task.key)?;
         let age = now.monotonic.saturating_duration_since(placement.placed_at);
-        let listed = if placement.listed { "listed" } else { "unlisted" };
-        Some(format!("{task}/{}:{}ms:{listed}", placement.run, age.as_millis()))
+        let stage = match placement {
+            Placement { proven: true, .. } => "proven",
+            Placement { listed: true, .. } => "listed",
+            Placement { attempted: true, .. } => "attempted",
+            _ => "ordered",
+        };
+        Some(format!("{task}/{}:{}ms:{stage}", placement.run, age.as_millis()))
     }
 
     fn checkpoint(&self, task: &TaskId) -> String {
@@ -268,6 +274,15 @@
                 placement.checkpoint.clone_from(&run.checkpoint);
             }
         }
+        for (task, run) in &report.attempted {
+            if !self.is_current(status, task, *run) {
+                continue;
+            }
+            let entry = self.jobs.get_mut(&task.job);
+            if let Some(placement) = entry.and_then(|entry| entry.placement_mut(&task.key)) {
+                placement.attempted = true;
+            }
+        }
         self.stop_vanished(now, status, report);
     }
 
--- a/crates/jobs/tests/coordinator/crashes.rs
+++ b/crates/jobs/tests/coordinator/crashes.rs
@@ -1,7 +1,7 @@
-use skylarkpulley_jobs::{JobState, Step};
+use skylarkpulley_jobs::{JobState, RowKind, Step, WorkerReport};
 
 use crate::crashing_pool::{CRASHING, CrashingPool};
-use crate::rig::{job, step};
+use crate::rig::{Rig, job, report, step, worker};
 
 /// Starts that a task may have after three workers have crashed under it.
 const MAX_STARTS_AFTER_THIRD: u32 = 2;
@@ -89,3 +89,96 @@
         assert_eq!(pool.state(&id), Some(JobState::Completed), "{id}");
     }
 }
+
+/// Guards against taking waves of crashing workers for the fault of the tasks that were starting
+/// there, and against counting tasks that were placed on a worker that was already down.
+#[test]
+fn crash_waves_jobs_kept() {
+    for seed in 0..20 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut pool = CrashingPool::new(11);
+        for number in 0..60 {
+            pool.rig.submit(job(&format!("small-{number}"), 2, step(1 + number % 4, 1)));
+            pool.play(500);
+            if number % 9 == 8 {
+                pool.crash_some(|| random.f64() < 0.3);
+            }
+        }
+        pool.play(30_000);
+        for number in 0..60 {
+            let id = format!("small-{number}");
+            assert_eq!(pool.state(&id), Some(JobState::Completed), "{id}, seed {seed}");
+        }
+    }
+}
+
+/// Starts a job on the only worker, lets `reports` follow with its start listed, and replaces the
+/// worker by a later incarnation; returns the row of the job.
+fn row_after_crash(reports: &[fn(WorkerReport) -> WorkerReport]) -> String {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, step(1, 1)));
+    let (_, task, run) = rig.starts().remove(0);
+    for change in reports {
+        rig.core.report(rig.now, &change(report(&worker(0, 1), &[(task.clone(), run)])));
+    }
+    rig.core.report(rig.now, &report(&worker(0, 2), &[]));
+    rig.place_and_commit();
+    let row = rig.rows.get(&(RowKind::Progress, "a".to_owned())).expect("a row");
+    String::from_utf8(row.clone()).expect("UTF-8")
+}
+
+fn unreached(report: WorkerReport) -> WorkerReport {
+    WorkerReport { unreached: true, ..report }
+}
+
+/// Guards against losing the record of a crash, and against recording the loss of a VM, the end of
+/// a draining worker, and the loss of a task that never reached its worker.
+#[test]
+fn crash_recorded_causes() {
+    let draining = |mut report: WorkerReport| {
+        report.unreached = true;
+        if let Some(status) = &mut report.worker {
+            status.draining = true;
+        }
+        report
+    };
+    let unlisted = |report: WorkerReport| WorkerReport { running: Vec::new(), ..report };
+    let attempted = |report: WorkerReport| {
+        let attempted = report.running.iter().map(|run| (run.task.clone(), run.run)).collect();
+        WorkerReport { attempted, running: Vec::new(), ..report }
+    };
+    let lapsed = |report: WorkerReport| WorkerReport { lapsed: true, ..unreached(report) };
+    let crash = "\"crashes\":[[0,0,0,1,1]]";
+    assert!(row_after_crash(&[|report| report, unreached]).contains(crash), "listed");
+    assert!(row_after_crash(&[attempted, |report| unreached(report)]).contains(crash), "attempted");
+    assert!(row_after_crash(&[|report| report, lapsed]).contains(crash), "lapsed, then restarted");
+    assert!(!row_after_crash(&[|report| report]).contains("crashes"), "the VM was lost");
+    assert!(!row_after_crash(&[|report| report, draining]).contains("crashes"), "drained");
+    assert!(
+        !row_after_crash(&[unlisted, |report| WorkerReport {
+            running: Vec::new(),
+            ..unreached(report)
+        }])
+        .contains("crashes"),
+        "never started"
+    );
+}
+
+/// Guards against a run of weeks that is given up for crashes which lie far apart.
+#[test]
+fn crash_record_cleared() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, Step { lasting: true, ..step(1, 1) }));
+    for incarnation in 1..=8 {
+        let status = worker(0, incarnation);
+        let (_, task, run) = rig.starts().remove(0);
+        for _ in 0..400 {
+            rig.core.report(rig.now, &report(&status, &[(task.clone(), run)]));
+            rig.advance(100);
+        }
+        rig.core.report(rig.now, &unreached(report(&status, &[(task.clone(), run)])));
+        rig.core.report(rig.now, &report(&worker(0, incarnation + 1), &[]));
+        rig.place_and_commit();
+    }
+    assert_eq!(rig.core.view("a").map(|view| view.state), Some(JobState::Running));
+}
--- a/crates/jobs/tests/coordinator/crashing_pool.rs
+++ b/crates/jobs/tests/coordinator/crashing_pool.rs
@@ -12,8 +12,8 @@
 /// Time from a crash of a worker until its next incarnation, in milliseconds.
 const RESTART_MS: u64 = 3300;
 
-/// Time after which an agent reports that it does not reach its worker, in milliseconds.
-const UNREACHED_MS: u64 = 1500;
+/// Time after which an agent reports that its worker is down, in milliseconds.
+const UNREACHED_MS: u64 = 400;
 
 /// Run time of a task that does not crash its worker, in milliseconds.
 const RUN_MS: u64 = 2000;
@@ -126,8 +126,15 @@
 
     /// Crashes all workers at once, for a cause outside of their tasks. Their agents survive.
     pub fn crash_all(&mut self) {
+        self.crash_some(|| true);
+    }
+
+    /// Crashes each worker that `choose` selects, for a cause outside of its tasks.
+    pub fn crash_some(&mut self, mut choose: impl FnMut() -> bool) {
         for index in 0..self.workers.len() {
-            self.crash(index);
+            if choose() {
+                self.crash(index);
+            }
         }
     }
 
