Withdraw starts that no longer fit when a worker shrinks

Cause: orders kept a start that was placed before the worker announced fewer resources, for up to 5 s.

Change: when the occupied resources exceed the announced ones, the latest starts that are not listed are ordered to stop. Runs that have started continue; nothing is placed until the worker fits again.

Evidence: shrink_unstarted_withdrawn failed before (the starts stayed ordered) and passes; shrink_stopping_counts passed before and after.

--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -3,8 +3,8 @@
 use super::entry::Placement;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
-    EndKind, Fault, FleetWorker, LossCause, RefusalKind, RunEnd, RunRefusal, StepId, TaskId,
-    WorkerReport, WorkerStatus,
+    EndKind, Fault, FleetWorker, LossCause, RefusalKind, Resources, RunEnd, RunRefusal, StepId,
+    TaskId, WorkerReport, WorkerStatus,
 };
 
 /// A run that its worker has listed before, and lists neither as running nor as ended for this
@@ -50,9 +50,40 @@
         } else if report.listed {
             self.update_runs(now, status, report);
         }
+        self.withdraw_excess_starts(&status.id);
         self.record_applied_ends(status, report);
     }
 
+    /// Withdraws the latest starts that a worker has not carried out, if its resources have shrunk
+    /// below what its runs occupy. Runs that have started continue.
+    fn withdraw_excess_starts(&mut self, id: &str) {
+        let Some(worker) = self.fleet.workers.get(id) else { return };
+        let mut occupied = worker.occupied;
+        if worker.status.resources.fits(&occupied) {
+            return;
+        }
+        let mut unstarted: Vec<(&Placement, &TaskId, Resources)> = Vec::new();
+        for task in worker.runs.keys() {
+            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let Some(placement) = entry.placement(&task.key) else { continue };
+            if !placement.listed && !placement.stopping {
+                unstarted.push((placement, task, entry.resources(task.key.step)));
+            }
+        }
+        unstarted.sort_by_key(|(placement, task, _)| (placement.placed_at, *task));
+        let mut withdrawn = Vec::new();
+        while let Some((_, task, resources)) = unstarted.pop() {
+            if worker.status.resources.fits(&occupied) {
+                break;
+            }
+            occupied.subtract(&resources);
+            withdrawn.push(task.clone());
+        }
+        for task in withdrawn {
+            self.stop_run(&task, "not started, and its worker has shrunk below what its runs need");
+        }
+    }
+
     /// Removes a worker that is certainly gone, and ends its runs.
     pub fn remove_worker(&mut self, now: Timestamp, id: &str, incarnation: u64) {
         let Some(worker) = self.fleet.workers.get(id) else { return };
