Stop jobs of the product's interface that take worker after worker down

Callers would see: on the product's own interface, a job that takes its worker down was placed again and again, and each time other jobs on the worker were lost with it.

A gang that ends because its worker is lost was queued again after at most 0.1 s and counted nowhere; limits existed only for reported failures.

Change: a worker that is lost within 30 s of a start counts against the jobs that started on it last. Their backoff grows and is random; after four such losses in a row the job is stopped.

Requests were looked at as well: they end after three attempts, whatever the cause, so nothing changed there.

--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -129,6 +129,8 @@
     pub preempted_at: Vec<Instant>,
     /// Names of the workers on which the job failed.
     pub failed_on: Vec<String>,
+    /// Workers in a row that were lost soon after the job had started on them.
+    pub lost_starts: u32,
     /// Placements and runs that failed since the gang last started.
     pub consecutive_failures: u32,
     /// Memory needed on each worker in MiB: the declared size, or the observed size if it was
@@ -165,6 +167,7 @@
             progress: spec.progress,
             preempted_at: Vec::new(),
             failed_on: Vec::new(),
+            lost_starts: 0,
             consecutive_failures: 0,
             memory: spec.memory_mib,
             reported_memory: 0,
--- a/crates/placement/src/placer/gangs.rs
+++ b/crates/placement/src/placer/gangs.rs
@@ -248,10 +248,7 @@
                 self.remove_job(ix)
             }
             GangEnd::Failed { worker } => self.task_failed(ix, worker, &members, &probed_workers),
-            GangEnd::LeaseLapsed | GangEnd::Stopped => {
-                let backoff = Duration::from_millis(self.rng.u64(0..100));
-                self.requeue(ix, backoff, "gang stopped; the job resumes from its checkpoint");
-            }
+            GangEnd::LeaseLapsed | GangEnd::Stopped => self.requeue_stopped(ix),
         }
     }
 
--- a/crates/placement/src/placer/health.rs
+++ b/crates/placement/src/placer/health.rs
@@ -20,6 +20,13 @@
 /// Failures on workers that failed other jobs as well are no evidence against a job. A job that has
 /// failed on this many workers is stopped nevertheless.
 const WORKER_FAILURE_LIMIT: usize = 6;
+/// A job that has lost this many workers in a row soon after its start is stopped.
+const LOST_START_LIMIT: u32 = 4;
+/// A worker that is lost this soon after a job has started on it may be lost because of the job.
+/// Covers the time until the loss is noticed.
+const LOST_START_WINDOW: Duration = Duration::from_secs(30);
+/// Jobs that start on a worker within this time of each other are equally suspect.
+const SAME_START_WINDOW: Duration = Duration::from_secs(2);
 /// Time from the start of a quarantine to its first probe.
 const FIRST_PROBE_DELAY: Duration = Duration::from_secs(30);
 /// The delay of the next probe doubles with each failed one, at most this many times.
@@ -137,6 +144,45 @@
         ))
     }
 
+    /// Counts the loss of a worker against the jobs that started on it last. Jobs that had run there
+    /// for some time are cleared.
+    pub(super) fn record_lost_starts(&mut self, worker: usize) {
+        let now = self.now;
+        let member = |job: &super::Job| job.members.iter().any(|member| member.0 == worker);
+        let running: Vec<usize> =
+            self.workers[worker].grants.iter().map(|grant| grant.job).collect();
+        let running: Vec<usize> = running
+            .into_iter()
+            .filter(|job| self.jobs[*job].is_some() && self.job(*job).is_running())
+            .filter(|job| member(self.job(*job)))
+            .collect();
+        let latest = running.iter().map(|job| self.job(*job).started_at).max();
+        for job in running {
+            let job = self.job_mut(job);
+            if now.saturating_duration_since(job.started_at) > LOST_START_WINDOW {
+                job.lost_starts = 0;
+            } else if latest.is_some_and(|latest| job.started_at + SAME_START_WINDOW >= latest) {
+                job.lost_starts += 1;
+            }
+        }
+    }
+
+    /// Queues a job again whose gang has stopped, or stops it if workers are lost whenever it
+    /// starts. The backoff separates jobs that were lost together.
+    pub(super) fn requeue_stopped(&mut self, ix: usize) {
+        let lost_starts = self.job(ix).lost_starts;
+        if lost_starts >= LOST_START_LIMIT {
+            let id = self.job(ix).spec.id.clone();
+            let reason = format!("{lost_starts} workers in a row were lost soon after its start");
+            self.remove_job(ix);
+            self.actions.push(Action::StopJob { job: id, reason });
+            return;
+        }
+        let longest = if lost_starts == 0 { 100 } else { 250 << lost_starts };
+        let backoff = Duration::from_millis(self.rng.u64(0..longest));
+        self.requeue(ix, backoff, "gang stopped; the job resumes from its checkpoint");
+    }
+
     pub(super) fn probe_due(&mut self, worker: usize) {
         let Some(quarantine) = &self.workers[worker].quarantine else { return };
         if self.workers[worker].alive && quarantine.probe.is_none() {
--- a/crates/placement/src/placer/reports.rs
+++ b/crates/placement/src/placer/reports.rs
@@ -70,6 +70,7 @@
         let jobs: Vec<usize> = self.workers[ix].grants.iter().map(|grant| grant.job).collect();
         self.workers[ix].alive = false;
         self.update_free_index(ix);
+        self.record_lost_starts(ix);
         for job in jobs {
             if self.jobs[job].is_some() && self.job(job).members.iter().any(|m| m.0 == ix) {
                 self.member_lost(job, ix, &cause);
