Split the leader's records and the baselines of the overload replay

Change: decisions and gauges are recorded in records.rs, the pause between rounds of planning is in plan_pause.rs, the attempts of both baselines in attempts.rs, the generation of jobs and the loss at a stop in one function each. No behaviour changes.

--- a/crates/bench/examples/jobs_replay.rs
+++ b/crates/bench/examples/jobs_replay.rs
@@ -7,9 +7,6 @@
 const SEEDS: u64 = 20;
 const WIDE_SEEDS: u64 = 5;
 
-/// Speeds of the workers of a mixed pool, in turn.
-const MIXED_SPEEDS: [f64; 7] = [1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0];
-
 /// Name and constructor of a policy.
 type Candidate = (&'static str, fn() -> Box<dyn Policy>);
 
@@ -32,8 +29,8 @@
     let large = Setup::large();
     let setups = [
         ("wide", large.clone()),
-        ("mixed speeds", large.clone().with_speeds(&MIXED_SPEEDS)),
-        ("lost starts", large.clone().with_lost_starts(0.5).with_speeds(&MIXED_SPEEDS)),
+        ("mixed speeds", large.clone().with_mixed_speeds()),
+        ("lost starts", large.clone().with_lost_starts(0.5).with_mixed_speeds()),
         ("takeovers", large.with_takeovers(&[3000, 6000, 9000, 12_000])),
     ];
     for (load, setup) in setups {
--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -139,7 +139,7 @@
 
 impl Policy for Coordinated {
     fn submit(&mut self, now: Millis, number: usize, job: &JobPlan) {
-        let number_of_team = job.team;
+        let team = team_name(job.team);
         let step = Step {
             checkpoints: job.checkpoints,
             count: u32::try_from(job.lengths.len()).unwrap_or(u32::MAX),
@@ -162,7 +162,7 @@
             slack: job.slack,
             steps: vec![step],
             target_ms: job.target,
-            team: team_name(number_of_team),
+            team,
         };
         self.core.submit(self.timestamp(now), job);
     }
--- a/crates/bench/src/jobs_replay/load.rs
+++ b/crates/bench/src/jobs_replay/load.rs
@@ -1,3 +1,5 @@
+use std::ops::Range;
+
 use fastrand::Rng;
 use skylarkpulley_jobs::Resources;
 
@@ -106,14 +108,26 @@
 
 /// Generates the jobs of `load`, in the order of their arrival.
 pub fn generate(load: Load, seed: u64) -> Vec<JobPlan> {
+    let rate_factor = |kind: &JobKind, at| rate_factor(load, kind.class, at);
+    generate_jobs(&JOB_KINDS, ARRIVAL_PERIOD, seed, rate_factor, generate_job)
+}
+
+/// Generates jobs that arrive at random until `period` has passed, in the order of their arrival.
+fn generate_jobs(
+    kinds: &[JobKind],
+    period: Millis,
+    seed: u64,
+    rate_factor: impl Fn(&JobKind, Millis) -> f64,
+    generate_job: impl Fn(&JobKind, Millis, &mut Rng) -> JobPlan,
+) -> Vec<JobPlan> {
     let mut rng = Rng::with_seed(seed);
     let mut jobs = Vec::new();
-    for kind in &JOB_KINDS {
+    for kind in kinds {
         let mut at = 0.0;
         loop {
-            let rate = kind.rate * rate_factor(load, kind.class, at as Millis);
+            let rate = kind.rate * rate_factor(kind, at as Millis);
             at += -(1.0 - rng.f64()).ln() / rate * 1000.0;
-            if at >= ARRIVAL_PERIOD as f64 {
+            if at >= period as f64 {
                 break;
             }
             jobs.push(generate_job(kind, at as Millis, &mut rng));
@@ -165,7 +179,10 @@
 /// Period during which the jobs of a wide load arrive.
 const WIDE_ARRIVAL_PERIOD: Millis = 20_000;
 
-/// Share of the members of a wide gang that need one rack.
+/// Period during which twice as many urgent jobs of a wide load arrive.
+const WIDE_BURST: Range<Millis> = 4000..6000;
+
+/// Share of the wide gangs that need one rack.
 const SAME_RACK_SHARE: f64 = 0.6;
 
 /// Rates and widths of the users' deployment of 240 workers: gangs of about 8 and 25, and bulk
@@ -212,22 +229,13 @@
 /// Generates a load for 240 workers, in the order of arrival: wide gangs whose members have unequal
 /// work, and twice as many urgent jobs during a tenth of the time.
 pub fn generate_wide(teams: usize, seed: u64) -> Vec<JobPlan> {
-    let mut rng = Rng::with_seed(seed);
-    let mut jobs = Vec::new();
-    for kind in &WIDE_KINDS {
-        let mut at = 0.0;
-        loop {
-            let in_burst = kind.class == 0 && (4000.0..6000.0).contains(&at);
-            let rate = if in_burst { kind.rate * 2.0 } else { kind.rate };
-            at += -(1.0 - rng.f64()).ln() / rate * 1000.0;
-            if at >= WIDE_ARRIVAL_PERIOD as f64 {
-                break;
-            }
-            jobs.push(generate_wide_job(kind, at as Millis, teams, &mut rng));
-        }
-    }
-    jobs.sort_by_key(|job| job.arrival);
-    jobs
+    let rate_factor = |kind: &JobKind, at: Millis| {
+        let in_burst = kind.class == 0 && WIDE_BURST.contains(&at);
+        if in_burst { 2.0 } else { 1.0 }
+    };
+    generate_jobs(&WIDE_KINDS, WIDE_ARRIVAL_PERIOD, seed, rate_factor, |kind, at, rng| {
+        generate_wide_job(kind, at, teams, rng)
+    })
 }
 
 fn generate_wide_job(kind: &JobKind, arrival: Millis, teams: usize, rng: &mut Rng) -> JobPlan {
--- a/crates/bench/src/jobs_replay/setup.rs
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -1,5 +1,8 @@
 use super::Millis;
 
+/// Speeds of the workers of a mixed pool, in turn.
+const MIXED_SPEEDS: [f64; 7] = [1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0];
+
 /// Size and faults of the pool in a replay.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -52,9 +55,9 @@
         self
     }
 
-    /// Returns the setup with workers of these speeds, in turn.
-    pub fn with_speeds(mut self, speeds: &[f64]) -> Self {
-        self.speeds = speeds.to_vec();
+    /// Returns the setup with workers whose speeds differ by a factor of up to 1.6.
+    pub fn with_mixed_speeds(mut self) -> Self {
+        self.speeds = MIXED_SPEEDS.to_vec();
         self
     }
 
--- a/crates/bench/src/overload/fifo.rs
+++ b/crates/bench/src/overload/fifo.rs
@@ -1,48 +1,31 @@
-use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::collections::VecDeque;
+use std::time::Instant;
 
 use skylarkpulley_routing::AttemptResult;
 
+use super::attempts::{AttemptEnd, Attempts};
 use super::{Action, Policy, Scenario};
 
-/// Time after which an upstream that was full or unreachable is tried again.
-const RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// Baseline with one first-in-first-out queue per entry. It refuses no request and selects the
 /// upstreams in turn. A request whose attempt was refused as full, or could not reach its upstream,
 /// returns to the head of the queue.
 pub struct Fifo {
-    queue: VecDeque<u64>,
-    /// Attempts in flight on each upstream.
-    in_flight: Vec<u32>,
-    paused_until: Vec<Option<Instant>>,
-    slots: u32,
+    attempts: Attempts,
     next_index: usize,
-    /// Number and upstream of the last attempt of each dispatched request.
-    attempts: HashMap<u64, (u32, usize)>,
+    queue: VecDeque<u64>,
 }
 
 impl Fifo {
     /// Returns a policy with an empty queue and idle upstreams.
     pub fn new(scenario: &Scenario) -> Self {
-        Self {
-            queue: VecDeque::new(),
-            in_flight: vec![0; scenario.upstreams],
-            paused_until: vec![None; scenario.upstreams],
-            slots: scenario.slots,
-            next_index: 0,
-            attempts: HashMap::new(),
-        }
+        Self { attempts: Attempts::new(scenario), next_index: 0, queue: VecDeque::new() }
     }
 
     fn next_upstream(&mut self, now: Instant) -> Option<usize> {
-        let count = self.in_flight.len();
-        let free = |upstream: &usize| {
-            self.in_flight[*upstream] < self.slots
-                && self.paused_until[*upstream].is_none_or(|end| end <= now)
-        };
-        let upstream =
-            (self.next_index..self.next_index + count).map(|index| index % count).find(free)?;
+        let count = self.attempts.upstreams();
+        let upstream = (self.next_index..self.next_index + count)
+            .map(|index| index % count)
+            .find(|upstream| self.attempts.has_slot(*upstream, now))?;
         self.next_index = upstream + 1;
         Some(upstream)
     }
@@ -59,24 +42,19 @@
         while !self.queue.is_empty() {
             let Some(upstream) = self.next_upstream(now) else { break };
             let Some(id) = self.queue.pop_front() else { break };
-            self.in_flight[upstream] += 1;
-            let attempt = self.attempts.entry(id).or_default();
-            *attempt = (attempt.0 + 1, upstream);
-            actions.push(Action::Dispatch { id, attempt: attempt.0, upstream });
+            actions.push(self.attempts.dispatch(id, upstream));
         }
         actions
     }
 
     fn on_result(&mut self, id: u64, _: u32, result: AttemptResult, now: Instant) -> bool {
-        let Some((_, upstream)) = self.attempts.get(&id).copied() else { return true };
-        self.in_flight[upstream] -= 1;
-        if matches!(result, AttemptResult::Full | AttemptResult::Unreachable) {
-            self.paused_until[upstream] = Some(now + RETRY_DELAY);
-            self.queue.push_front(id);
-            return false;
+        match self.attempts.end(id, result, now) {
+            AttemptEnd::Finished => true,
+            AttemptEnd::Rejected { .. } => {
+                self.queue.push_front(id);
+                false
+            }
         }
-        self.attempts.remove(&id);
-        true
     }
 
     fn on_report(&mut self, _: usize, _: u32, _: Instant) {}
@@ -85,6 +63,6 @@
         if self.queue.is_empty() {
             return None;
         }
-        self.paused_until.iter().flatten().copied().filter(|end| *end > now).min()
+        self.attempts.next_retry(now)
     }
 }
--- a/crates/bench/src/overload/mod.rs
+++ b/crates/bench/src/overload/mod.rs
@@ -2,6 +2,7 @@
 //! which arbitrate the slots of their upstreams. The router is compared with FIFO and round-robin
 //! baselines.
 
+mod attempts;
 mod fifo;
 mod policy;
 mod replay;
--- a/crates/bench/src/overload/round_robin.rs
+++ b/crates/bench/src/overload/round_robin.rs
@@ -1,38 +1,28 @@
-use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::collections::VecDeque;
+use std::time::Instant;
 
 use skylarkpulley_routing::AttemptResult;
 
+use super::attempts::{AttemptEnd, Attempts};
 use super::{Action, Policy, Scenario};
 
-/// Time after which an upstream that was full or unreachable is tried again.
-const RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// Baseline that assigns each request to the next upstream in turn when the request arrives. The
 /// request waits in the bounded queue of that upstream and is refused when the queue is full.
 pub struct RoundRobin {
-    queues: Vec<VecDeque<u64>>,
-    /// Attempts in flight on each upstream.
-    in_flight: Vec<u32>,
-    paused_until: Vec<Option<Instant>>,
-    slots: u32,
-    queue_limit: usize,
+    attempts: Attempts,
     next_index: usize,
-    /// Number and upstream of the last attempt of each dispatched request.
-    attempts: HashMap<u64, (u32, usize)>,
+    queue_limit: usize,
+    queues: Vec<VecDeque<u64>>,
 }
 
 impl RoundRobin {
     /// Returns a policy with an empty queue of at most `queue_limit` requests for each upstream.
     pub fn new(scenario: &Scenario, queue_limit: usize) -> Self {
         Self {
-            queues: vec![VecDeque::new(); scenario.upstreams],
-            in_flight: vec![0; scenario.upstreams],
-            paused_until: vec![None; scenario.upstreams],
-            slots: scenario.slots,
-            queue_limit,
+            attempts: Attempts::new(scenario),
             next_index: 0,
-            attempts: HashMap::new(),
+            queue_limit,
+            queues: vec![VecDeque::new(); scenario.upstreams],
         }
     }
 }
@@ -51,36 +41,28 @@
     fn poll(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for (upstream, queue) in self.queues.iter_mut().enumerate() {
-            if self.paused_until[upstream].is_some_and(|end| end > now) {
-                continue;
-            }
-            while self.in_flight[upstream] < self.slots
+            while self.attempts.has_slot(upstream, now)
                 && let Some(id) = queue.pop_front()
             {
-                self.in_flight[upstream] += 1;
-                let attempt = self.attempts.entry(id).or_default();
-                *attempt = (attempt.0 + 1, upstream);
-                actions.push(Action::Dispatch { id, attempt: attempt.0, upstream });
+                actions.push(self.attempts.dispatch(id, upstream));
             }
         }
         actions
     }
 
     fn on_result(&mut self, id: u64, _: u32, result: AttemptResult, now: Instant) -> bool {
-        let Some((_, upstream)) = self.attempts.get(&id).copied() else { return true };
-        self.in_flight[upstream] -= 1;
-        if matches!(result, AttemptResult::Full | AttemptResult::Unreachable) {
-            self.paused_until[upstream] = Some(now + RETRY_DELAY);
-            self.queues[upstream].push_front(id);
-            return false;
+        match self.attempts.end(id, result, now) {
+            AttemptEnd::Finished => true,
+            AttemptEnd::Rejected { upstream } => {
+                self.queues[upstream].push_front(id);
+                false
+            }
         }
-        self.attempts.remove(&id);
-        true
     }
 
     fn on_report(&mut self, _: usize, _: u32, _: Instant) {}
 
     fn next_wake(&self, now: Instant) -> Option<Instant> {
-        self.paused_until.iter().flatten().copied().filter(|end| *end > now).min()
+        self.attempts.next_retry(now)
     }
 }
--- a/crates/bench/tests/jobs_replay.rs
+++ b/crates/bench/tests/jobs_replay.rs
@@ -101,7 +101,5 @@
 /// Guards against urgent gangs that are late because one member is on a slow worker.
 #[test]
 fn coordinator_wide_speeds() {
-    assert_beats_baselines_wide(
-        &Setup::large().with_speeds(&[1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0]),
-    );
+    assert_beats_baselines_wide(&Setup::large().with_mixed_speeds());
 }
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -5,12 +5,11 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use skylarkpulley_jobs::{
-    AdviceAnswer, AdviceCall, Coordinator, DecisionKind, JobTables, Limits, RowKind, Submission,
-    Summary, Timestamp, WorkerReport,
+    AdviceAnswer, AdviceCall, Coordinator, JobTables, Limits, RowKind, Submission, Summary,
+    Timestamp, WorkerReport,
 };
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
-use skylarkpulley_telemetry::Event;
 use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, oneshot, watch};
 use tonic::Status;
@@ -21,19 +20,13 @@
 use crate::journal::{CommitOutcome, Journal};
 use crate::leadership::ReportedLeader;
 use crate::placement_policy::PlacementPolicy;
+use crate::plan_pause::plan_pause;
 use crate::records::Records;
 use crate::store_health::StoreHealth;
 
 /// Interval at which the coordinator handles what has become due.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Multiple of the time of a round of planning that must pass before the next one, so that a leader
-/// with many workers and little processor time also handles reports and calls.
-const PLAN_PAUSE_FACTOR: u32 = 2;
-
-/// Longest pause between two rounds of planning.
-const MAX_PLAN_PAUSE: Duration = Duration::from_millis(60);
-
 /// Time without a write after which the leadership is confirmed by a read.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -288,8 +281,7 @@
                 let now = self.now();
                 self.coordinator.place(now);
                 let took = started.elapsed();
-                let pause = (took * PLAN_PAUSE_FACTOR).min(MAX_PLAN_PAUSE);
-                plan_after = started + took + pause;
+                plan_after = started + took + plan_pause(took);
             }
             if let Some(journal) = idle_journal.take() {
                 self.start_store_call(journal, &mut idle_journal, &mut store_call);
@@ -583,34 +575,14 @@
     }
 
     fn update_gauges(&self) {
-        let metrics = &self.context.records.metrics;
-        let gauges =
-            [("agents", self.sessions.len()), ("callers-waiting", self.waiting_callers.len())];
-        for (name, value) in gauges {
-            metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
-        }
-        metrics.gauge("epoch", self.epoch);
+        let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
+        self.context.records.update_gauges(agents, callers, self.epoch);
     }
 
     fn record_decisions(&mut self) {
+        let now = self.context.clock.now();
         for decision in self.coordinator.take_decisions() {
-            let event = match decision.kind {
-                DecisionKind::Accepted => Event::JobSubmitted,
-                DecisionKind::Refused => Event::JobRefused,
-                DecisionKind::Placed => Event::JobPlaced,
-                DecisionKind::RunEnded => Event::RunEnded,
-                DecisionKind::Stopped => Event::JobPreempted,
-                DecisionKind::Ended => Event::JobEnded,
-                DecisionKind::Quarantined => Event::WorkerQuarantined,
-                DecisionKind::CrashRecorded => Event::CrashRecorded,
-                DecisionKind::GivenUp => Event::JobGivenUp,
-                DecisionKind::Lost => Event::WorkerLost,
-                DecisionKind::Silent => Event::AgentSilent,
-            };
-            let detail = format!("{}; epoch {}", decision.detail, self.epoch);
-            let records = &self.context.records;
-            records.metrics.count(event.name());
-            records.decisions.record(self.context.clock.now(), event, &decision.id, &detail);
+            self.context.records.record(now, &decision, self.epoch);
         }
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 mod operators_server;
 mod peer;
 mod placement_policy;
+mod plan_pause;
 mod records;
 mod role;
 mod service;
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
+use std::time::Instant;
 
-use skylarkpulley_telemetry::{Decisions, Metrics};
+use skylarkpulley_jobs::{Decision, DecisionKind};
+use skylarkpulley_telemetry::{Decisions, Event, Metrics};
 
 /// Number of decisions that an entry keeps for `explain`. At about 300 bytes each, they take 3 MB
 /// of the 260 MB of an entry's VM, and cover ten hours at 1,000 decisions an hour.
@@ -20,4 +22,36 @@
     pub fn new(metrics: Metrics) -> Self {
         Self { decisions: Arc::new(Decisions::new(MAX_DECISIONS)), metrics }
     }
+
+    /// Records and counts a decision of the coordinator of `epoch`.
+    pub fn record(&self, now: Instant, decision: &Decision, epoch: u64) {
+        let event = decision_event(decision.kind);
+        let detail = format!("{}; epoch {epoch}", decision.detail);
+        self.metrics.count(event.name());
+        self.decisions.record(now, event, &decision.id, &detail);
+    }
+
+    /// Updates the gauges of the leader of `epoch`: its agents, and the callers that wait for it.
+    pub fn update_gauges(&self, agents: usize, callers: usize, epoch: u64) {
+        for (name, value) in [("agents", agents), ("callers-waiting", callers)] {
+            self.metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
+        }
+        self.metrics.gauge("epoch", epoch);
+    }
+}
+
+fn decision_event(kind: DecisionKind) -> Event {
+    match kind {
+        DecisionKind::Accepted => Event::JobSubmitted,
+        DecisionKind::Refused => Event::JobRefused,
+        DecisionKind::Placed => Event::JobPlaced,
+        DecisionKind::RunEnded => Event::RunEnded,
+        DecisionKind::Stopped => Event::JobPreempted,
+        DecisionKind::Ended => Event::JobEnded,
+        DecisionKind::Quarantined => Event::WorkerQuarantined,
+        DecisionKind::CrashRecorded => Event::CrashRecorded,
+        DecisionKind::GivenUp => Event::JobGivenUp,
+        DecisionKind::Lost => Event::WorkerLost,
+        DecisionKind::Silent => Event::AgentSilent,
+    }
 }
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -37,6 +37,8 @@
     pub health: Arc<StoreHealth>,
     /// Sends messages to the leader task while this entry is the leader.
     pub inbox: watch::Receiver<Option<mpsc::Sender<LeaderMessage>>>,
+    /// Notified when a call to the leader fails.
+    pub leader_failed: Arc<Notify>,
     /// The leadership as this entry knows it.
     pub leadership: watch::Receiver<Leadership>,
     /// Receives the addresses of entries that have newer tables.
@@ -47,8 +49,6 @@
     pub pings: Mutex<BTreeMap<String, PeerEntry>>,
     /// Decisions and metrics that the entry records.
     pub records: Records,
-    /// Notified when a call to the leader fails.
-    pub leader_failed: Arc<Notify>,
     /// Number of the next session.
     pub sessions: AtomicU64,
     /// Whether the entry is shutting down.
@@ -74,7 +74,7 @@
     /// Returns the entries that have sent a ping within [`PEER_SILENCE_LIMIT`], by address.
     pub fn recent_peers(&self) -> BTreeMap<String, PeerEntry> {
         let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
-        pings.retain(|_, entry| entry.last_ping.elapsed() < PEER_SILENCE_LIMIT);
+        remove_silent(&mut pings);
         pings.clone()
     }
 
@@ -88,13 +88,17 @@
         };
         let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
         pings.insert(ping.address.clone(), entry);
-        pings.retain(|_, entry| entry.last_ping.elapsed() < PEER_SILENCE_LIMIT);
+        remove_silent(&mut pings);
         let peers: Vec<Standby> =
             pings.iter().map(|(address, entry)| Standby { address, cores: entry.cores }).collect();
         standby_rank(&peers, &Standby { address: &ping.address, cores: ping.cores })
     }
 }
 
+fn remove_silent(pings: &mut BTreeMap<String, PeerEntry>) {
+    pings.retain(|_, entry| entry.last_ping.elapsed() < PEER_SILENCE_LIMIT);
+}
+
 /// The interface of an entry to other entries and to agents.
 #[derive(Clone)]
 pub struct CoordinationService {
@@ -176,11 +180,11 @@
             leads: leadership.is_local,
             store_age_ms: millis(self.shared.health.confirmation_age()),
             tables_version: version,
-            standby_rank,
             leaving: self.shared.shutting_down.load(Ordering::Relaxed),
             failing_ms: millis(
                 self.shared.health.failing_for().max(self.shared.health.overdue_for()),
             ),
+            standby_rank,
         }))
     }
 
--- a/crates/coordination/src/standby.rs
+++ b/crates/coordination/src/standby.rs
@@ -25,6 +25,13 @@
     pub cores: u64,
 }
 
+impl Standby<'_> {
+    /// Returns the key by which entries are ordered, the first to take over first.
+    fn order(&self) -> (Reverse<u64>, &str) {
+        (Reverse(self.cores), self.address)
+    }
+}
+
 /// Returns the number of entries among `peers` that should take over before `own` does: those with
 /// more processor time, then those with a lower address.
 ///
@@ -32,9 +39,7 @@
 /// the number of agents. An entry with little processor time that leads makes all work late, and
 /// pings from all entries several times a second take a part of what the leader has.
 pub fn standby_rank(peers: &[Standby], own: &Standby) -> u64 {
-    let order = |entry: &Standby| (Reverse(entry.cores), entry.address.to_owned());
-    let own_order = order(own);
-    let preferred = peers.iter().filter(|peer| order(peer) < own_order).count();
+    let preferred = peers.iter().filter(|peer| peer.order() < own.order()).count();
     u64::try_from(preferred).unwrap_or(u64::MAX)
 }
 
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::absences::Absences;
-use super::entry::Placement;
+use super::entry::{JobEntry, Placement};
 use super::planning::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
@@ -114,12 +115,14 @@
     /// Returns the work in core-seconds that is lost when a run stops now.
     fn lost_work(&self, now: Timestamp, task: &TaskId, placement: &Placement) -> f64 {
         let Some(entry) = self.jobs.get(&task.job) else { return 0.0 };
-        let step = entry.job.steps.get(task.key.step as usize);
-        let mut seconds =
-            now.monotonic.saturating_duration_since(placement.placed_at).as_secs_f64();
-        if step.is_some_and(|step| step.checkpoints) {
-            seconds = seconds.min(self.limits.checkpoint.as_secs_f64());
-        }
-        seconds * entry.resources(task.key.step).weight()
+        let run_time = now.monotonic.saturating_duration_since(placement.placed_at);
+        let unsaved = self.unsaved_time(entry, task.key.step, run_time);
+        unsaved.as_secs_f64() * entry.resources(task.key.step).weight()
+    }
+
+    /// Returns how much of `run_time` is lost when a run of the step stops.
+    pub(super) fn unsaved_time(&self, entry: &JobEntry, step: u32, run_time: Duration) -> Duration {
+        let checkpoints = entry.job.steps.get(step as usize).is_some_and(|step| step.checkpoints);
+        if checkpoints { run_time.min(self.limits.checkpoint) } else { run_time }
     }
 }
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -116,7 +116,7 @@
             let since = placement.progress_start.map_or(now.monotonic, |start| start.0);
             worked = worked.max(now.monotonic.saturating_duration_since(since));
         }
-        let at_stake = if step.checkpoints { worked.min(self.limits.checkpoint) } else { worked };
+        let at_stake = self.unsaved_time(entry, key.step, worked);
         let timeout = STALL_TIMEOUT + Duration::from_millis(step.estimate_ms / 10);
         let index = find_stalled(&progress, timeout, at_stake)?;
         let RunProgress { idle, percent, .. } = progress[index];
