Count crashes that fall into a change of the leader

Callers would see: with frequent changes of the leader and waves of crashing workers, a task that crashes its workers was started three times more after the third crash.

Cause: a leader that has just taken over has not heard from the agent when the crashed worker is replaced, and took the crash for the loss of a VM. At the same time the waves discounted the crashes that it did see, so that the limit of five recorded crashes meant six starts.

Change: a crash whose agent was not heard counts for tasks that are suspect already, and right after a takeover for all runs there unless several workers are gone. The limit in any case is four recorded crashes.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -52,17 +52,17 @@
 }
 
 impl Coordinator {
-    /// Records the crash of a worker under the tasks that may have caused it. Only a crash that the
-    /// agent has outlived counts: otherwise the VM was lost, which no task can cause.
+    /// Records the crash of a worker under the tasks that may have caused it. A crash counts if the
+    /// agent has outlived the worker: otherwise the VM was lost, which no task can cause. It counts
+    /// as well for tasks that are suspect already, and when this coordinator has just taken over and
+    /// has not heard the agent.
     ///
     /// Suspect are the runs that may have started and had not survived it. If there are none, and no
     /// sign of another cause, the runs that had survived it are, but none of them is the only
     /// explanation.
     pub(super) fn record_crash(&mut self, now: Timestamp, id: &str, cause: LossCause) {
-        let Some(worker) = self.fleet.workers.get_mut(id).filter(|worker| !worker.is_reached)
-        else {
-            return;
-        };
+        let Some(worker) = self.fleet.workers.get_mut(id) else { return };
+        let agent_survived = !worker.is_reached;
         match cause {
             LossCause::Crashed => {}
             LossCause::Lapsed => {
@@ -77,6 +77,19 @@
         let pool = worker.status.pool.clone();
         let mut starting = std::mem::take(&mut worker.lapsed_starts);
         starting.extend(self.unproven_runs(id));
+        if !agent_survived {
+            let unheard = self.fleet.workers.get(id).is_some_and(|worker| !worker.has_reported);
+            if !unheard || self.has_other_cause(now, &pool) {
+                starting.retain(|task| self.suspects.contains(task));
+            }
+            if unheard {
+                self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
+            }
+            for task in &starting {
+                self.record_crash_under(now, id, task, false, starting.len());
+            }
+            return;
+        }
         let surviving = self.runs_where(id, |run| run.proven);
         let jobs: BTreeSet<&str> = starting.iter().map(|task| task.job.as_str()).collect();
         let other_cause = self.has_other_cause(now, &pool);
@@ -134,9 +147,14 @@
         recent + down >= MIN_UNEXPLAINED.max(members().count() / UNEXPLAINED_DIVISOR)
     }
 
-    /// Returns the runs of a worker that may have started there and have not survived it.
+    /// Returns the runs of a worker that may have started there and have not survived it. Of a run
+    /// that an earlier coordinator placed, only a report can tell that it has not started.
     fn unproven_runs(&self, id: &str) -> Vec<TaskId> {
-        self.runs_where(id, |run| (run.listed || run.attempted) && !run.proven)
+        let reported = self.fleet.workers.get(id).is_some_and(|worker| worker.has_reported);
+        self.runs_where(id, |run| {
+            let may_run = run.listed || run.attempted || (run.restored && !reported);
+            may_run && !run.proven
+        })
     }
 
     fn runs_where(&self, id: &str, matches: impl Fn(&Placement) -> bool) -> Vec<TaskId> {
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -33,6 +33,8 @@
     pub progress_start: Option<(Instant, u8)>,
     /// Whether the run has survived its start.
     pub proven: bool,
+    /// Whether an earlier coordinator placed the run.
+    pub restored: bool,
     pub run: u32,
     /// Whether the run is ordered to stop.
     pub stopping: bool,
@@ -134,6 +136,7 @@
                 placed_at: now,
                 progress_start: None,
                 proven: false,
+                restored: true,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -450,6 +450,7 @@
                 placed_at: now.monotonic,
                 progress_start: None,
                 proven: false,
+                restored: false,
                 run,
                 stopping: false,
                 version,
--- a/crates/jobs/src/crash_record.rs
+++ b/crates/jobs/src/crash_record.rs
@@ -5,9 +5,9 @@
 /// coincidence.
 const MIN_UNSHARED: u32 = 2;
 
-/// Crashes after which a task is given up in any case: each further start would destroy the runs
-/// beside it.
-const MAX_SHARED_CRASHES: u32 = 5;
+/// Crashes after which a task is given up in any case. Five starts are the most that a task may
+/// have, and one crash can go unnoticed while the leader changes.
+const MAX_SHARED_CRASHES: u32 = 4;
 
 /// Crashes of workers under the runs of one task.
 ///
--- a/crates/jobs/tests/coordinator/crashes.rs
+++ b/crates/jobs/tests/coordinator/crashes.rs
@@ -182,3 +182,31 @@
     }
     assert_eq!(rig.core.view("a").map(|view| view.state), Some(JobState::Running));
 }
+
+/// Guards against a limit that fails when crashing tasks, waves of crashing workers and changes of
+/// the leader come together.
+#[test]
+fn crash_limited_under_faults() {
+    for seed in 0..20 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut pool = CrashingPool::new(11);
+        for number in 0..40 {
+            if number % 12 == 3 {
+                pool.rig.submit(job(&format!("{CRASHING}-{number}"), 1, step(2, 1)));
+            }
+            pool.rig.submit(job(&format!("small-{number}"), 2, step(1 + number % 4, 1)));
+            pool.play(random.u64(3..12) * 100);
+            match random.u8(..8) {
+                0 => pool.crash_some(|| random.f64() < 0.2),
+                1 => pool.rig.take_over(),
+                _ => {}
+            }
+        }
+        pool.play(60_000);
+        assert_starts_limited(&pool);
+        for number in [3, 15, 27, 39] {
+            let id = format!("{CRASHING}-{number}");
+            assert_eq!(pool.state(&id), Some(JobState::Failed), "{id}, seed {seed}");
+        }
+    }
+}
