Keep the starts of a lapsed worker over repeated reports

Callers would see: a task that crashes workers which stay down longer than their leases was started without limit.

Cause: an agent repeats the report of a lapse every second; the second one replaced the starts that the first had noted by none.

Change: the starts are added to those noted before. The search for suspects is a function of its own.

Evidence: crash_recorded_causes with two such reports failed before and passes.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -46,65 +46,61 @@
 
 /// A crash of a worker that no start explains.
 #[derive(Clone, Debug)]
-pub struct UnexplainedCrash {
+pub(super) struct UnexplainedCrash {
     at: Instant,
     pool: String,
 }
 
 impl Coordinator {
-    /// Records the crash of a worker under the tasks that may have caused it. A crash counts if the
-    /// agent has outlived the worker: otherwise the VM was lost, which no task can cause. It counts
-    /// as well for tasks that are suspect already, and when this coordinator has just taken over and
-    /// has not heard the agent.
-    ///
-    /// Suspect are the runs that may have started and had not survived it. If there are none, and no
-    /// sign of another cause, the runs that had survived it are, but none of them is the only
-    /// explanation.
+    /// Records the loss of a worker under the tasks that may have caused it.
     pub(super) fn record_crash(&mut self, now: Timestamp, id: &str, cause: LossCause) {
-        let Some(worker) = self.fleet.workers.get_mut(id) else { return };
-        let agent_survived = !worker.is_reached;
         match cause {
             LossCause::Crashed => {}
-            LossCause::Lapsed => {
-                let lapsed_starts = self.unproven_runs(id);
-                if let Some(worker) = self.fleet.workers.get_mut(id) {
-                    worker.lapsed_starts = lapsed_starts;
-                }
-                return;
-            }
+            LossCause::Lapsed => return self.keep_lapsed_starts(id),
             LossCause::Left | LossCause::Silent => return,
         }
+        let (suspects, unshared) = self.crash_suspects(now, id);
+        for task in &suspects {
+            self.record_crash_under(now, id, task, unshared, suspects.len());
+        }
+    }
+
+    fn keep_lapsed_starts(&mut self, id: &str) {
+        let unproven = self.unproven_runs(id);
+        if let Some(worker) = self.fleet.workers.get_mut(id) {
+            worker.lapsed_starts.extend(unproven);
+        }
+    }
+
+    /// Returns the tasks that may have crashed a worker, and whether no other job can have.
+    ///
+    /// A crash counts if the agent has outlived the worker: otherwise the VM was lost, which no task
+    /// can cause. It counts as well for tasks that are suspect already, and when this coordinator
+    /// has just taken over and has not heard the agent. Suspect are the runs that may have started
+    /// and had not survived it. If there are none, and no sign of another cause, the runs that had
+    /// survived it are, but none of them is the only explanation.
+    fn crash_suspects(&mut self, now: Timestamp, id: &str) -> (Vec<TaskId>, bool) {
+        let Some(worker) = self.fleet.workers.get_mut(id) else { return (Vec::new(), false) };
+        let (agent_survived, unheard) = (!worker.is_reached, !worker.has_reported);
         let pool = worker.status.pool.clone();
         let mut starting = std::mem::take(&mut worker.lapsed_starts);
         starting.extend(self.unproven_runs(id));
+        let other_cause = self.has_other_cause(now, &pool);
+        if unheard || (agent_survived && starting.is_empty()) {
+            self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
+        }
         if !agent_survived {
-            let unheard = self.fleet.workers.get(id).is_some_and(|worker| !worker.has_reported);
-            if !unheard || self.has_other_cause(now, &pool) {
+            if !unheard || other_cause {
                 starting.retain(|task| self.suspects.contains(task));
             }
-            if unheard {
-                self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
-            }
-            for task in &starting {
-                self.record_crash_under(now, id, task, false, starting.len());
-            }
-            return;
+            return (starting, false);
+        }
+        if starting.is_empty() && !other_cause {
+            return (self.runs_where(id, |run| run.proven), false);
         }
-        let surviving = self.runs_where(id, |run| run.proven);
         let jobs: BTreeSet<&str> = starting.iter().map(|task| task.job.as_str()).collect();
-        let other_cause = self.has_other_cause(now, &pool);
         let unshared = jobs.len() == 1 && !other_cause;
-        if starting.is_empty() {
-            self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
-        }
-        let suspects = match (starting.is_empty(), other_cause) {
-            (false, _) => starting,
-            (true, false) => surviving,
-            (true, true) => Vec::new(),
-        };
-        for task in &suspects {
-            self.record_crash_under(now, id, task, unshared, suspects.len());
-        }
+        (starting, unshared)
     }
 
     fn record_crash_under(
--- a/crates/jobs/tests/coordinator/crashes.rs
+++ b/crates/jobs/tests/coordinator/crashes.rs
@@ -151,7 +151,8 @@
     let crash = "\"crashes\":[[0,0,0,1,1]]";
     assert!(row_after_crash(&[|report| report, unreached]).contains(crash), "listed");
     assert!(row_after_crash(&[attempted, |report| unreached(report)]).contains(crash), "attempted");
-    assert!(row_after_crash(&[|report| report, lapsed]).contains(crash), "lapsed, then restarted");
+    let lapsed_twice = row_after_crash(&[|report| report, lapsed, lapsed]);
+    assert!(lapsed_twice.contains(crash), "lapsed, then restarted");
     assert!(!row_after_crash(&[|report| report]).contains("crashes"), "the VM was lost");
     assert!(!row_after_crash(&[|report| report, draining]).contains("crashes"), "drained");
     assert!(
