Count lost starts only when no long run lies between

Callers would see: a long job of the product's interface that lost workers early on, ran for hours and was preempted, stopped at the next early loss.

Cause: a run of a gang that stopped for another reason did not clear the count.

Change: a run longer than the window clears it, however it ends.

Evidence: lost_starts_long_run_between failed before and passes.

--- a/crates/placement/src/placer/gangs.rs
+++ b/crates/placement/src/placer/gangs.rs
@@ -248,7 +248,7 @@
                 self.remove_job(ix)
             }
             GangEnd::Failed { worker } => self.task_failed(ix, worker, &members, &probed_workers),
-            GangEnd::LeaseLapsed | GangEnd::Stopped => self.requeue_stopped(ix),
+            GangEnd::LeaseLapsed | GangEnd::Stopped => self.requeue_stopped(ix, elapsed),
         }
     }
 
--- a/crates/placement/src/placer/health.rs
+++ b/crates/placement/src/placer/health.rs
@@ -144,24 +144,20 @@
         ))
     }
 
-    /// Counts the loss of a worker against the jobs that started on it last. Jobs that had run there
-    /// for some time are cleared.
+    /// Counts the loss of a worker against the jobs that started on it last.
     pub(super) fn record_lost_starts(&mut self, worker: usize) {
         let now = self.now;
         let member = |job: &super::Job| job.members.iter().any(|member| member.0 == worker);
-        let running: Vec<usize> =
-            self.workers[worker].grants.iter().map(|grant| grant.job).collect();
-        let running: Vec<usize> = running
-            .into_iter()
+        let granted = self.workers[worker].grants.iter().map(|grant| grant.job);
+        let running: Vec<usize> = granted
             .filter(|job| self.jobs[*job].is_some() && self.job(*job).is_running())
             .filter(|job| member(self.job(*job)))
             .collect();
         let latest = running.iter().map(|job| self.job(*job).started_at).max();
         for job in running {
             let job = self.job_mut(job);
-            if now.saturating_duration_since(job.started_at) > LOST_START_WINDOW {
-                job.lost_starts = 0;
-            } else if latest.is_some_and(|latest| job.started_at + SAME_START_WINDOW >= latest) {
+            let early = now.saturating_duration_since(job.started_at) <= LOST_START_WINDOW;
+            if early && latest.is_some_and(|latest| job.started_at + SAME_START_WINDOW >= latest) {
                 job.lost_starts += 1;
             }
         }
@@ -169,7 +165,10 @@
 
     /// Queues a job again whose gang has stopped, or stops it if workers are lost whenever it
     /// starts. The backoff separates jobs that were lost together.
-    pub(super) fn requeue_stopped(&mut self, ix: usize) {
+    pub(super) fn requeue_stopped(&mut self, ix: usize, run_time: Duration) {
+        if run_time > LOST_START_WINDOW {
+            self.job_mut(ix).lost_starts = 0;
+        }
         let lost_starts = self.job(ix).lost_starts;
         if lost_starts >= LOST_START_LIMIT {
             let id = self.job(ix).spec.id.clone();
--- a/crates/placement/tests/lost_starts.rs
+++ b/crates/placement/tests/lost_starts.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use skylarkpulley_placement::Action;
+use skylarkpulley_placement::{Action, GangEnd};
 use world::{World, job, pool};
 
 /// Losses of workers after which a job must have been stopped.
@@ -74,3 +74,23 @@
     world.run_after_backoff("long");
     assert_eq!(world.state("long"), "running");
 }
+
+/// Guards against counting losses as consecutive that a long run lies between.
+#[test]
+fn lost_starts_long_run_between() {
+    let mut world = World::new(pool(4, &[&[3]]));
+    world.submit(job("long", "a", 4, 1));
+    for _ in 0..4 {
+        for _ in 0..2 {
+            world.run_after_backoff("long");
+            let ix = worker_of(&world, "long");
+            world.lose_worker(ix);
+            world.join_worker(ix);
+        }
+        world.run_after_backoff("long");
+        world.advance(Duration::from_secs(60));
+        world.end_gang("long", GangEnd::Stopped);
+    }
+    world.run_after_backoff("long");
+    assert_eq!(world.state("long"), "running");
+}
