Look up the run of a task in one place

Change: Coordinator::placement serves all of them; CrashRow holds a CrashRecord. Behaviour and the stored rows stay the same.

Result: all tests of jobs pass, crash_recorded_causes among them, which compares the text of the row.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -155,15 +155,12 @@
 
     fn runs_where(&self, id: &str, matches: impl Fn(&Placement) -> bool) -> Vec<TaskId> {
         let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
-        let placement =
-            |task: &TaskId| self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
-        let runs = worker.runs.keys().filter(|task| placement(task).is_some_and(&matches));
+        let runs = worker.runs.keys().filter(|task| self.placement(task).is_some_and(&matches));
         runs.cloned().collect()
     }
 
     fn is_proven(&self, task: &TaskId) -> bool {
-        let placement = self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
-        placement.is_some_and(|placement| placement.proven)
+        self.placement(task).is_some_and(|placement| placement.proven)
     }
 
     /// Ends a job as failed because workers crash under one of its tasks.
@@ -248,7 +245,7 @@
         let others = self.suspects.iter().filter(|task| task.job != job);
         others
             .filter_map(|task| {
-                let placement = self.jobs.get(&task.job)?.placement(&task.key)?;
+                let placement = self.placement(task)?;
                 (!placement.proven).then_some(placement.worker.as_str())
             })
             .collect()
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -145,8 +145,7 @@
         }
         for crash_row in &row.crashes {
             let Some(task) = entry.tasks.get_mut(&crash_row.key) else { continue };
-            task.crash_record =
-                CrashRecord { crashes: crash_row.crashes, unshared: crash_row.unshared };
+            task.crash_record = crash_row.record;
             task.crashed_at = Some(now);
         }
         entry.stored_state = entry.state();
@@ -170,11 +169,7 @@
             }
         });
         let suspects = self.tasks.iter().filter(|(_, task)| task.crash_record.is_suspect());
-        let crashes = suspects.map(|(key, task)| CrashRow {
-            crashes: task.crash_record.crashes,
-            key: *key,
-            unshared: task.crash_record.unshared,
-        });
+        let crashes = suspects.map(|(key, task)| CrashRow { key: *key, record: task.crash_record });
         ProgressRow {
             cancelled: self.cancelled,
             crashes: crashes.collect(),
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -309,7 +309,12 @@
 
     /// Returns the number of the run of a task that may be alive.
     pub fn run_number(&self, task: &TaskId) -> Option<u32> {
-        Some(self.jobs.get(&task.job)?.placement(&task.key)?.run)
+        Some(self.placement(task)?.run)
+    }
+
+    /// Returns the run of a task that may be alive.
+    fn placement(&self, task: &TaskId) -> Option<&Placement> {
+        self.jobs.get(&task.job)?.placement(&task.key)
     }
 
     /// Returns the number of accepted jobs of `route` for which no task has started.
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -188,7 +188,7 @@
 
     /// Returns a run with the time since its placement and how far its start is known to have come.
     fn describe_age(&self, now: Timestamp, task: &TaskId) -> Option<String> {
-        let placement = self.jobs.get(&task.job)?.placement(&task.key)?;
+        let placement = self.placement(task)?;
         let age = now.monotonic.saturating_duration_since(placement.placed_at);
         let stage = match placement {
             Placement { proven: true, .. } => "proven",
@@ -200,12 +200,12 @@
     }
 
     fn checkpoint(&self, task: &TaskId) -> String {
-        let placement = self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
+        let placement = self.placement(task);
         placement.map_or_else(String::new, |placement| placement.checkpoint.clone())
     }
 
     fn is_current(&self, status: &WorkerStatus, task: &TaskId, run: u32) -> bool {
-        let placement = self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
+        let placement = self.placement(task);
         placement.is_some_and(|placement| {
             placement.run == run
                 && placement.worker == status.id
@@ -324,7 +324,7 @@
             if report.running.iter().any(|listed| listed.task == *task && listed.run == *run) {
                 continue;
             }
-            let placement = self.jobs.get(&task.job).and_then(|entry| entry.placement(&task.key));
+            let placement = self.placement(task);
             if placement.is_some_and(|placement| {
                 placement.listed
                     && !placement.stopping
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -1,7 +1,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::TaskKey;
+use crate::{CrashRecord, TaskKey};
 
 /// A stored row that cannot be read.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -87,12 +87,10 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "PackedCrash", into = "PackedCrash")]
 pub struct CrashRow {
-    /// Workers that crashed under a run of the task.
-    pub crashes: u32,
     /// The task.
     pub key: TaskKey,
-    /// Those of `crashes` that no run of another job can have caused.
-    pub unshared: u32,
+    /// The crashes.
+    pub record: CrashRecord,
 }
 
 /// Occurrence, step, index, crashes, unshared.
@@ -100,14 +98,15 @@
 
 impl From<PackedCrash> for CrashRow {
     fn from((occurrence, step, index, crashes, unshared): PackedCrash) -> Self {
-        Self { crashes, key: TaskKey { occurrence, step, index }, unshared }
+        let record = CrashRecord { crashes, unshared };
+        Self { key: TaskKey { occurrence, step, index }, record }
     }
 }
 
 impl From<CrashRow> for PackedCrash {
     fn from(row: CrashRow) -> Self {
         let TaskKey { occurrence, step, index } = row.key;
-        (occurrence, step, index, row.crashes, row.unshared)
+        (occurrence, step, index, row.record.crashes, row.record.unshared)
     }
 }
 
