--- /dev/null
+++ b/review/standins/src/bin/review-case.rs
@@ -0,0 +1,284 @@
+//! Plays one case of the review and tells by its exit code whether the rule held.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use review_standins::record::Record;
+use review_standins::store::Store;
+use review_standins::system::{Bounds, SERVICE, System, config};
+use review_standins::worker::{Interval, LateOrders, Worker, WorkerSettings, overlaps, repeats};
+use serde_json::{Value, json};
+
+/// Exit code when the rule was broken.
+const BROKEN: u8 = 1;
+
+/// Exit code when the case could not run.
+const NOT_RUN: u8 = 2;
+
+/// Processor time of a worker in thousandths of a core.
+const CPU: u64 = 64_000;
+
+/// Time after the end of the traffic from which no job may wait while there is capacity, in
+/// seconds.
+const FINISH_S: u64 = 14;
+
+/// Bounds of the site novias-vc.
+const BOUNDS: Bounds = Bounds { hold_max_ms: 6000, reclaim_ms: 2700, stop_ms: 200 };
+
+/// A deployment with one worker beside each agent.
+struct Deployment {
+    intervals: Arc<Mutex<Vec<Interval>>>,
+    record: Arc<Record>,
+    store: Arc<Store>,
+    system: System,
+    workers: Vec<Arc<Worker>>,
+}
+
+impl Deployment {
+    fn start(root: &Path, folder: &Path, record: &Arc<Record>) -> Result<Self, String> {
+        let text = |error: std::io::Error| error.to_string();
+        let (store, server) = Store::start(&config()).map_err(text)?;
+        let mut system =
+            System::prepare(root, folder, server.address(), BOUNDS, 3, 2, record).map_err(text)?;
+        if !system.start().map_err(text)? {
+            return Err("the entries did not become ready".to_owned());
+        }
+        let intervals = Arc::new(Mutex::new(Vec::new()));
+        let mut workers = Vec::new();
+        for (number, agent) in system.check_ins.iter().enumerate() {
+            let settings = WorkerSettings {
+                gpu: 8,
+                hold_max_ms: BOUNDS.hold_max_ms,
+                // The first worker has the lower id.
+                id: format!("i-{}", number + 1),
+                service: SERVICE.to_owned(),
+                stop: Duration::from_millis(BOUNDS.stop_ms),
+                zone: format!("zone-{}", number + 1),
+            };
+            let worker = Worker::start(settings, *agent, intervals.clone(), record.clone());
+            workers.push(worker.map_err(text)?);
+        }
+        // Each agent has reported to the leader by then.
+        thread::sleep(Duration::from_secs(4));
+        Ok(Self { intervals, record: record.clone(), store, system, workers })
+    }
+
+    /// Waits until `task` has begun a run, and returns the number of its worker.
+    fn wait_for_run(&self, task: &str, run: u32, limit: Duration) -> Option<usize> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            let found = self
+                .intervals
+                .lock()
+                .unwrap()
+                .iter()
+                .find(|interval| interval.task == task && interval.run == run)
+                .map(|interval| interval.worker.clone());
+            if let Some(id) = found {
+                return self.workers.iter().position(|worker| worker.id() == id);
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
+    /// Writes the runs that were active at the same time; returns whether there were any.
+    fn judge_overlaps(&self) -> bool {
+        let found = overlaps(&self.intervals.lock().unwrap(), Duration::ZERO);
+        for line in &found {
+            self.record.line(&format!("TWICE {line}"));
+        }
+        !found.is_empty()
+    }
+
+    /// Watches for 3 s which of the jobs have nothing running, although there is capacity for each
+    /// of them twice over and under half of the capacity is in use. `cpu` is what the tasks of one
+    /// job need together, in thousandths of a core. Returns whether there is such a job.
+    fn judge_idle(&self, ids: &[&str], cpu: u64) -> bool {
+        let begin = Instant::now();
+        thread::sleep(Duration::from_secs(3));
+        let capacity = CPU * self.workers.len() as u64;
+        let intervals = self.intervals.lock().unwrap();
+        let active: Vec<&Interval> = intervals
+            .iter()
+            .filter(|interval| interval.ended.is_none_or(|ended| ended > begin))
+            .collect();
+        let mut found = false;
+        for id in ids {
+            let runs = active.iter().filter(|interval| interval.task.starts_with(id)).count();
+            let answer = self.system.exchange(0, "GET", id, &Value::Null);
+            let ended = answer.is_some_and(|(_, body)| body.contains("completed"));
+            // Only these jobs run here, so that nothing is in use when none of them has a run.
+            if !ended && active.is_empty() && 2 * cpu <= capacity {
+                self.record.line(&format!(
+                    "LOST {id}: not completed, {runs} runs for 3 s, {capacity} thousandths of a core free"
+                ));
+                found = true;
+            }
+        }
+        found
+    }
+
+    /// Writes the tasks that were started again after they had ended as done; returns whether there
+    /// were any.
+    fn judge_repeats(&self) -> bool {
+        let found = repeats(&self.intervals.lock().unwrap());
+        for line in &found {
+            self.record.line(&format!("TWICE {line}"));
+        }
+        !found.is_empty()
+    }
+}
+
+/// A job of one task that works for `work_ms` on `gpu` accelerators.
+fn job(work_ms: u64, gpu: u64) -> Value {
+    json!({ "spec": format!("{work_ms} {gpu}"), "steps": [{ "count": 1, "cpu": 8000,
+        "mem_mb": 1000, "gpu": gpu, "estimate_ms": work_ms }] })
+}
+
+/// A start whose first copy is carried out late, after its minion has crashed and started again
+/// under its id.
+fn late_start_after_crash(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+    let (short, long) = ("00000000000000a1", "00000000000000b2");
+    if !deployment.system.submit(short, &job(4000, 8)) {
+        return Err("the first job was not accepted".to_owned());
+    }
+    let task = format!("{short}.0.0.0");
+    deployment.wait_for_run(&task, 1, Duration::from_secs(3)).ok_or("the first job did not run")?;
+    if trouble {
+        for worker in &deployment.workers {
+            let until = Instant::now() + Duration::from_secs(2);
+            let delay = Duration::from_secs(9);
+            worker.hold_orders(LateOrders { until, delay, count: 1 });
+        }
+    }
+    if !deployment.system.submit(long, &job(15_000, 8)) {
+        return Err("the second job was not accepted".to_owned());
+    }
+    let task = format!("{long}.0.0.0");
+    let first = deployment.wait_for_run(&task, 1, Duration::from_secs(5));
+    let first = first.ok_or("the second job did not run")?;
+    thread::sleep(Duration::from_millis(2500));
+    if trouble {
+        deployment.workers[first].crash();
+        thread::sleep(Duration::from_millis(4500));
+        deployment.workers[first].boot().map_err(|error| error.to_string())?;
+    }
+    thread::sleep(Duration::from_secs(16));
+    Ok(deployment.judge_overlaps())
+}
+
+/// A start that is carried out late, after the agent has been killed and its minion drains.
+fn late_start_after_restart(deployment: &mut Deployment, trouble: bool) -> Result<bool, String> {
+    let id = "00000000000000c3";
+    if trouble {
+        for worker in &deployment.workers {
+            let until = Instant::now() + Duration::from_secs(2);
+            let delay = Duration::from_secs(5);
+            worker.hold_orders(LateOrders { until, delay, count: 4 });
+        }
+    }
+    if !deployment.system.submit(id, &job(15_000, 8)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    if trouble {
+        thread::sleep(Duration::from_millis(300));
+        // The first worker has the lower id and gets the job.
+        deployment.system.agents[0].kill();
+        deployment.workers[0].drain();
+        thread::sleep(Duration::from_millis(1000));
+        deployment.system.agents[0].start().map_err(|error| error.to_string())?;
+    }
+    thread::sleep(Duration::from_secs(20));
+    Ok(deployment.judge_overlaps())
+}
+
+/// More tasks end at one worker than it lists at a time, while the store is down.
+fn many_ends_without_store(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+    let id = "00000000000000d4";
+    let (count, work_ms) = (640, 8000);
+    let job = json!({ "spec": format!("{work_ms} 0"), "steps": [{ "count": count, "cpu": 90,
+        "mem_mb": 10, "estimate_ms": work_ms }] });
+    if !deployment.system.submit(id, &job) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let first = format!("{id}.0.0.0");
+    deployment.wait_for_run(&first, 1, Duration::from_secs(5)).ok_or("the job did not run")?;
+    thread::sleep(Duration::from_millis(work_ms - 1000));
+    if trouble {
+        deployment.record.line("the store answers all calls with 503 for 4.5 s");
+        deployment.store.take_down(Duration::from_millis(4500));
+    }
+    thread::sleep(Duration::from_secs(20));
+    let state = deployment.system.exchange(0, "GET", id, &Value::Null);
+    deployment.record.line(&format!("state of the job: {state:?}"));
+    Ok(deployment.judge_repeats())
+}
+
+/// Two jobs of many small tasks with long descriptions become due at once.
+fn large_jobs_at_once(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let due = u64::try_from(since_epoch.as_millis()).unwrap_or(0) + 3000;
+    let (ids, cpu, count) = (["00000000000000e5", "00000000000000e6"], 50, 620);
+    for (number, id) in (0..).zip(ids) {
+        let spec = format!("{:<3990}", "20000 0 ");
+        let start = if trouble { due } else { due + 6000 * number };
+        let job = json!({ "spec": spec, "times": 1, "start_at_ms": start, "interval_ms": 1000,
+            "steps": [{ "count": count, "cpu": cpu, "mem_mb": 10, "estimate_ms": 20_000 }] });
+        if !deployment.system.submit(id, &job) {
+            return Err("a job was not accepted".to_owned());
+        }
+    }
+    // Both are due by then, and `finish_s` has passed since the end of the traffic.
+    thread::sleep(Duration::from_secs(9 + FINISH_S));
+    let found = deployment.judge_idle(&ids, cpu * count);
+    thread::sleep(Duration::from_secs(25));
+    Ok(deployment.judge_idle(&ids, cpu * count) && found)
+}
+
+fn run(case: &str, root: &Path, folder: &Path, record: &Arc<Record>) -> Result<bool, String> {
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    record
+        .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    let mut deployment = Deployment::start(root, folder, record)?;
+    match case {
+        "late-start-after-crash" => late_start_after_crash(&deployment, trouble),
+        "late-start-after-restart" => late_start_after_restart(&mut deployment, trouble),
+        "many-ends-without-store" => many_ends_without_store(&deployment, trouble),
+        "large-jobs-at-once" => large_jobs_at_once(&deployment, trouble),
+        _ => Err(format!("no case {case:?}")),
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, root, folder, record] = arguments.as_slice() else {
+        eprintln!("usage: review-case CASE REPOSITORY FOLDER RECORD");
+        return ExitCode::from(NOT_RUN);
+    };
+    let record = match Record::new(Path::new(record)) {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("cannot write the record: {error}");
+            return ExitCode::from(NOT_RUN);
+        }
+    };
+    match run(case, &PathBuf::from(root), &PathBuf::from(folder), &record) {
+        Ok(false) => {
+            record.line("the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(true) => {
+            record.line("the rule was broken");
+            ExitCode::from(BROKEN)
+        }
+        Err(error) => {
+            record.line(&format!("the case could not run: {error}"));
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
