--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case.sh" large-jobs-at-once "$(dirname "$0")"
+exec "$(dirname "$0")/../standins/run-case.sh" checkpoints-of-a-large-job "$(dirname "$0")"
--- a/review/standins/src/bin/review-case.rs
+++ b/review/standins/src/bin/review-case.rs
@@ -25,8 +25,8 @@
 /// seconds.
 const FINISH_S: u64 = 14;
 
-/// Bounds of the site novias-vc.
-const BOUNDS: Bounds = Bounds { hold_max_ms: 6000, reclaim_ms: 2700, stop_ms: 200 };
+/// Bounds of the site menza-grid.
+const BOUNDS: Bounds = Bounds { hold_max_ms: 10_000, reclaim_ms: 3400, stop_ms: 900 };
 
 /// A deployment with one worker beside each agent.
 struct Deployment {
@@ -38,7 +38,12 @@
 }
 
 impl Deployment {
-    fn start(root: &Path, folder: &Path, record: &Arc<Record>) -> Result<Self, String> {
+    fn start(
+        root: &Path,
+        folder: &Path,
+        checkpoint: usize,
+        record: &Arc<Record>,
+    ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let (store, server) = Store::start(&config()).map_err(text)?;
         let mut system =
@@ -50,6 +55,7 @@
         let mut workers = Vec::new();
         for (number, agent) in system.check_ins.iter().enumerate() {
             let settings = WorkerSettings {
+                checkpoint,
                 gpu: 8,
                 hold_max_ms: BOUNDS.hold_max_ms,
                 // The first worker has the lower id.
@@ -188,7 +194,7 @@
         thread::sleep(Duration::from_millis(300));
         // The first worker has the lower id and gets the job.
         deployment.system.agents[0].kill();
-        deployment.workers[0].drain();
+        deployment.workers[0].drain(20_000);
         thread::sleep(Duration::from_millis(1000));
         deployment.system.agents[0].start().map_err(|error| error.to_string())?;
     }
@@ -239,16 +245,58 @@
     Ok(deployment.judge_idle(&ids, cpu * count) && found)
 }
 
+/// A worker with many tasks that have checkpoints crashes and starts again.
+fn checkpoints_of_a_large_job(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+    let (large, small) = ("00000000000000f7", "00000000000000f8");
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let due = u64::try_from(since_epoch.as_millis()).unwrap_or(0) + 15_000;
+    let work_ms = 70_000;
+    let jobs = [
+        (
+            small,
+            json!({ "spec": "3000 1", "times": 1, "start_at_ms": due, "interval_ms": 1000,
+            "steps": [{ "count": 1, "cpu": 1000, "mem_mb": 10, "gpu": 1, "estimate_ms": 3000 }] }),
+        ),
+        (
+            large,
+            json!({ "spec": format!("{work_ms} 0"), "steps": [{ "count": 1000, "cpu": 30,
+            "mem_mb": 10, "estimate_ms": work_ms, "checkpointable": true }] }),
+        ),
+    ];
+    for (id, job) in &jobs {
+        if !deployment.system.submit(id, job) {
+            return Err("a job was not accepted".to_owned());
+        }
+    }
+    let first = format!("{large}.0.0.0");
+    let worker = deployment.wait_for_run(&first, 1, Duration::from_secs(5));
+    let worker = worker.ok_or("the large job did not run")?;
+    thread::sleep(Duration::from_secs(6));
+    if trouble {
+        deployment.workers[worker].crash();
+        thread::sleep(Duration::from_millis(4500));
+        deployment.workers[worker].boot().map_err(|error| error.to_string())?;
+    }
+    thread::sleep(Duration::from_secs(10 + FINISH_S));
+    let found = deployment.judge_idle(&[small], 1000);
+    for row in deployment.store.refused_rows().iter().take(3) {
+        deployment.record.line(&format!("the store has refused a row: {row}"));
+    }
+    Ok(found)
+}
+
 fn run(case: &str, root: &Path, folder: &Path, record: &Arc<Record>) -> Result<bool, String> {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record
         .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
-    let mut deployment = Deployment::start(root, folder, record)?;
+    let checkpoint = if case == "checkpoints-of-a-large-job" { 36 } else { 0 };
+    let mut deployment = Deployment::start(root, folder, checkpoint, record)?;
     match case {
         "late-start-after-crash" => late_start_after_crash(&deployment, trouble),
         "late-start-after-restart" => late_start_after_restart(&mut deployment, trouble),
         "many-ends-without-store" => many_ends_without_store(&deployment, trouble),
         "large-jobs-at-once" => large_jobs_at_once(&deployment, trouble),
+        "checkpoints-of-a-large-job" => checkpoints_of_a_large_job(&deployment, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -8,6 +8,9 @@
 
 use crate::http::{Answer, Request, Server};
 
+/// Maximum size of the value of a row.
+const ROW_BYTES: usize = 65_536;
+
 type Key = (String, String, String);
 
 #[derive(Default)]
@@ -23,11 +26,18 @@
 pub struct Store {
     changed: Condvar,
     down_until: Mutex<Option<Instant>>,
+    /// Rows that were refused for their size.
+    refused: Mutex<Vec<String>>,
     started: Instant,
     state: Mutex<State>,
 }
 
 impl Store {
+    /// Returns the rows that were refused for their size.
+    pub fn refused_rows(&self) -> Vec<String> {
+        self.refused.lock().unwrap().clone()
+    }
+
     /// Answers all calls with status 503 from now on for `length`.
     pub fn take_down(&self, length: Duration) {
         *self.down_until.lock().unwrap() = Some(Instant::now() + length);
@@ -43,6 +53,7 @@
         let store = Arc::new(Self {
             changed: Condvar::new(),
             down_until: Mutex::new(None),
+            refused: Mutex::new(Vec::new()),
             started: Instant::now(),
             state: Mutex::new(State::default()),
         });
@@ -85,6 +96,15 @@
         std::thread::sleep(Duration::from_millis(8));
         let Ok(body) = serde_json::from_slice::<Value>(body) else { return (400, json!({})) };
         let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let size = |entry: &Value| {
+            let text = entry["value"].as_str().unwrap_or_default();
+            STANDARD.decode(text).map_or(usize::MAX, |bytes| bytes.len())
+        };
+        if let Some(entry) = entries("upserts").iter().find(|entry| size(entry) > ROW_BYTES) {
+            let (table, key) = (&entry["table"], &entry["key"]);
+            self.refused.lock().unwrap().push(format!("{table} {key}: {} bytes", size(entry)));
+            return (400, json!({ "reason": "a row has more than row_bytes" }));
+        }
         let mut state = self.state.lock().unwrap();
         let expected = entries("expect");
         let holds = expected.iter().all(|entry| {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -18,6 +18,8 @@
 /// Description of a worker. It stays the same over its boots.
 #[derive(Clone, Debug)]
 pub struct WorkerSettings {
+    /// Length of a checkpoint in characters; 0 if tasks have none.
+    pub checkpoint: usize,
     /// Accelerators of the worker.
     pub gpu: i64,
     /// Longest lease that it accepts, in milliseconds.
@@ -46,7 +48,8 @@
     deadline_ms: u64,
     /// Number of the last end.
     ends: u64,
-    finished: Vec<(u64, String, u32, &'static str)>,
+    /// Number, task, run, how it ended, and the checkpoint.
+    finished: Vec<(u64, String, u32, &'static str, String)>,
     highest_token: u64,
     /// Highest run of each task that has ended or was stopped here.
     past: BTreeMap<String, u32>,
@@ -85,7 +88,7 @@
     agent: SocketAddr,
     boot: Mutex<Option<Boot>>,
     changed: Condvar,
-    draining: Mutex<bool>,
+    draining: Mutex<Option<u64>>,
     intervals: Arc<Mutex<Vec<Interval>>>,
     late: Mutex<Option<LateOrders>>,
     record: Arc<Record>,
@@ -137,7 +140,7 @@
             agent,
             boot: Mutex::new(None),
             changed: Condvar::new(),
-            draining: Mutex::new(false),
+            draining: Mutex::new(None),
             intervals,
             late: Mutex::new(None),
             record,
@@ -191,9 +194,9 @@
         }
     }
 
-    /// Announces from now on that the worker drains.
-    pub fn drain(&self) {
-        *self.draining.lock().unwrap() = true;
+    /// Announces from now on that the worker drains and leaves no sooner than in `remaining_ms`.
+    pub fn drain(&self, remaining_ms: u64) {
+        *self.draining.lock().unwrap() = Some(remaining_ms);
         self.record.line(&format!("{} drains", self.settings.id));
         self.check_in();
     }
@@ -216,7 +219,7 @@
                 "zone": self.settings.zone,
                 "version": "v1",
                 "slots": 8,
-                "state": if draining { "draining" } else { "ready" },
+                "state": if draining.is_some() { "draining" } else { "ready" },
                 "cold_ms": 0,
                 "capacity": { "cpu": 64_000, "mem_mb": 262_144, "gpu": self.settings.gpu },
                 "labels": ["a", format!("rack-{}", self.settings.zone)],
@@ -224,8 +227,8 @@
                 "born": boot.born,
                 "seq": boot.seq,
             });
-            if draining {
-                body["remaining_ms"] = 20_000.into();
+            if let Some(remaining_ms) = draining {
+                body["remaining_ms"] = remaining_ms.into();
             }
             body.to_string()
         };
@@ -370,7 +373,7 @@
             boot.highest_token = token;
             boot.extend(body["deadline_ms"].as_u64(), self.settings.hold_max_ms);
             let acked = body["ack_seq"].as_u64().unwrap_or(0);
-            for (_, task, run, _) in boot.finished.iter().filter(|end| end.0 <= acked) {
+            for (_, task, run, _, _) in boot.finished.iter().filter(|end| end.0 <= acked) {
                 self.note_end(task, *run);
             }
             boot.finished.retain(|end| end.0 > acked);
@@ -380,7 +383,7 @@
             let boot = guard.as_ref().filter(|boot| boot.born == born)?;
             let left = end.saturating_duration_since(Instant::now());
             if !boot.finished.is_empty() || left.is_zero() {
-                return Some((200, listing(boot)));
+                return Some((200, listing(boot, &self.settings)));
             }
             guard = self.changed.wait_timeout(guard, left).unwrap().0;
         }
@@ -409,7 +412,8 @@
             let past = boot.past.entry(task.clone()).or_insert(0);
             *past = (*past).max(run);
             boot.ends += 1;
-            boot.finished.push((boot.ends, task.clone(), run, how));
+            let saved = checkpoint(self.settings.checkpoint, &task, boot.ends);
+            boot.finished.push((boot.ends, task.clone(), run, how, saved));
             self.end_interval(&task, run, how);
             self.changed.notify_all();
         }
@@ -449,21 +453,29 @@
     (work, parts.next().and_then(|text| text.parse().ok()).unwrap_or(1))
 }
 
-fn listing(boot: &Boot) -> Value {
+/// Returns a checkpoint of `length` characters, or none if that is 0.
+fn checkpoint(length: usize, task: &str, progress: u64) -> String {
+    let mut text = task.replace('.', "-") + &format!("-{progress:0length$x}");
+    text.truncate(length);
+    text
+}
+
+fn listing(boot: &Boot, settings: &WorkerSettings) -> Value {
     let running: Vec<Value> = boot
         .running
         .iter()
         .map(|((task, number), run)| {
             let share = run.started.elapsed().as_secs_f64() / run.work.as_secs_f64().max(0.001);
             let percent = (share * 100.0).clamp(0.0, 100.0) as u64;
-            json!([task, number, "", percent, 1000])
+            let saved = checkpoint(settings.checkpoint, task, percent);
+            json!([task, number, saved, percent, 1000])
         })
         .collect();
     let finished: Vec<Value> = boot
         .finished
         .iter()
         .take(ENDS_AT_A_TIME)
-        .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+        .map(|(number, task, run, how, saved)| json!([number, task, run, how, saved]))
         .collect();
     json!({ "clock_ms": boot.clock_ms(), "born": boot.born, "running": running, "finished": finished })
 }
