--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case.sh" late-start-after-crash "$(dirname "$0")"
+exec "$(dirname "$0")/../standins/run-case.sh" many-ends-without-store "$(dirname "$0")"
