--- a/review/standins/src/bin/review-case.rs
+++ b/review/standins/src/bin/review-case.rs
@@ -6,9 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use review_standins::advice::Advice;
 use review_standins::record::Record;
 use review_standins::store::Store;
-use review_standins::system::{Bounds, SERVICE, System, config};
+use review_standins::system::{Bounds, Extras, SERVICE, System, config};
 use review_standins::worker::{Interval, LateOrders, Worker, WorkerSettings, overlaps, repeats};
 use serde_json::{Value, json};
 
@@ -18,6 +19,9 @@
 /// Exit code when the case could not run.
 const NOT_RUN: u8 = 2;
 
+/// Time that the policy takes for a decision and for each worker, in milliseconds.
+const ADVICE_MS: (u64, u64) = (400, 100);
+
 /// Processor time of a worker in thousandths of a core.
 const CPU: u64 = 64_000;
 
@@ -41,21 +45,23 @@
     fn start(
         root: &Path,
         folder: &Path,
-        checkpoint: usize,
+        extras: Extras,
+        advice: Option<(u64, u64)>,
         record: &Arc<Record>,
     ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
-        let (store, server) = Store::start(&config()).map_err(text)?;
-        let mut system =
-            System::prepare(root, folder, server.address(), BOUNDS, 3, 2, record).map_err(text)?;
-        if !system.start().map_err(text)? {
-            return Err("the entries did not become ready".to_owned());
-        }
+        let (store, server) = Store::start(&config(advice)).map_err(text)?;
+        // Another process may take a port between its choice and its use.
+        let started = (0..3).find_map(|_| {
+            let system = System::prepare(root, folder, server.address(), BOUNDS, extras, record);
+            system.and_then(System::start).transpose()
+        });
+        let system = started.ok_or("the entries did not become ready")?.map_err(text)?;
         let intervals = Arc::new(Mutex::new(Vec::new()));
         let mut workers = Vec::new();
         for (number, agent) in system.check_ins.iter().enumerate() {
             let settings = WorkerSettings {
-                checkpoint,
+                checkpoint: extras.checkpoint,
                 gpu: 8,
                 hold_max_ms: BOUNDS.hold_max_ms,
                 // The first worker has the lower id.
@@ -128,6 +134,22 @@
         found
     }
 
+    /// Watches for 3 s which of the jobs begin nothing, although under half of the capacity is in
+    /// use. Each of them needs next to nothing. Returns whether there is such a job.
+    fn judge_waiting(&self, ids: &[String]) -> bool {
+        thread::sleep(Duration::from_secs(3));
+        let intervals = self.intervals.lock().unwrap();
+        let active = intervals.iter().filter(|interval| interval.ended.is_none()).count();
+        let mut found = false;
+        for id in ids {
+            if !intervals.iter().any(|interval| interval.task.starts_with(id)) && active < 8 {
+                self.record.line(&format!("LOST {id}: no run, {active} runs on both workers"));
+                found = true;
+            }
+        }
+        found
+    }
+
     /// Writes the tasks that were started again after they had ended as done; returns whether there
     /// were any.
     fn judge_repeats(&self) -> bool {
@@ -285,18 +307,63 @@
     Ok(found)
 }
 
+/// A burst on a queue whose policy decides slowly.
+fn advice_after_a_burst(
+    deployment: &Deployment,
+    advice: &Advice,
+    trouble: bool,
+) -> Result<bool, String> {
+    let (gap, started) = (Duration::from_millis(714), Instant::now());
+    let (mut number, mut next, mut ids) = (0, Duration::ZERO, Vec::new());
+    while next < Duration::from_secs(56) {
+        thread::sleep(next.saturating_sub(started.elapsed()));
+        let id = format!("{:016x}", 0xa000 + number);
+        if !deployment.system.submit(&id, &job(1000, 0)) {
+            return Err("a job was not accepted".to_owned());
+        }
+        ids.push(id);
+        number += 1;
+        let burst = trouble && next >= Duration::from_secs(10) && next < Duration::from_secs(16);
+        next += if burst { gap.div_f64(2.3) } else { gap };
+    }
+    thread::sleep(Duration::from_secs(FINISH_S));
+    let waits: Vec<String> = {
+        let intervals = deployment.intervals.lock().unwrap();
+        let begun = |id: &String| intervals.iter().any(|interval| interval.task.starts_with(id));
+        ids.iter().filter(|id| !begun(id)).cloned().collect()
+    };
+    let calls = advice.calls();
+    deployment.record.line(&format!("{} jobs, {} calls for advice", ids.len(), calls.len()));
+    let found = deployment.judge_waiting(&waits);
+    Ok(found)
+}
+
 fn run(case: &str, root: &Path, folder: &Path, record: &Arc<Record>) -> Result<bool, String> {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record
         .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
-    let checkpoint = if case == "checkpoints-of-a-large-job" { 36 } else { 0 };
-    let mut deployment = Deployment::start(root, folder, checkpoint, record)?;
+    let mut extras = Extras::default();
+    if case == "checkpoints-of-a-large-job" {
+        extras.checkpoint = 36;
+    }
+    let mut advice = None;
+    if case == "advice-after-a-burst" {
+        let started = Advice::start(ADVICE_MS.0, ADVICE_MS.1).map_err(|error| error.to_string())?;
+        extras.advice = Some(started.1);
+        advice = Some(started.0);
+    }
+    let times = advice.as_ref().map(|_| ADVICE_MS);
+    let mut deployment = Deployment::start(root, folder, extras, times, record)?;
     match case {
         "late-start-after-crash" => late_start_after_crash(&deployment, trouble),
         "late-start-after-restart" => late_start_after_restart(&mut deployment, trouble),
         "many-ends-without-store" => many_ends_without_store(&deployment, trouble),
         "large-jobs-at-once" => large_jobs_at_once(&deployment, trouble),
         "checkpoints-of-a-large-job" => checkpoints_of_a_large_job(&deployment, trouble),
+        "advice-after-a-burst" => {
+            let advice = advice.ok_or("no service for advice")?;
+            advice_after_a_burst(&deployment, &advice, trouble)
+        }
         _ => Err(format!("no case {case:?}")),
     }
 }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! between them and their agents, the callers, and the processes of the system under test. All
 //! addresses are loopback addresses.
 
+pub mod advice;
 pub mod http;
 pub mod record;
 pub mod store;
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -12,6 +12,12 @@
 use crate::http::call;
 use crate::record::Record;
 
+/// Number of entries.
+const ENTRIES: usize = 3;
+
+/// Number of agents.
+const AGENTS: usize = 2;
+
 /// Host of the only queue.
 pub const HOST: &str = "jobs.example";
 
@@ -32,16 +38,31 @@
     pub stop_ms: u64,
 }
 
-/// Returns the operator's document with one queue of priority 1.
-pub fn config() -> Value {
-    json!({
+/// What a case needs beside the usual deployment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Extras {
+    /// Address of the service that gives placement advice.
+    pub advice: Option<SocketAddr>,
+    /// Length of a checkpoint in characters; 0 if tasks have none.
+    pub checkpoint: usize,
+}
+
+/// Returns the operator's document with one queue of priority 1, whose policy takes `decide_ms` and
+/// `each_ms` where there is advice.
+pub fn config(advice: Option<(u64, u64)>) -> Value {
+    let mut config = json!({
         "version": 7,
         "limits": { "max_body_bytes": 262_144 },
         "services": [{ "name": SERVICE, "enforce_capacity": true }],
         "tenants": [{ "name": "tenant-a", "api_keys": [KEY], "guaranteed": { "gpu": 0 } }],
         "routes": [{ "name": "queue-a", "host": HOST, "path_prefix": PREFIX, "service": SERVICE,
             "priority": 1, "attempts": 3, "slack_factor": 2.0, "target_latency_ms": 1000 }],
-    })
+    });
+    if let Some((decide_ms, each_ms)) = advice {
+        config["routes"][0]["placement_advice"] =
+            json!({ "decide_ms": decide_ms, "each_ms": each_ms, "valid_ms": 3000 });
+    }
+    config
 }
 
 /// Returns a free loopback address.
@@ -81,6 +102,11 @@
         Ok(())
     }
 
+    /// Reports whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|end| end.is_none()))
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -119,15 +145,14 @@
 }
 
 impl System {
-    /// Prepares `entries` entries and `agents` agents whose settings are filled in from the
-    /// templates of the repository at `root`.
+    /// Prepares the processes. Their settings are filled in from the templates of the repository at
+    /// `root`.
     pub fn prepare(
         root: &Path,
         folder: &Path,
         store: SocketAddr,
         bounds: Bounds,
-        entries: usize,
-        agents: usize,
+        extras: Extras,
         record: &Arc<Record>,
     ) -> std::io::Result<Self> {
         let mut system = Self {
@@ -138,7 +163,7 @@
             check_ins: Vec::new(),
             record: record.clone(),
         };
-        for number in 1..=entries {
+        for number in 1..=ENTRIES {
             let name = format!("front-zone-{number}-1");
             let [front, ready, control, operators] =
                 [free_address()?, free_address()?, free_address()?, free_address()?];
@@ -148,12 +173,15 @@
             field("listen.ready", ready.to_string().into());
             field("port_range.0", control.port().into());
             field("port_range.1", operators.port().into());
+            if let Some(advice) = extras.advice {
+                field("placement_advice", advice.to_string().into());
+            }
             let process = process(root, folder, "entry", &name, &fields, record)?;
             system.entries.push(process);
             system.callers.push(front);
             system.readiness.push(ready);
         }
-        for number in 1..=agents {
+        for number in 1..=AGENTS {
             let name = format!("side-zone-{number}-1");
             let control = free_address()?;
             let mut fields = common_fields(&name, store, bounds);
@@ -165,23 +193,24 @@
         Ok(system)
     }
 
-    /// Starts all processes and waits until an entry is ready.
-    pub fn start(&mut self) -> std::io::Result<bool> {
+    /// Starts all processes. Returns `None` when the entries are not ready after some seconds.
+    pub fn start(mut self) -> std::io::Result<Option<Self>> {
         for process in self.entries.iter_mut().chain(self.agents.iter_mut()) {
             process.start()?;
         }
-        let end = Instant::now() + Duration::from_secs(15);
+        let end = Instant::now() + Duration::from_secs(8);
         while Instant::now() < end {
             let ready = self.readiness.iter().all(|address| {
                 call(*address, "GET", "/readiness", &[], b"", Duration::from_secs(1))
                     .is_some_and(|(status, _)| status == 200)
             });
-            if ready {
-                return Ok(true);
+            if ready && self.agents.iter_mut().all(Process::is_running) {
+                return Ok(Some(self));
             }
             thread::sleep(Duration::from_millis(100));
         }
-        Ok(false)
+        self.record.line("the entries did not become ready");
+        Ok(None)
     }
 
     /// Sends a caller's request to the entry with this number.
@@ -263,30 +292,45 @@
     })
 }
 
-/// Fills in a template as the platform does. Sections stand on one line here, and are left out when
-/// their field has no value.
+/// Fills in a template as the platform does. A section stands on one line of its own here, and is
+/// left out when its field has no value.
 fn fill(template: &str, fields: &BTreeMap<String, Value>) -> std::io::Result<String> {
     let mut text = String::new();
-    for line in template.lines().filter(|line| !line.starts_with("{{#")) {
-        let mut rest = line;
-        while let Some((before, after)) = rest.split_once("{{") {
-            let Some((name, after)) = after.split_once("}}") else {
-                return Err(std::io::Error::other(format!("cannot fill in {line:?}")));
-            };
-            text.push_str(before);
-            let (name, as_json) =
-                name.strip_suffix("|json").map_or((name, false), |name| (name, true));
-            let value = fields
-                .get(name)
-                .ok_or_else(|| std::io::Error::other(format!("no value for {name:?}")))?;
-            match value {
-                Value::String(value) if !as_json => text.push_str(value),
-                value => text.push_str(&value.to_string()),
+    for line in template.lines() {
+        let section = line
+            .strip_prefix("{{#")
+            .and_then(|rest| rest.split_once("}}"))
+            .map(|(name, rest)| (name, rest.replace(&format!("{{{{/{name}}}}}"), "")));
+        match section {
+            Some((name, content)) if fields.contains_key(name) => {
+                text.push_str(&fill_line(&content, fields)?);
             }
-            rest = after;
+            Some(_) => {}
+            None => text.push_str(&fill_line(line, fields)?),
+        }
+    }
+    Ok(text)
+}
+
+fn fill_line(line: &str, fields: &BTreeMap<String, Value>) -> std::io::Result<String> {
+    let mut text = String::new();
+    let mut rest = line;
+    while let Some((before, after)) = rest.split_once("{{") {
+        let Some((name, after)) = after.split_once("}}") else {
+            return Err(std::io::Error::other(format!("cannot fill in {line:?}")));
+        };
+        text.push_str(before);
+        let (name, as_json) = name.strip_suffix("|json").map_or((name, false), |name| (name, true));
+        let value = fields
+            .get(name)
+            .ok_or_else(|| std::io::Error::other(format!("no value for {name:?}")))?;
+        match value {
+            Value::String(value) if !as_json => text.push_str(value),
+            value => text.push_str(&value.to_string()),
         }
-        text.push_str(rest);
-        text.push('\n');
+        rest = after;
     }
+    text.push_str(rest);
+    text.push('\n');
     Ok(text)
 }
