--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,5 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case.sh" checkpoints-of-a-large-job "$(dirname "$0")"
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. With TROUBLE=0 the case is
+# played without the disruption.
+here="$(dirname "$0")"
+exec "$here/../standins/run-case.sh" checkpoints-of-a-large-job "$here" "${TROUBLE:-1}"
--- a/review/standins/run-case.sh
+++ b/review/standins/run-case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# run-case.sh CASE FOLDER: plays a case, writes FOLDER/record.txt, and ends all processes that it
-# started. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
+# run-case.sh CASE FOLDER [TROUBLE]: plays a case, without its disruption if TROUBLE is 0, writes
+# FOLDER/record.txt, and ends all processes that it started. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 folder="$(cd "$2" && pwd)"
@@ -8,7 +8,7 @@
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
 work="$(mktemp -d)" || exit 2
 set -m
-"$program" "$1" "$root" "$work" "$folder/record.txt" &
+"$program" "$1" "$root" "$work" "$folder/record.txt" "${3:-${TROUBLE:-1}}" &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$work"' EXIT
 ( sleep 115; kill -KILL -- "-$group" 2>/dev/null ) &
--- a/review/standins/src/bin/review-case.rs
+++ b/review/standins/src/bin/review-case.rs
@@ -342,8 +342,13 @@
     Ok(found)
 }
 
-fn run(case: &str, root: &Path, folder: &Path, record: &Arc<Record>) -> Result<bool, String> {
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+fn run(
+    case: &str,
+    trouble: bool,
+    root: &Path,
+    folder: &Path,
+    record: &Arc<Record>,
+) -> Result<bool, String> {
     record
         .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let mut extras = Extras::default();
@@ -374,8 +379,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, root, folder, record] = arguments.as_slice() else {
-        eprintln!("usage: review-case CASE REPOSITORY FOLDER RECORD");
+    let [_, case, root, folder, record, trouble] = arguments.as_slice() else {
+        eprintln!("usage: review-case CASE REPOSITORY FOLDER RECORD TROUBLE");
         return ExitCode::from(NOT_RUN);
     };
     let record = match Record::new(Path::new(record)) {
@@ -385,7 +390,7 @@
             return ExitCode::from(NOT_RUN);
         }
     };
-    match run(case, &PathBuf::from(root), &PathBuf::from(folder), &record) {
+    match run(case, trouble != "0", &PathBuf::from(root), &PathBuf::from(folder), &record) {
         Ok(false) => {
             record.line("the rule held");
             ExitCode::SUCCESS
