Split the state of a large job into several rows

Cause: the state of a job is one row, whose size nothing bounds: the worker chooses the length of each checkpoint, and crashes and workers come on top. The store refused the row of 70,954 bytes, and with it each transaction that held it. Ruled out: a lost answer or a slow store (the stand-in lists each write as refused for its size), and the bound of 1000 tasks alone, which the case respects. Change: the state is split by tasks into rows of at most row_bytes, written in one transaction. Beyond 240 kB or 16 full rows the longest checkpoints are left out, the same for all members of a gang. A write holds at most 95 rows. Rows that are no longer needed are deleted. The coordinator learns row_bytes from its limits. Why it works: every row that is written is within the size that the store accepts, whatever workers report, and the transaction within 100 entries and 1 MB.

--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -41,6 +41,7 @@
             open_jobs: 10_000,
             reclaim: Duration::from_millis(2500 + setup.stop),
             retention: Duration::from_secs(1000),
+            row_bytes: 65_536,
             stop: Duration::from_millis(setup.stop),
             takeover: Duration::ZERO,
         };
@@ -75,12 +76,13 @@
     fn take_over(&mut self, now: Millis) {
         let time = self.timestamp(now);
         let mut core = Coordinator::new(self.limits, self.tables.clone(), time);
-        for ((kind, key), value) in &self.rows {
-            if *kind == RowKind::Job {
-                let progress = self.rows.get(&(RowKind::Progress, key.clone()));
-                let restored = core.restore(key, value, progress.map(Vec::as_slice), time);
-                restored.expect("rows that the coordinator has written");
-            }
+        let (jobs, progress): (Vec<_>, Vec<_>) =
+            self.rows.iter().partition(|((kind, _), _)| *kind == RowKind::Job);
+        let progress: BTreeMap<String, Vec<u8>> =
+            progress.into_iter().map(|((_, key), value)| (key.clone(), value.clone())).collect();
+        for ((_, key), value) in jobs {
+            let restored = core.restore(key, value, &progress, time);
+            restored.expect("rows that the coordinator has written");
         }
         core.end_predecessor(time);
         self.core = core;
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -182,13 +182,12 @@
     ) -> Result<Self, TransactError> {
         let clock = context.clock.clone();
         let jobs = journal.load(RowKind::Job).await?;
-        let mut progress: HashMap<String, Vec<u8>> =
+        let progress: BTreeMap<String, Vec<u8>> =
             journal.load(RowKind::Progress).await?.into_iter().collect();
         let now = timestamp(clock.as_ref());
         let mut coordinator = Coordinator::new(context.limits, tables, now);
         for (key, value) in jobs {
-            let state = progress.remove(&key);
-            if let Err(error) = coordinator.restore(&key, &value, state.as_deref(), now) {
+            if let Err(error) = coordinator.restore(&key, &value, &progress, now) {
                 tracing::error!(%error, "stored job {key:?} cannot be restored; ignoring it");
             }
         }
--- a/crates/jobs/src/coordinator/commits.rs
+++ b/crates/jobs/src/coordinator/commits.rs
@@ -1,17 +1,23 @@
 use super::Coordinator;
-use crate::{Job, JobState, RowChange, RowKind};
+use crate::{Job, JobState, RowChange, RowKind, encode_progress, progress_key};
 
-/// Maximum number of jobs in one write. Each may need two rows, and a transaction is limited to 100
-/// entries including the row that fences earlier coordinators.
+/// Maximum number of jobs in one write.
 const MAX_JOBS_PER_WRITE: usize = 45;
 
+/// Maximum number of rows in one write. A transaction is limited to 100 entries including the row
+/// that fences earlier coordinators.
+const MAX_ROWS_PER_WRITE: usize = 95;
+
 /// Size of the rows in bytes at which no further job is added to a write. A transaction is limited
-/// to 1 MB in its text encoding, and one job may add two rows of 64 KiB.
+/// to 1 MB in its text encoding, and one job may add a row of 64 KiB for its submission and 240 kB
+/// for its state.
 const MAX_BYTES_PER_WRITE: usize = 400_000;
 
 /// State and version of a job that a write stores.
 #[derive(Clone, Debug)]
 pub struct WrittenJob {
+    /// Number of rows of its state beyond the first.
+    further: usize,
     id: String,
     state: JobState,
     version: u64,
@@ -29,30 +35,59 @@
         let mut bytes = 0;
         while written_jobs.len() < MAX_JOBS_PER_WRITE && bytes < MAX_BYTES_PER_WRITE {
             let Some(id) = self.changed_jobs.pop_first() else { break };
-            let Some(entry) = self.jobs.get_mut(&id) else {
-                rows.push(RowChange { kind: RowKind::Job, key: id.clone(), value: None });
-                rows.push(RowChange { kind: RowKind::Progress, key: id.clone(), value: None });
-                written_jobs.push(WrittenJob { id, state: JobState::Queued, version: 0 });
-                continue;
-            };
-            if !entry.submission_stored {
-                let value = encode::<Job>(&entry.job);
-                bytes += value.as_ref().map_or(0, Vec::len);
-                rows.push(RowChange { kind: RowKind::Job, key: id.clone(), value });
+            let (job_rows, written) = self.job_rows(&id);
+            if !rows.is_empty() && rows.len() + job_rows.len() > MAX_ROWS_PER_WRITE {
+                self.changed_jobs.insert(id);
+                break;
+            }
+            if let Some(entry) = self.jobs.get_mut(&id) {
                 entry.submission_stored = true;
             }
-            let value = encode(&entry.row());
-            bytes += value.as_ref().map_or(0, Vec::len);
-            rows.push(RowChange { kind: RowKind::Progress, key: id.clone(), value });
-            written_jobs.push(WrittenJob { id, state: entry.state(), version: entry.version });
+            bytes +=
+                job_rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum::<usize>();
+            rows.extend(job_rows);
+            written_jobs.push(written);
         }
         self.open_write = Some(written_jobs);
         Some(rows)
     }
 
+    /// Returns the changes that store the state of the job `id`, or that delete its rows if it is
+    /// no longer kept.
+    fn job_rows(&self, id: &str) -> (Vec<RowChange>, WrittenJob) {
+        let stored = self.further_rows.get(id).copied().unwrap_or(0);
+        let progress_row = |number, value| RowChange {
+            kind: RowKind::Progress,
+            key: progress_key(id, number),
+            value,
+        };
+        let Some(entry) = self.jobs.get(id) else {
+            let mut rows = vec![RowChange { kind: RowKind::Job, key: id.to_owned(), value: None }];
+            rows.extend((0..=stored).map(|number| progress_row(number, None)));
+            let (id, state) = (id.to_owned(), JobState::Queued);
+            return (rows, WrittenJob { further: 0, id, state, version: 0 });
+        };
+        let mut rows = Vec::new();
+        if !entry.submission_stored {
+            let value = encode_job(&entry.job);
+            rows.push(RowChange { kind: RowKind::Job, key: id.to_owned(), value });
+        }
+        let values = encode_progress(entry.row(), self.limits.row_bytes);
+        let further = values.len() - 1;
+        rows.extend((0..).zip(values).map(|(number, value)| progress_row(number, Some(value))));
+        rows.extend((further + 1..=stored).map(|number| progress_row(number, None)));
+        let (id, state, version) = (id.to_owned(), entry.state(), entry.version);
+        (rows, WrittenJob { further, id, state, version })
+    }
+
     /// Records that the open write is stored.
     pub fn end_commit(&mut self) {
         for written in self.open_write.take().unwrap_or_default() {
+            if written.further > 0 {
+                self.further_rows.insert(written.id.clone(), written.further);
+            } else {
+                self.further_rows.remove(&written.id);
+            }
             let Some(entry) = self.jobs.get_mut(&written.id) else { continue };
             entry.durable_version = written.version;
             entry.stored_state = written.state;
@@ -79,7 +114,7 @@
     }
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> Option<Vec<u8>> {
-    // Encoding cannot fail, because all maps of these types have string keys.
-    serde_json::to_vec(value).ok()
+fn encode_job(job: &Job) -> Option<Vec<u8>> {
+    // Encoding cannot fail, because all maps of this type have string keys.
+    serde_json::to_vec(job).ok()
 }
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -175,6 +175,7 @@
             crashes: crashes.collect(),
             ended_ms: self.ended_ms,
             failed: self.failed,
+            further: 0,
             started: self.started,
             tasks: tasks.collect(),
             workers: workers.clone(),
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobState, JobTables, Orders,
-    ProgressRow, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
+    RowsError, SharingRun, StartOrder, TaskId, TaskKey, decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
@@ -48,6 +48,8 @@
     pub reclaim: Duration,
     /// Time for which an ended job is kept.
     pub retention: Duration,
+    /// Maximum size of a stored row in bytes.
+    pub row_bytes: usize,
     /// Longest time that a worker takes to stop a run.
     pub stop: Duration,
     /// Time after a takeover during which the predecessor may still renew leases.
@@ -55,7 +57,8 @@
 }
 
 impl Default for Limits {
-    /// Returns limits for workers that accept leases of 8 s and stop a run within 0.9 s.
+    /// Returns limits for workers that accept leases of 8 s and stop a run within 0.9 s, and for a
+    /// store with rows of 64 KiB.
     fn default() -> Self {
         Self {
             checkpoint: Duration::from_secs(1),
@@ -63,6 +66,7 @@
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
             retention: Duration::from_secs(120),
+            row_bytes: 65_536,
             stop: Duration::from_millis(900),
             takeover: Duration::from_secs(12),
         }
@@ -103,6 +107,8 @@
     decisions: Vec<Decision>,
     estimates: Estimates,
     fleet: Fleet,
+    /// Number of stored rows beyond the first, of each job whose state takes more than one row.
+    further_rows: BTreeMap<String, usize>,
     jobs: BTreeMap<String, JobEntry>,
     limits: Limits,
     open_write: Option<Vec<commits::WrittenJob>>,
@@ -165,6 +171,7 @@
             decisions: Vec::new(),
             estimates: Estimates::new(),
             fleet: Fleet::new(),
+            further_rows: BTreeMap::new(),
             jobs: BTreeMap::new(),
             limits,
             open_write: None,
@@ -177,7 +184,8 @@
         }
     }
 
-    /// Restores one job from its rows after a takeover.
+    /// Restores one job from its rows after a takeover. `progress` holds the rows of the state of
+    /// all jobs.
     ///
     /// # Errors
     /// [`RowsError`] when a row cannot be read; the job is then left out.
@@ -185,16 +193,18 @@
         &mut self,
         key: &str,
         job: &[u8],
-        progress: Option<&[u8]>,
+        progress: &BTreeMap<String, Vec<u8>>,
         now: Timestamp,
     ) -> Result<(), RowsError> {
         let error =
             |error: serde_json::Error| RowsError { key: key.to_owned(), detail: error.to_string() };
         let job: Job = serde_json::from_slice(job).map_err(error)?;
-        let progress: ProgressRow = match progress {
-            Some(bytes) => serde_json::from_slice(bytes).map_err(error)?,
-            None => ProgressRow::default(),
-        };
+        let further =
+            (1..).take_while(|number| progress.contains_key(&progress_key(key, *number))).count();
+        if further > 0 {
+            self.further_rows.insert(key.to_owned(), further);
+        }
+        let progress = decode_progress(key, progress)?;
         let entry = JobEntry::restore(job, &progress, now.monotonic);
         for (task, placement) in entry.placements() {
             let worker_entry = self.fleet.workers.entry(placement.worker.clone());
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -27,7 +27,7 @@
 pub struct RowChange {
     /// Table of the row.
     pub kind: RowKind,
-    /// Id of the job.
+    /// Id of the job, or the key of a further row of its state.
     pub key: String,
     /// JSON of the row; `None` deletes it.
     pub value: Option<Vec<u8>>,
@@ -125,6 +125,9 @@
     /// Whether a task has failed as often as its route allows.
     #[serde(default, skip_serializing_if = "is_false")]
     pub failed: bool,
+    /// Number of further rows with the state that does not fit into this one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub further: usize,
     /// Whether a task has started.
     #[serde(default, skip_serializing_if = "is_false")]
     pub started: bool,
@@ -136,6 +139,10 @@
     pub workers: Vec<WorkerRow>,
 }
 
+fn is_zero(value: &usize) -> bool {
+    *value == 0
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -7,4 +7,5 @@
 mod gangs;
 mod interleavings;
 mod rig;
+mod row_sizes;
 mod rules;
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -147,15 +147,18 @@
         true
     }
 
+    /// Returns the stored rows of one kind by key.
+    pub fn rows_of(&self, kind: RowKind) -> BTreeMap<String, Vec<u8>> {
+        let rows = self.rows.iter().filter(|((row_kind, _), _)| *row_kind == kind);
+        rows.map(|((_, key), value)| (key.clone(), value.clone())).collect()
+    }
+
     /// Replaces the coordinator by a successor that restores the stored rows.
     pub fn take_over(&mut self) {
         let mut core = Coordinator::new(Limits::default(), tables(), self.now);
-        for ((kind, key), value) in &self.rows {
-            if *kind == RowKind::Job {
-                let state = self.rows.get(&(RowKind::Progress, key.clone()));
-                core.restore(key, value, state.map(Vec::as_slice), self.now)
-                    .expect("readable rows");
-            }
+        let progress = self.rows_of(RowKind::Progress);
+        for (key, value) in self.rows_of(RowKind::Job) {
+            core.restore(&key, &value, &progress, self.now).expect("readable rows");
         }
         self.core = core;
     }
--- /dev/null
+++ b/crates/jobs/tests/coordinator/row_sizes.rs
@@ -0,0 +1,149 @@
+use skylarkpulley_jobs::{
+    EndKind, Limits, RowKind, RunEnd, RunReport, Step, TaskId, TaskKey, WorkerReport,
+};
+
+use crate::rig::{Rig, job, report, step, worker};
+
+/// Entries that the store accepts in one transaction; one of them is the leader's record.
+const MAX_ENTRIES: usize = 100;
+
+/// Size in bytes that the store accepts for one transaction.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+
+/// A job of 1000 tasks on `workers` workers that have listed a checkpoint of `length` characters for
+/// each task.
+fn run_large_job(workers: u32, length: usize) -> Rig {
+    let mut rig = Rig::new(workers);
+    let mut large = step(1000, 0);
+    (large.resources.cores, large.resources.memory) = (30, 10);
+    rig.submit(job("large", 1, Step { checkpoints: true, ..large }));
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1000);
+    for number in 0..workers {
+        let status = worker(number, 1);
+        let placed = starts.iter().filter(|(id, _, _)| *id == status.id);
+        let running = placed.map(|(_, task, run)| RunReport {
+            checkpoint: format!("{:0>length$}", task.key.index),
+            percent: 10,
+            run: *run,
+            task: task.clone(),
+        });
+        let listed = WorkerReport { running: running.collect(), ..report(&status, &[]) };
+        rig.core.report(rig.now, &listed);
+    }
+    rig
+}
+
+/// Restarts all workers, so that the checkpoints of their runs are stored.
+fn restart_workers(rig: &mut Rig, workers: u32) {
+    for number in 0..workers {
+        rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+    }
+    assert_rows_accepted(rig);
+}
+
+/// Stores all changes, and fails if the store would refuse a row or a transaction.
+fn assert_rows_accepted(rig: &mut Rig) {
+    while let Some(rows) = rig.core.begin_commit() {
+        assert!(rows.len() < MAX_ENTRIES, "{} rows", rows.len());
+        let mut encoded = 0;
+        for row in rows {
+            let length = row.value.as_ref().map_or(0, Vec::len);
+            assert!(length <= Limits::default().row_bytes, "{}: {length} bytes", row.key);
+            encoded += length.div_ceil(3) * 4 + 100;
+            match row.value {
+                Some(value) => rig.rows.insert((row.kind, row.key), value),
+                None => rig.rows.remove(&(row.kind, row.key)),
+            };
+        }
+        assert!(encoded < MAX_TRANSACTION_BYTES, "{encoded} bytes");
+        rig.core.end_commit();
+    }
+}
+
+fn checkpoint_of(rig: &Rig, index: u32) -> Option<String> {
+    let task = TaskId::new("large", TaskKey { occurrence: 0, step: 0, index });
+    let ids = rig.core.worker_ids();
+    let orders = ids.iter().flat_map(|id| rig.core.orders(id).start);
+    orders.into_iter().find(|order| order.task == task).map(|order| order.checkpoint)
+}
+
+/// Guards against a row of a large job that exceeds the size that the store accepts (review/2): the
+/// store refused the write, and nothing was stored any more. Checkpoints survive a takeover.
+#[test]
+fn begin_commit_large_checkpoints() {
+    let mut rig = run_large_job(2, 64);
+    restart_workers(&mut rig, 2);
+    assert!(rig.rows_of(RowKind::Progress).len() > 1, "the state takes several rows");
+    rig.take_over();
+    for number in 0..2 {
+        rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+    }
+    rig.place_and_commit();
+    assert_eq!(rig.starts().len(), 1000);
+    for index in [0, 499, 500, 999] {
+        assert_eq!(checkpoint_of(&rig, index), Some(format!("{index:0>64}")));
+    }
+}
+
+/// Guards against a state that exceeds a whole transaction: checkpoints are left out, the tasks are
+/// not.
+#[test]
+fn begin_commit_huge_checkpoints() {
+    let mut rig = run_large_job(4, 2000);
+    restart_workers(&mut rig, 4);
+    rig.take_over();
+    for number in 0..4 {
+        rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+    }
+    rig.place_and_commit();
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1000);
+    assert!(starts.iter().all(|(_, _, run)| *run == 2), "no run number is used twice");
+    assert_eq!(checkpoint_of(&rig, 0), Some(String::new()));
+}
+
+/// Guards against stored rows that remain when the state of a job takes fewer rows than before, or
+/// when the job is no longer kept. They would be read as the state of a later job.
+#[test]
+fn begin_commit_fewer_rows() {
+    let mut rig = run_large_job(2, 64);
+    restart_workers(&mut rig, 2);
+    rig.take_over();
+    for number in 0..2 {
+        rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+    }
+    rig.place_and_commit();
+    assert_eq!(rig.rows_of(RowKind::Progress).len(), 2);
+    for number in 0..2 {
+        let status = worker(number, 2);
+        let runs = rig.starts().into_iter().filter(|(id, _, _)| *id == status.id);
+        let ended = runs.map(|(_, task, run)| {
+            let (checkpoint, kind) = (String::new(), EndKind::Done);
+            RunEnd { checkpoint, kind, run, task }
+        });
+        let ended: Vec<RunEnd> = ended.collect();
+        let ended_through = u64::try_from(ended.len()).unwrap();
+        let ends = WorkerReport { ended, ended_through, ..report(&status, &[]) };
+        rig.core.report(rig.now, &ends);
+    }
+    assert_rows_accepted(&mut rig);
+    assert_eq!(rig.rows_of(RowKind::Progress).len(), 1, "done tasks need no checkpoint");
+    rig.advance(Limits::default().retention.as_millis() as u64 + 1000);
+    assert_rows_accepted(&mut rig);
+    assert!(rig.rows.is_empty(), "{:?}", rig.rows.keys());
+}
+
+/// Guards against further rows that remain when a job is no longer kept.
+#[test]
+fn begin_commit_removed_job() {
+    let mut rig = run_large_job(2, 64);
+    restart_workers(&mut rig, 2);
+    rig.take_over();
+    rig.core.cancel(rig.now, "large");
+    assert_rows_accepted(&mut rig);
+    assert_eq!(rig.rows_of(RowKind::Progress).len(), 2);
+    rig.advance(Limits::default().retention.as_millis() as u64 + 1000);
+    assert_rows_accepted(&mut rig);
+    assert!(rig.rows.is_empty(), "{:?}", rig.rows.keys());
+}
