Store all other jobs when the store rejects the rows of one

A cancel or a takeover did not help a caller whose job waited behind it. The coordinator halves the next writes until it finds the job, sets it aside for 5 s, or removes it if it was never stored; its caller is told that the outcome is unknown. A write that is stored doubles the limit again. Why it works: whatever makes the store reject a row, the write that holds it ends, and the next ones exclude its job.

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -54,6 +54,8 @@
     Stored,
     /// Another entry is the leader; the write will never be applied.
     Deposed,
+    /// The store rejected the write for its content; it will never be applied.
+    Rejected,
 }
 
 /// The rows of the coordinator in the store, written by one leader at a time.
@@ -66,6 +68,9 @@
 pub struct Journal {
     confirmed_at: Duration,
     health: Arc<StoreHealth>,
+    /// Highest sequence number of a write. A rejected write uses up its number, so that no other
+    /// write can be taken for it.
+    last_sequence: u64,
     record: LeaderRecord,
     store: Arc<dyn Transactor>,
     version: u64,
@@ -100,7 +105,14 @@
         match store.apply(&transaction).await? {
             TransactionOutcome::Committed { version } => {
                 health.record_success(confirmed_at);
-                Ok(Some(Self { confirmed_at, health, record: next, store, version }))
+                Ok(Some(Self {
+                    confirmed_at,
+                    health,
+                    last_sequence: 0,
+                    record: next,
+                    store,
+                    version,
+                }))
             }
             TransactionOutcome::Conflict { .. } => Ok(None),
         }
@@ -141,7 +153,8 @@
     /// leader's record is read to learn whether the write is stored. If it is not, the write is
     /// sent again if the store answers reads quickly, and awaited if the store is slow.
     pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitOutcome) {
-        let next = LeaderRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
+        self.last_sequence += 1;
+        let next = LeaderRecord { sequence: self.last_sequence, ..self.record.clone() };
         let mut retry_delay = FIRST_RETRY_DELAY;
         let started = boot_time();
         let mut calls = FuturesUnordered::new();
@@ -154,6 +167,14 @@
                         self.health.record_success(write.sent_at);
                         self.resolve_write(&next, applied, write.sent_at)
                     }
+                    Err(error @ TransactError::Rejected { .. }) => {
+                        tracing::error!(
+                            %error,
+                            rows = rows.len(),
+                            "store rejected a write; it is not sent again"
+                        );
+                        Some(CommitOutcome::Rejected)
+                    }
                     Err(error) => {
                         // A late failure does not show whether the store is silent or only slow;
                         // the reads do.
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +23,7 @@
 use crate::plan_pause::plan_pause;
 use crate::records::Records;
 use crate::store_health::StoreHealth;
+use crate::waiting_callers::WaitingCallers;
 
 /// Interval at which the coordinator handles what has become due.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -115,13 +116,6 @@
     worker: String,
 }
 
-struct WaitingCaller {
-    id: String,
-    reply: oneshot::Sender<JobAnswer>,
-    submitted: bool,
-    version: u64,
-}
-
 enum StoreCall {
     Commit(CommitOutcome),
     Confirm(Result<CommitOutcome, TransactError>),
@@ -157,7 +151,7 @@
     latest_sessions: HashMap<String, u64>,
     sessions: HashMap<u64, Session>,
     store_called: Instant,
-    waiting_callers: Vec<WaitingCaller>,
+    waiting_callers: WaitingCallers,
     write_started: Option<Instant>,
 }
 
@@ -200,7 +194,7 @@
             latest_sessions: HashMap::new(),
             sessions: HashMap::new(),
             store_called,
-            waiting_callers: Vec::new(),
+            waiting_callers: WaitingCallers::new(),
             write_started: None,
         })
     }
@@ -240,9 +234,7 @@
                     self.update_confirmation(&journal);
                     let deposed = match outcome {
                         StoreCall::Commit(end) => {
-                            if end == CommitOutcome::Stored {
-                                self.coordinator.end_commit();
-                            }
+                            self.end_write(end);
                             end == CommitOutcome::Deposed
                         }
                         StoreCall::Confirm(Ok(end)) => end == CommitOutcome::Deposed,
@@ -286,7 +278,7 @@
                 self.start_store_call(journal, &mut idle_journal, &mut store_call);
             }
             self.query_policy();
-            self.answer_stored_callers();
+            self.waiting_callers.answer_stored(&self.coordinator);
             self.record_decisions();
             self.send_changed_orders();
         }
@@ -483,14 +475,14 @@
                 match self.coordinator.submit(now, *job) {
                     Submission::Refused { reason, retry } => JobAnswer::Refused { reason, retry },
                     Submission::Accepted { version } => {
-                        self.add_waiting_caller(id, version, true, reply);
+                        self.waiting_callers.add(id, version, true, reply);
                         return;
                     }
                 }
             }
             JobCall::Cancel(id) => match self.coordinator.cancel(now, &id) {
                 Some(version) => {
-                    self.add_waiting_caller(id, version, false, reply);
+                    self.waiting_callers.add(id, version, false, reply);
                     return;
                 }
                 None => self.absent_answer(),
@@ -516,16 +508,6 @@
         JobAnswer::Absent
     }
 
-    fn add_waiting_caller(
-        &mut self,
-        id: String,
-        version: u64,
-        submitted: bool,
-        reply: oneshot::Sender<JobAnswer>,
-    ) {
-        self.waiting_callers.push(WaitingCaller { id, reply, submitted, version });
-    }
-
     fn is_stuck(&self) -> bool {
         let now = self.context.clock.now();
         let stuck = self
@@ -538,17 +520,17 @@
         stuck || (down && !peer_answered)
     }
 
-    fn answer_stored_callers(&mut self) {
-        let mut remaining = Vec::new();
-        for caller in self.waiting_callers.drain(..) {
-            if self.coordinator.is_durable(&caller.id, caller.version) {
-                // Sending fails when the caller has left, which needs no handling.
-                let _ = caller.reply.send(JobAnswer::Done);
-            } else {
-                remaining.push(caller);
+    fn end_write(&mut self, outcome: CommitOutcome) {
+        match outcome {
+            CommitOutcome::Deposed => {}
+            CommitOutcome::Rejected => {
+                let now = self.now();
+                if let Some(id) = self.coordinator.reject_commit(now) {
+                    self.waiting_callers.answer(&id, &JobAnswer::Unknown);
+                }
             }
+            CommitOutcome::Stored => self.coordinator.end_commit(),
         }
-        self.waiting_callers = remaining;
     }
 
     /// Refuses submissions that wait behind a stuck write and were never part of a write.
@@ -556,19 +538,10 @@
         if !self.is_stuck() {
             return;
         }
-        let mut withdrawn = BTreeSet::new();
-        for caller in &self.waiting_callers {
-            if caller.submitted && self.coordinator.withdraw(&caller.id) {
-                withdrawn.insert(caller.id.clone());
-            }
-        }
-        // Repeats of a withdrawn submission wait for the same row and get the same answer.
-        for caller in std::mem::take(&mut self.waiting_callers) {
-            if withdrawn.contains(&caller.id) {
-                // Sending fails when the caller has left, which needs no handling.
-                let _ = caller.reply.send(store_down_answer());
-            } else {
-                self.waiting_callers.push(caller);
+        for id in self.waiting_callers.submitted() {
+            if self.coordinator.withdraw(&id) {
+                // Repeats of the submission wait for the same row and get the same answer.
+                self.waiting_callers.answer(&id, &store_down_answer());
             }
         }
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 mod standby;
 mod store_health;
 mod tables_task;
+mod waiting_callers;
 mod worker_control;
 mod worker_task;
 
--- a/crates/coordination/src/metered_store.rs
+++ b/crates/coordination/src/metered_store.rs
@@ -29,6 +29,7 @@
         match &outcome {
             Ok(_) => self.metrics.time(name, started.elapsed()),
             Err(TransactError::Refused { .. }) => self.metrics.count("store.refused"),
+            Err(TransactError::Rejected { .. }) => self.metrics.count("store.rejected"),
             Err(TransactError::Unanswered { .. }) => self.metrics.count("store.unanswered"),
             Err(TransactError::Malformed { .. }) => self.metrics.count("store.malformed"),
         }
--- a/crates/coordination/tests/entries/store_faults.rs
+++ b/crates/coordination/tests/entries/store_faults.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_coordination::{Entry, JobAnswer, JobCall, JobService};
+use skylarkpulley_jobs::Job;
 use skylarkpulley_store::{MemoryTransactor, TransactFault};
 
 use crate::rig::{job, start, until_ready};
@@ -64,3 +65,17 @@
     let pending = service.call(&JobCall::Pending("looks".to_owned()), deadline_in(10)).await;
     assert_eq!(pending, JobAnswer::Pending(2));
 }
+
+/// Guards against a job that the store rejects for its size holding up all other jobs (review/2).
+#[tokio::test]
+async fn submit_rejected_alone() {
+    let store = Arc::new(MemoryTransactor::new().with_record_limit(2000));
+    let (_entry, service) = leading_entry(store).await;
+    let large = JobCall::Submit(Box::new(Job { payload: "x".repeat(3000), ..*job("large") }));
+    let small = JobCall::Submit(job("small"));
+    let (first, second) =
+        tokio::join!(service.call(&large, deadline_in(10)), service.call(&small, deadline_in(10)));
+    assert_eq!((first, second), (JobAnswer::Unknown, JobAnswer::Done));
+    let state = service.call(&JobCall::State("large".to_owned()), deadline_in(10)).await;
+    assert_eq!(state, JobAnswer::Absent, "the job was not accepted");
+}
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -194,3 +194,15 @@
     std::thread::sleep(Duration::from_millis(5));
     assert!(health.failing_for() > Duration::ZERO, "the resets count as failures");
 }
+
+/// Guards against sending a write without end that the store rejects for its content (review/2).
+#[tokio::test(start_paused = true)]
+async fn commit_rejected() {
+    let store = Arc::new(MemoryTransactor::new().with_record_limit(1000));
+    let journal = lead(store.clone(), Arc::new(StoreHealth::new())).await;
+    let large = RowChange { value: Some(vec![b'x'; 2000]), ..row("large") };
+    let (journal, end) = journal.commit(vec![row("a"), large]).await;
+    assert_eq!(end, CommitOutcome::Rejected);
+    assert_eq!(journal.commit(vec![row("a")]).await.1, CommitOutcome::Stored);
+    assert!(store.read(&RecordKey::new("jobs", "large")).await.unwrap().is_none());
+}
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -73,8 +73,8 @@
     pub started: bool,
     /// State in the last stored row.
     pub stored_state: JobState,
-    /// Whether a write includes the row of the submission.
-    pub submission_stored: bool,
+    /// Whether the row of the submission was part of a write.
+    pub submission_written: bool,
     pub tasks: BTreeMap<TaskKey, TaskEntry>,
     pub version: u64,
 }
@@ -98,7 +98,7 @@
             job,
             started: false,
             stored_state: JobState::Queued,
-            submission_stored: false,
+            submission_written: false,
             tasks,
             version: 0,
         }
@@ -110,7 +110,7 @@
         entry.failed = row.failed;
         entry.started = row.started;
         entry.ended_ms = row.ended_ms;
-        entry.submission_stored = true;
+        entry.submission_written = true;
         entry.version = 1;
         entry.durable_version = 1;
         for task_row in &row.tasks {
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -115,11 +115,15 @@
     plan_due: bool,
     /// Time from which the predecessor extends no leases.
     predecessor_end: Instant,
+    /// Jobs whose rows the store rejects, and when they are written again.
+    rejected_jobs: BTreeMap<String, Instant>,
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
     tables: JobTables,
     unexplained_crashes: VecDeque<UnexplainedCrash>,
     waiting_jobs: BTreeSet<String>,
+    /// Maximum number of jobs in the next write.
+    write_limit: usize,
 }
 
 /// A decision for the log, with its subject and its reason.
@@ -158,6 +162,8 @@
     Lost,
     /// The agent of a worker is silent.
     Silent,
+    /// The store rejects the rows of a job.
+    Unstored,
 }
 
 impl Coordinator {
@@ -177,10 +183,12 @@
             open_write: None,
             plan_due: true,
             predecessor_end: now.monotonic + limits.takeover,
+            rejected_jobs: BTreeMap::new(),
             suspects: BTreeSet::new(),
             tables,
             unexplained_crashes: VecDeque::new(),
             waiting_jobs: BTreeSet::new(),
+            write_limit: commits::MAX_JOBS_PER_WRITE,
         }
     }
 
@@ -279,10 +287,16 @@
 
     /// Withdraws a submission that was never part of a write; returns `false` when it was.
     pub fn withdraw(&mut self, id: &str) -> bool {
-        if self.jobs.get(id).is_none_or(|entry| entry.submission_stored) {
+        if self.jobs.get(id).is_none_or(|entry| entry.submission_written) {
             return false;
         }
-        let Some(entry) = self.jobs.remove(id) else { return false };
+        self.remove_job(id, "withdrawn before it was stored");
+        true
+    }
+
+    /// Removes a job that is not stored, and releases its placements.
+    fn remove_job(&mut self, id: &str, reason: &str) {
+        let Some(entry) = self.jobs.remove(id) else { return };
         for (task, placement) in entry.placements() {
             let resources = entry.resources(task.key.step);
             self.fleet.release(&placement.worker, placement.incarnation, &task, &resources);
@@ -291,12 +305,7 @@
         self.changed_jobs.remove(id);
         self.waiting_jobs.remove(id);
         self.plan_due = true;
-        self.record_decision(
-            id,
-            DecisionKind::Refused,
-            "withdrawn before it was stored".to_owned(),
-        );
-        true
+        self.record_decision(id, DecisionKind::Refused, reason.to_owned());
     }
 
     /// Cancels a job; returns the version that must be durable before the caller is told, or `None`
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -53,6 +53,7 @@
         self.stop_stalled(now);
         self.move_off_draining(now);
         self.remove_ended_jobs(now);
+        self.retry_rejected(now);
         self.clear_crash_records(now);
         self.place(now);
     }
--- a/crates/jobs/tests/coordinator/row_sizes.rs
+++ b/crates/jobs/tests/coordinator/row_sizes.rs
@@ -1,5 +1,5 @@
 use skylarkpulley_jobs::{
-    EndKind, Limits, RowKind, RunEnd, RunReport, Step, TaskId, TaskKey, WorkerReport,
+    EndKind, JobState, Limits, RowKind, RunEnd, RunReport, Step, TaskId, TaskKey, WorkerReport,
 };
 
 use crate::rig::{Rig, job, report, step, worker};
@@ -147,3 +147,39 @@
     assert_rows_accepted(&mut rig);
     assert!(rig.rows.is_empty(), "{:?}", rig.rows.keys());
 }
+
+/// Guards against a job whose rows the store rejects holding up the writes of all other jobs.
+#[test]
+fn reject_commit_isolates() {
+    let mut rig = Rig::new(0);
+    for number in 0..60 {
+        rig.submit(job(&format!("j{number:02}"), 1, step(1, 0)));
+    }
+    for number in 0..60 {
+        rig.core.cancel(rig.now, &format!("j{number:02}"));
+    }
+    let write = |rig: &mut Rig| {
+        let mut writes = 0;
+        while let Some(rows) = rig.core.begin_commit() {
+            writes += 1;
+            if rows.iter().any(|row| row.key == "j17") {
+                assert_eq!(rig.core.reject_commit(rig.now), None, "the job is stored already");
+            } else {
+                rig.core.end_commit();
+            }
+        }
+        writes
+    };
+    let writes = write(&mut rig);
+    // Half a second at 15 ms for each write, a sixth of the time that callers wait.
+    assert!(writes <= 33, "{writes} writes");
+    let stored = |rig: &Rig, id: &str| rig.core.view(id).map(|view| view.state);
+    for number in (0..60).filter(|number| *number != 17) {
+        assert_eq!(stored(&rig, &format!("j{number:02}")), Some(JobState::Cancelled), "{number}");
+    }
+    assert_eq!(stored(&rig, "j17"), Some(JobState::Queued));
+    rig.advance(4000);
+    assert_eq!(write(&mut rig), 0);
+    rig.advance(1200);
+    assert_eq!(write(&mut rig), 1, "the job is written again");
+}
--- a/crates/store/src/memory_transactor.rs
+++ b/crates/store/src/memory_transactor.rs
@@ -65,6 +65,8 @@
 /// In-memory [`Transactor`] with fault injection, for tests.
 #[derive(Debug, Default)]
 pub struct MemoryTransactor {
+    /// Size in bytes above which a record is rejected.
+    record_limit: Option<usize>,
     state: Mutex<State>,
 }
 
@@ -74,6 +76,11 @@
         Self::default()
     }
 
+    /// Returns the store with a maximum size of a record in bytes.
+    pub fn with_record_limit(self, limit: usize) -> Self {
+        Self { record_limit: Some(limit), ..self }
+    }
+
     /// Queues faults; each next transaction uses up one.
     pub fn inject(&self, faults: &[TransactFault]) {
         self.lock().faults.extend(faults);
@@ -123,6 +130,12 @@
 #[async_trait]
 impl Transactor for MemoryTransactor {
     async fn apply(&self, transaction: &Transaction) -> Result<TransactionOutcome, TransactError> {
+        let too_large = |value: &Bytes| self.record_limit.is_some_and(|limit| value.len() > limit);
+        if let Some((key, value)) = transaction.puts.iter().find(|(_, value)| too_large(value)) {
+            return Err(TransactError::Rejected {
+                detail: format!("record {key} has {} bytes", value.len()),
+            });
+        }
         match self.apply_next(transaction) {
             Some(outcome) => outcome,
             None => std::future::pending().await,
--- a/crates/store/src/transactor.rs
+++ b/crates/store/src/transactor.rs
@@ -75,6 +75,12 @@
         /// Cause of the failure.
         detail: String,
     },
+    /// The store refused the call for its content. It had no effect, and will never be accepted.
+    #[display("the store rejected the call for its content: {detail}")]
+    Rejected {
+        /// Cause of the failure.
+        detail: String,
+    },
     /// No answer was received. The call may have taken effect, or may still take effect while the
     /// records have their expected versions.
     #[display("the store did not answer, the call may have taken effect: {detail}")]
