Conclude nothing from a listing that may leave out ends

Cause: a worker lists at most 500 ends, and lists the same ones until they are acknowledged, which needs the store. The other 140 runs were listed neither as running nor as ended. After 2 s the coordinator ordered them to stop; the agent took the answered stop and the next listing without the run as proof that it had never started. Ruled out: ends lost by the worker (they are listed once the store is back), and the leader's acknowledgement (it covers only what was stored). Change: a listing with 500 ends counts as incomplete (platform), the agent settles no fenced run by it, and its report says so. The coordinator then stops no run as vanished, and the time limits for starts and progress on that worker do not run. The simulated workers of interleavings.rs list one end at a time, and the checks must notice an agent that ignores this. Why it works: a run that is listed nowhere is settled only by a listing that contains all ends of the incarnation, so that its absence is proof.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -76,6 +76,8 @@
     /// Whether no process listened at the worker's address at the last call.
     down: bool,
     ended: BTreeMap<u64, RunEnd>,
+    /// Whether the last listing may have left out ends.
+    ends_truncated: bool,
     epoch: u64,
     /// Whether runs of an earlier incarnation may still start here. Nothing is reported until they
     /// are fenced.
@@ -121,6 +123,7 @@
             clock: None,
             down: false,
             ended: BTreeMap::new(),
+            ends_truncated: false,
             epoch: 0,
             fencing_earlier: false,
             granted_lease: None,
@@ -361,7 +364,10 @@
         let acked =
             if self.orders.incarnation == self.incarnation { self.orders.ended_through } else { 0 };
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
-        self.resolve_fenced(number);
+        self.ends_truncated = listing.ends_truncated;
+        if !self.ends_truncated {
+            self.resolve_fenced(number);
+        }
         if self.fencing_earlier && self.calls.is_empty() && self.running.is_empty() {
             self.fencing_earlier = false;
         }
@@ -393,6 +399,7 @@
             attempted: uncertain.map(|(run, _)| run.clone()).collect(),
             ended: self.ended.values().cloned().collect(),
             ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
+            ends_truncated: self.ends_truncated,
             lapsed,
             listed: reportable,
             refused: self
@@ -464,6 +471,7 @@
         self.clock = None;
         self.down = false;
         self.ended.clear();
+        self.ends_truncated = false;
         self.latest_deadline = None;
         self.lapse_reported = None;
         self.left_at = None;
@@ -564,7 +572,8 @@
 
     /// Concludes the runs whose stop was answered before the renewal call `number` was made and
     /// that the worker does not list. A run that is still ordered and has not ended counts as
-    /// refused.
+    /// refused. The listing must contain all ends, since an end that it leaves out looks like a run
+    /// that never started.
     fn resolve_fenced(&mut self, number: u64) {
         let ordered_runs = self.ordered_runs();
         let resolved: Vec<(RunKey, RunCalls)> = self
--- a/crates/jobs/src/agent_calls.rs
+++ b/crates/jobs/src/agent_calls.rs
@@ -47,6 +47,9 @@
     pub clock_ms: u64,
     /// Ends of runs that are not acknowledged, with their numbers.
     pub ended: Vec<(u64, RunEnd)>,
+    /// Whether further ends may wait behind those in `ended`, because the worker lists a limited
+    /// number at a time. A run that is listed nowhere may then have ended.
+    pub ends_truncated: bool,
     /// Incarnation of the worker that answered.
     pub incarnation: u64,
     /// Latest measurement of each run: the tail of the response times in milliseconds for a task
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -37,6 +37,7 @@
             worker.lapsed_starts.clear();
         }
         worker.has_session = true;
+        worker.ends_truncated = report.ends_truncated;
         worker.last_report = now.monotonic;
         worker.status = status.clone();
         for end in &report.ended {
@@ -318,6 +319,9 @@
     }
 
     fn stop_vanished(&mut self, now: Timestamp, status: &WorkerStatus, report: &WorkerReport) {
+        if report.ends_truncated {
+            return;
+        }
         let Some(worker) = self.fleet.workers.get(&status.id) else { return };
         let mut vanished = Vec::new();
         for (task, run) in &worker.runs {
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -76,7 +76,8 @@
     /// Restarts the count of the time without progress for runs that cannot be observed.
     fn reset_unobserved(&mut self, now: Timestamp) {
         for worker in self.fleet.workers.values() {
-            let reachable = worker.has_session && worker.is_reached;
+            // While ends are left out, a run that is listed nowhere may have ended.
+            let observed = worker.has_session && worker.is_reached && !worker.ends_truncated;
             for task in worker.runs.keys() {
                 let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
                 let (durable, alone) = (entry.durable_version, worker.runs.len() == 1);
@@ -86,7 +87,7 @@
                 let may_pause = step.is_some_and(|step| step.fills && !alone);
                 let Some(placement) = entry.placement_mut(&task.key) else { continue };
                 let pauses = may_pause && placement.listed;
-                if !reachable || placement.stopping || durable < placement.version || pauses {
+                if !observed || placement.stopping || durable < placement.version || pauses {
                     placement.last_progress = now.monotonic;
                 }
             }
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -11,6 +11,8 @@
     /// Ends that are applied in memory but not acknowledged: the number of the last one, and the
     /// job versions that must be durable first.
     pub applied: Option<(u64, Vec<(String, u64)>)>,
+    /// Whether it may have ended further runs that it did not list in the last report.
+    pub ends_truncated: bool,
     /// Time until which it gets no new work, because it refused a run for want of free resources.
     pub full_until: Option<Instant>,
     /// Whether this coordinator has received a report of the worker.
@@ -40,6 +42,7 @@
         Self {
             acked: 0,
             applied: None,
+            ends_truncated: false,
             full_until: None,
             has_reported: false,
             has_session: false,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -112,6 +112,8 @@
     pub ended: Vec<RunEnd>,
     /// Number of the last entry of `ended` in this incarnation.
     pub ended_through: u64,
+    /// Whether the worker may have ended further runs that it does not list yet.
+    pub ends_truncated: bool,
     /// Whether every lease at the worker is certain to have lapsed since the agent last reached it.
     pub lapsed: bool,
     /// Whether `running` was read from this incarnation of the worker.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -83,6 +83,20 @@
         self.core.handle_listing(self.now, number, &listing);
     }
 
+    /// Lists ends of other tasks, as many as the worker lists at a time.
+    fn list_truncated(&mut self) {
+        let other = TaskId::new("other", TaskKey { occurrence: 0, step: 0, index: 0 });
+        let end = RunEnd { checkpoint: String::new(), kind: EndKind::Done, run: 1, task: other };
+        let call = self.core.next_renewal(self.now);
+        let listing = Listing {
+            ended: vec![(1, end)],
+            ends_truncated: true,
+            incarnation: INCARNATION,
+            ..Listing::default()
+        };
+        self.core.handle_listing(self.now, call.number, &listing);
+    }
+
     fn order(&mut self, orders: Orders) {
         let orders = Orders { incarnation: INCARNATION, worker: "w".to_owned(), ..orders };
         self.core.handle_orders(1, orders, Some(self.now), Duration::from_secs(8));
@@ -429,3 +443,38 @@
         assert_eq!(rig.core.report(rig.now).attempted, attempted, "{answer:?}");
     }
 }
+
+/// Guards against taking a run for refused whose end waits behind those that the worker lists: the
+/// task was started again although it was done (review/4).
+#[test]
+fn listing_truncated_ends() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.core.actions(rig.now);
+    rig.core.handle_start_answer(rig.now, &task(), 1, StartAnswer::Started);
+    rig.list(INCARNATION, &[1], &[]);
+    rig.list_truncated();
+    rig.order(Orders { stop: vec![(task(), 1)], ..Orders::default() });
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+    rig.list_truncated();
+    assert!(rig.refused().is_empty(), "the end may wait behind the listed ones");
+    assert!(rig.core.report(rig.now).ends_truncated);
+    rig.list(INCARNATION, &[], &[(2, 1, EndKind::Done)]);
+    let report = rig.core.report(rig.now);
+    assert_eq!((report.refused.len(), report.ended.len()), (0, 1));
+    assert_eq!(report.ended[0].kind, EndKind::Done);
+}
+
+/// Guards against keeping a run for ever that never started: a complete listing settles it.
+#[test]
+fn listing_complete_after_truncated() {
+    let mut rig = Rig::new();
+    rig.order(Orders { stop: vec![(task(), 1)], ..Orders::default() });
+    rig.core.actions(rig.now);
+    rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+    rig.list_truncated();
+    assert!(rig.refused().is_empty());
+    rig.list(INCARNATION, &[], &[]);
+    assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
+}
--- a/crates/jobs/tests/coordinator/interleavings.rs
+++ b/crates/jobs/tests/coordinator/interleavings.rs
@@ -10,6 +10,18 @@
 
 const WORKERS: u32 = 4;
 
+/// Number of ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 1;
+
+/// A deliberate fault of the simulation that the checks must detect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Flaw {
+    /// Workers carry out starts that were fenced.
+    IgnoredFences,
+    /// Agents take a run whose end is not listed yet for one that never started.
+    IgnoredTruncation,
+}
+
 /// A simulated worker that carries out its orders.
 #[derive(Clone, Debug, Default)]
 struct SimulatedWorker {
@@ -26,8 +38,9 @@
     /// Starts that are carried out later: worker, incarnation, task, run.
     delayed_starts: Vec<(usize, u64, TaskId, u32)>,
     done: BTreeSet<TaskId>,
-    /// Whether workers ignore fences. The checks must detect this violation.
-    ignore_fences: bool,
+    flaw: Option<Flaw>,
+    /// Highest run of each task that was started.
+    last_runs: BTreeMap<TaskId, u32>,
     rig: Rig,
     rng: Rng,
     violations: Vec<String>,
@@ -35,13 +48,14 @@
 }
 
 impl Simulation {
-    fn new(seed: u64, ignore_fences: bool) -> Self {
+    fn new(seed: u64, flaw: Option<Flaw>) -> Self {
         let worker_state =
             SimulatedWorker { incarnation: 1, next_end: 1, ..SimulatedWorker::default() };
         Self {
             delayed_starts: Vec::new(),
             done: BTreeSet::new(),
-            ignore_fences,
+            flaw,
+            last_runs: BTreeMap::new(),
             rig: Rig::new(WORKERS),
             rng: Rng::with_seed(seed),
             violations: Vec::new(),
@@ -56,7 +70,8 @@
         {
             return;
         }
-        if !self.ignore_fences && worker_state.fenced.get(task).is_some_and(|fence| *fence >= run) {
+        let fenced = worker_state.fenced.get(task).is_some_and(|fence| *fence >= run);
+        if fenced && self.flaw != Some(Flaw::IgnoredFences) {
             if !worker_state.ends.iter().any(|end| end.1 == *task && end.2 == run) {
                 self.workers[index].refused.insert((task.clone(), run));
             }
@@ -69,6 +84,8 @@
             self.violations.push(format!("{task} starts after its end was acknowledged"));
         }
         self.workers[index].running.insert((task.clone(), run));
+        let last_run = self.last_runs.entry(task.clone()).or_default();
+        *last_run = run.max(*last_run);
     }
 
     fn end(&mut self, index: usize, task: &TaskId, run: u32, kind: EndKind) {
@@ -89,10 +106,14 @@
             return;
         }
         let acked = orders.ended_through;
-        for (_, task, _, kind) in self.workers[index].ends.iter().filter(|end| end.0 <= acked) {
-            if *kind == EndKind::Done {
-                self.done.insert(task.clone());
+        for (_, task, run, kind) in self.workers[index].ends.iter().filter(|end| end.0 <= acked) {
+            if *kind != EndKind::Done {
+                continue;
             }
+            if self.last_runs.get(task).is_some_and(|last_run| last_run > run) {
+                self.violations.push(format!("{task} was started again after run {run} was done"));
+            }
+            self.done.insert(task.clone());
         }
         self.workers[index].ends.retain(|end| end.0 > acked);
         for order in orders.start {
@@ -116,7 +137,8 @@
         let status = worker(number, worker_state.incarnation);
         let running: Vec<_> = worker_state.running.iter().cloned().collect();
         let mut worker_report: WorkerReport = report(&status, &running);
-        for (number, task, run, kind) in &worker_state.ends {
+        worker_report.ends_truncated = worker_state.ends.len() >= MAX_LISTED_ENDS;
+        for (number, task, run, kind) in worker_state.ends.iter().take(MAX_LISTED_ENDS) {
             let end_report = ended(&status, *number, task, *run, *kind);
             worker_report.ended.extend(end_report.ended);
             worker_report.ended_through = *number;
@@ -129,8 +151,11 @@
         let stopped = self.rig.core.orders(&status.id).stop;
         for (task, run) in stopped {
             let fenced = worker_state.fenced.get(&task).is_some_and(|fence| *fence >= run);
-            let listed = worker_state.ends.iter().any(|end| end.1 == task && end.2 == run);
-            if fenced && !listed && !worker_state.running.contains(&(task.clone(), run)) {
+            let listed = worker_report.ended.iter().any(|end| end.task == task && end.run == run);
+            let certain =
+                !worker_report.ends_truncated || self.flaw == Some(Flaw::IgnoredTruncation);
+            if fenced && certain && !listed && !worker_state.running.contains(&(task.clone(), run))
+            {
                 let kind = RefusalKind::Fenced;
                 worker_report.refused.push(RunRefusal { kind, run, task });
             }
@@ -208,7 +233,7 @@
 #[test]
 fn interleavings_safe() {
     for seed in 0..40 {
-        let mut simulation = Simulation::new(seed, false);
+        let mut simulation = Simulation::new(seed, None);
         for number in 0..400 {
             simulation.step(number);
         }
@@ -223,15 +248,17 @@
     }
 }
 
-/// Checks the checks themselves: workers that carry out fenced starts must cause violations.
+/// Checks the checks themselves: each flaw must cause violations.
 #[test]
-fn interleavings_notice_broken_fence() {
-    let noticed = (0..60).any(|seed| {
-        let mut simulation = Simulation::new(seed, true);
-        for number in 0..400 {
-            simulation.step(number);
-        }
-        !simulation.violations.is_empty()
-    });
-    assert!(noticed);
+fn interleavings_notice_flaws() {
+    for flaw in [Flaw::IgnoredFences, Flaw::IgnoredTruncation] {
+        let noticed = (0..60).any(|seed| {
+            let mut simulation = Simulation::new(seed, Some(flaw));
+            for number in 0..400 {
+                simulation.step(number);
+            }
+            !simulation.violations.is_empty()
+        });
+        assert!(noticed, "{flaw:?}");
+    }
 }
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 use skylarkpulley_jobs::{
-    AdviceAnswer, EndKind, JobState, RefusalKind, Resources, RunRefusal, Schedule, Step,
+    AdviceAnswer, EndKind, JobState, RefusalKind, Resources, RunRefusal, Schedule, Step, TaskId,
+    WorkerReport,
 };
 
 use crate::rig::{Rig, ended, job, report, step, worker};
@@ -503,3 +504,25 @@
     let bytes: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
     assert!(bytes < 600_000, "{bytes}");
 }
+
+/// Guards against stopping runs, and blaming their worker, because their ends wait behind those that
+/// the worker lists (review/4).
+#[test]
+fn report_truncated_ends() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, step(2, 0)));
+    let runs: Vec<(TaskId, u32)> =
+        rig.starts().into_iter().map(|(_, task, run)| (task, run)).collect();
+    rig.core.report(rig.now, &report(&worker(0, 1), &runs[..1]));
+    let play = |rig: &mut Rig, truncated: bool| {
+        for _ in 0..100 {
+            let listed = WorkerReport { ends_truncated: truncated, ..report(&worker(0, 1), &[]) };
+            rig.core.report(rig.now, &listed);
+            rig.advance(100);
+        }
+    };
+    play(&mut rig, true);
+    assert!(rig.stops().is_empty(), "neither the listed run nor the one that was not listed yet");
+    play(&mut rig, false);
+    assert_eq!(rig.stops().len(), 2);
+}
