--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -195,7 +195,7 @@
         {
             return true;
         }
-        self.ended = self.ended.split_off(&(orders.ended_through + 1));
+        self.ended = self.ended.split_off(&orders.ended_through.saturating_add(1));
         self.orders = orders;
         self.answered_report = sent.or(self.answered_report);
         if self.lapse_reported.is_some_and(|lapsed| sent.is_some_and(|sent| sent >= lapsed)) {
