Ignore announcements of an upstream with values out of range

Cause: Upstream::announce took any address and incarnation. An odd announcement with incarnation 2^64-1 made the agent ignore the upstream's own ones until the agent restarted; with a port out of range the agent would send requests to an address that cannot exist. Change: an announcement whose address is not an IP address with a port, or whose incarnation exceeds 2^53, is ignored, and its sender gets status 409 as for a late one.

--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -6,6 +7,9 @@
 /// so two consecutive announcements may be lost.
 pub const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Highest incarnation that is accepted. JSON numbers are exact up to this value.
+const MAX_INCARNATION: u64 = 1 << 53;
+
 /// State of an upstream according to its announcement.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -41,8 +45,15 @@
 
     /// Records an announcement and returns whether it was accepted. An announcement of an older
     /// incarnation, or `serving` after `leaving` of the same incarnation, arrived late and is
-    /// ignored.
+    /// ignored. One whose values are out of range is ignored as well: it would hide the upstream's
+    /// own announcements.
     pub fn announce(&mut self, announcement: &Announcement, now: Instant) -> bool {
+        let address = announcement.address.parse::<SocketAddr>();
+        if announcement.incarnation > MAX_INCARNATION
+            || address.map_or(true, |address| address.port() == 0)
+        {
+            return false;
+        }
         if let Some((latest, _)) = &self.latest {
             let is_older = announcement.incarnation < latest.incarnation;
             let is_late = announcement.incarnation == latest.incarnation
