Wait for every earlier leader after a takeover

Cause: the leader's record named one leader. An entry that had no answer to its takeover found its own name, took over once more and waited for nobody, while the leader before extended leases for up to 12 s. The same happened after a takeover whose rows could not be loaded, after a quick restart, and with a third entry. Ruled out: leases that are extended beyond 12 s, and agents that go back to a lower epoch. Change: the record lists the earlier leaders that may still extend leases; a takeover passes the list on, and a leader drops it once all have answered or 12 s have passed. All are asked, in parallel. Rows that cannot be loaded are loaded again under the same epoch, and an entry that does not lead 3 s after its takeover is replaced. Why it works: whoever writes the record names all who may still be believed, in the same transaction that fences them.

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::boot_time::boot_time;
-use crate::leader_record::{LeaderReading, LeaderRecord};
+use crate::leader_record::{LeaderReading, LeaderRecord, Predecessor};
 use crate::store_health::StoreHealth;
 
 /// First delay before a write without an outcome is sent again. It doubles up to
@@ -71,6 +71,8 @@
     /// Highest sequence number of a write. A rejected write uses up its number, so that no other
     /// write can be taken for it.
     last_sequence: u64,
+    /// Earlier leaders that may still extend leases, for the next write.
+    predecessors: Vec<Predecessor>,
     record: LeaderRecord,
     store: Arc<dyn Transactor>,
     version: u64,
@@ -90,12 +92,7 @@
         version: u64,
         health: Arc<StoreHealth>,
     ) -> Result<Option<Self>, TransactError> {
-        let next = LeaderRecord {
-            address: address.to_owned(),
-            epoch: record.epoch + 1,
-            name: name.to_owned(),
-            sequence: 0,
-        };
+        let next = record.succeeded_by(name, address);
         let confirmed_at = boot_time();
         let transaction = Transaction {
             expected_versions: vec![(LeaderRecord::key(), version)],
@@ -109,6 +106,7 @@
                     confirmed_at,
                     health,
                     last_sequence: 0,
+                    predecessors: next.predecessors.clone(),
                     record: next,
                     store,
                     version,
@@ -129,6 +127,16 @@
         self.confirmed_at
     }
 
+    /// Returns the earlier leaders that may still extend leases.
+    pub fn predecessors(&self) -> &[Predecessor] {
+        &self.predecessors
+    }
+
+    /// Records that no earlier leader extends leases any more. The next write stores it.
+    pub fn end_predecessors(&mut self) {
+        self.predecessors.clear();
+    }
+
     /// Reads all rows of one kind.
     ///
     /// # Errors
@@ -154,7 +162,11 @@
     /// sent again if the store answers reads quickly, and awaited if the store is slow.
     pub async fn commit(mut self, rows: Vec<RowChange>) -> (Self, CommitOutcome) {
         self.last_sequence += 1;
-        let next = LeaderRecord { sequence: self.last_sequence, ..self.record.clone() };
+        let next = LeaderRecord {
+            predecessors: self.predecessors.clone(),
+            sequence: self.last_sequence,
+            ..self.record.clone()
+        };
         let mut retry_delay = FIRST_RETRY_DELAY;
         let started = boot_time();
         let mut calls = FuturesUnordered::new();
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -96,8 +96,8 @@
         /// The answer; `None` when the call failed.
         answer: Option<AdviceAnswer>,
     },
-    /// The predecessor is known to be no longer the leader.
-    PredecessorEnded,
+    /// No earlier leader extends leases any more.
+    PredecessorsEnded,
     /// An operator requests the state.
     Summary {
         /// Receives the answer.
@@ -326,11 +326,14 @@
     /// stays idle.
     fn start_store_call(
         &mut self,
-        journal: Journal,
+        mut journal: Journal,
         idle_journal: &mut Option<Journal>,
         store_call: &mut Option<BoxFuture<'static, (Journal, StoreCall)>>,
     ) {
         let now = self.context.clock.now();
+        if !self.coordinator.has_predecessor(self.now()) {
+            journal.end_predecessors();
+        }
         if let Some(rows) = self.coordinator.begin_commit() {
             self.write_started = Some(now);
             self.store_called = now;
@@ -359,7 +362,7 @@
             LeaderMessage::Advice { call, answer } => {
                 self.coordinator.handle_advice(now, &call, answer.as_ref());
             }
-            LeaderMessage::PredecessorEnded => self.coordinator.end_predecessor(now),
+            LeaderMessage::PredecessorsEnded => self.coordinator.end_predecessor(now),
             LeaderMessage::Summary { reply } => {
                 // Sending fails when the operator has left, which needs no handling.
                 let _ = reply.send(self.coordinator.summary(now));
--- a/crates/coordination/src/leader_record.rs
+++ b/crates/coordination/src/leader_record.rs
@@ -27,6 +27,15 @@
     pub version: u64,
 }
 
+/// An earlier leader that may still extend leases.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Predecessor {
+    /// Address of its control listener.
+    pub address: String,
+    /// Name of its entry.
+    pub name: String,
+}
+
 /// The record that names the leader and fences earlier leaders.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderRecord {
@@ -36,6 +45,10 @@
     pub epoch: u64,
     /// Name of the leader.
     pub name: String,
+    /// Earlier leaders that may still extend leases: that they do not is known neither to this
+    /// leader nor to those between. Absent in the records of earlier builds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub predecessors: Vec<Predecessor>,
     /// Increases with each write of the leader.
     pub sequence: u64,
 }
@@ -96,6 +109,29 @@
         })
     }
 
+    /// Returns the record with which the entry `name` takes over. It keeps the predecessors of this
+    /// record, because its leader may not have waited for them: it may have ended before, may have
+    /// had no answer to its takeover, or may not have loaded the rows.
+    pub fn succeeded_by(&self, name: &str, address: &str) -> Self {
+        let mut predecessors = self.predecessors.clone();
+        if self.epoch > 0 {
+            let (name, address) = (self.name.clone(), self.address.clone());
+            predecessors.push(Predecessor { address, name });
+        }
+        // Whatever an earlier process of this entry has granted, it grants no more, and this one
+        // does not lead.
+        predecessors.retain(|earlier| earlier.name != name && !earlier.address.is_empty());
+        predecessors.sort_unstable_by(|a, b| (&a.address, &a.name).cmp(&(&b.address, &b.name)));
+        predecessors.dedup();
+        Self {
+            address: address.to_owned(),
+            epoch: self.epoch + 1,
+            name: name.to_owned(),
+            predecessors,
+            sequence: 0,
+        }
+    }
+
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding cannot fail, because all fields are strings and integers.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,7 +33,7 @@
 pub use calls::{JobAnswer, JobCall, JobService};
 pub use entry::{Entry, EntrySettings};
 pub use journal::{CommitOutcome, Journal};
-pub use leader_record::LeaderRecord;
+pub use leader_record::{LeaderRecord, Predecessor};
 pub use leadership::Leadership;
 pub use metered_store::MeteredStore;
 pub use operators::Operators;
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -3,16 +3,16 @@
 
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::v1;
-use skylarkpulley_store::{TransactError, Transactor};
+use skylarkpulley_store::Transactor;
 use skylarkpulley_telemetry::Event;
 use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, watch};
 
 use crate::convert::millis;
 use crate::entry::EntrySettings;
-use crate::journal::Journal;
+use crate::journal::{CommitOutcome, Journal};
 use crate::leader::{Leader, LeaderContext, LeaderMessage, LeaderTimes, LeadershipEnd};
-use crate::leader_record::LeaderRecord;
+use crate::leader_record::{LeaderRecord, Predecessor};
 use crate::leadership::{Leadership, ReportedLeader};
 use crate::peer::PeerClients;
 use crate::placement_policy::PlacementPolicy;
@@ -43,6 +43,10 @@
 /// for example at the end of an outage.
 const CONFIRM_GRACE: Duration = Duration::from_millis(300);
 
+/// Time within which an entry that has taken over should lead. Loading the rows takes about 20 ms,
+/// and about a second from the slowest store observed.
+const LOADING_LIMIT: Duration = Duration::from_secs(3);
+
 /// A read that takes longer shows that the store is slow. A usual read takes less than 10 ms.
 const SLOW_READ_THRESHOLD: Duration = Duration::from_millis(120);
 
@@ -195,6 +199,7 @@
     }
 
     async fn follow(&mut self, record: &LeaderRecord) -> FollowEnd {
+        let started = Instant::now();
         let mut failures = 0;
         loop {
             let request = self.ping(record.epoch);
@@ -220,6 +225,13 @@
             if let Some(end) = self.evaluate_ping(record, &reply).await {
                 return end;
             }
+            if !reply.leads
+                && reply.epoch < record.epoch
+                && started.elapsed() > LOADING_LIMIT
+                && let Some(end) = self.check_loading(record).await
+            {
+                return end;
+            }
             tokio::select! {
                 () = tokio::time::sleep(ping_interval(self.rank)) => {}
                 () = self.shared.leader_failed.notified() => {}
@@ -267,6 +279,21 @@
         }
     }
 
+    /// Decides on an entry that has taken over and does not lead, because it has not loaded the
+    /// rows. It is replaced if the store answers this entry quickly.
+    async fn check_loading(&self, record: &LeaderRecord) -> Option<FollowEnd> {
+        let started = Instant::now();
+        match LeaderRecord::read(self.store.as_ref()).await {
+            Ok((current, _)) if current.epoch > record.epoch => Some(FollowEnd::Changed),
+            Ok(_) if started.elapsed() <= SLOW_READ_THRESHOLD => {
+                let limit = LOADING_LIMIT.as_millis();
+                let reason = format!("it has not loaded the stored jobs within {limit} ms");
+                Some(FollowEnd::Suspect(reason))
+            }
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     /// Pings a doubted leader once more; returns the reason for which it is still suspected, if
     /// any.
     async fn recheck_leader(&self, record: &LeaderRecord) -> Option<FollowEnd> {
@@ -320,57 +347,79 @@
                 return;
             }
         };
-        if let Err(error) = self.lead(journal, record).await {
-            tracing::warn!(%error, "stored jobs cannot be loaded; leading is attempted again");
-            tokio::time::sleep(STORE_RETRY_DELAY).await;
-        }
+        self.lead(journal).await;
     }
 
-    /// Notifies the predecessor in the background, and tells the leader task of this entry when
-    /// the predecessor is known to be no longer the leader. No notification is sent if there was no
-    /// predecessor, or if it was an earlier process of this entry, which is certain to have ended.
+    /// Notifies the earlier leaders in the background, and tells the leader task of this entry when
+    /// all of them are known to lead no longer. Without their answers, the leader waits for the
+    /// longest time for which they may extend leases.
     fn start_predecessor_notification(
         &self,
-        predecessor: &LeaderRecord,
+        predecessors: &[Predecessor],
         epoch: u64,
         inbox: mpsc::Sender<LeaderMessage>,
     ) {
-        let has_ended = predecessor.address.is_empty() || predecessor.name == self.settings.name;
-        let (peers, address) = (self.peers.clone(), predecessor.address.clone());
         let leader = self.settings.control.to_string();
         let request = v1::PingRequest { leader, ..self.ping(epoch) };
+        let notifications = predecessors.iter().map(|earlier| {
+            notify_predecessor(self.peers.clone(), earlier.address.clone(), request.clone())
+        });
+        let notifications = futures::future::join_all(notifications);
         tokio::spawn(async move {
-            if has_ended || notify_predecessor(peers, address, request).await {
+            if notifications.await.into_iter().all(|answered| answered) {
                 // Sending fails when the leadership has ended meanwhile, which needs no handling.
-                let _ = inbox.send(LeaderMessage::PredecessorEnded).await;
+                let _ = inbox.send(LeaderMessage::PredecessorsEnded).await;
             }
         });
     }
 
-    async fn lead(
-        &mut self,
-        journal: Journal,
-        predecessor: &LeaderRecord,
-    ) -> Result<(), TransactError> {
+    /// Loads the stored rows for the leader task. While the store does not answer, loading is
+    /// attempted again under the same epoch, so that other entries notice how long it takes.
+    /// Returns `None` when another entry leads, or when this entry is shutting down.
+    async fn load(
+        &self,
+        mut journal: Journal,
+        sender: &mpsc::Sender<LeaderMessage>,
+    ) -> Option<(Journal, Leader)> {
+        loop {
+            let context = LeaderContext {
+                clock: self.clock.clone(),
+                health: self.shared.health.clone(),
+                limits: self.settings.limits,
+                own_inbox: sender.downgrade(),
+                policy: self.policy.clone(),
+                records: self.shared.records.clone(),
+                reported_leader: self.reported_leader.clone(),
+                times: LeaderTimes {
+                    confirmation_limit: self.settings.confirmation_limit,
+                    lease: self.settings.lease,
+                },
+            };
+            let tables = self.tables.borrow().clone();
+            match Leader::load(&journal, context, tables).await {
+                Ok(leader) => return Some((journal, leader)),
+                Err(error) => {
+                    tracing::warn!(%error, "stored jobs cannot be loaded; loading them again");
+                }
+            }
+            tokio::time::sleep(STORE_RETRY_DELAY).await;
+            if *self.stop.borrow() || self.reported_leader.borrow().epoch > journal.epoch() {
+                return None;
+            }
+            let (confirmed, outcome) = journal.confirm().await;
+            if outcome == Ok(CommitOutcome::Deposed) {
+                return None;
+            }
+            journal = confirmed;
+        }
+    }
+
+    async fn lead(&mut self, journal: Journal) {
         let started = Instant::now();
         let epoch = journal.epoch();
         let (sender, inbox) = mpsc::channel(INBOX_CAPACITY);
-        let context = LeaderContext {
-            clock: self.clock.clone(),
-            health: self.shared.health.clone(),
-            limits: self.settings.limits,
-            own_inbox: sender.downgrade(),
-            policy: self.policy.clone(),
-            records: self.shared.records.clone(),
-            reported_leader: self.reported_leader.clone(),
-            times: LeaderTimes {
-                confirmation_limit: self.settings.confirmation_limit,
-                lease: self.settings.lease,
-            },
-        };
-        let tables = self.tables.borrow().clone();
-        let leader = Leader::load(&journal, context, tables).await?;
-        self.start_predecessor_notification(predecessor, epoch, sender.clone());
+        let Some((journal, leader)) = self.load(journal, &sender).await else { return };
+        self.start_predecessor_notification(journal.predecessors(), epoch, sender.clone());
         self.inbox.send_replace(Some(sender));
         self.leadership.send_replace(Leadership {
             address: self.settings.control.to_string(),
@@ -399,7 +448,6 @@
             // Gives another entry time to replace the record before this entry reads it again.
             tokio::time::sleep(NOTIFY_INTERVAL).await;
         }
-        Ok(())
     }
 }
 
--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -4,3 +4,4 @@
 mod rig;
 mod sessions;
 mod store_faults;
+mod takeovers;
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -57,6 +57,15 @@
 
 /// Starts an entry. Returns it with a client for its operators' listener.
 pub async fn start(name: &str, store: Arc<dyn Transactor>) -> (Arc<Entry>, Client) {
+    start_with(name, store, Limits::default()).await
+}
+
+/// Starts an entry with the given limits.
+pub async fn start_with(
+    name: &str,
+    store: Arc<dyn Transactor>,
+    limits: Limits,
+) -> (Arc<Entry>, Client) {
     let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let operators = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = operators.local_addr().expect("an address");
@@ -65,7 +74,7 @@
         cores: 0,
         control: control.local_addr().expect("an address"),
         lease: Duration::from_secs(8),
-        limits: Limits::default(),
+        limits,
         name: name.to_owned(),
     };
     let (metrics, page) = Metrics::with_page("entry");
--- a/crates/coordination/tests/entries/sessions.rs
+++ b/crates/coordination/tests/entries/sessions.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use skylarkpulley_coordination::Entry;
 use skylarkpulley_proto::v1;
 use skylarkpulley_proto::v1::coordination_client::CoordinationClient;
 use skylarkpulley_store::MemoryTransactor;
@@ -13,14 +14,21 @@
 
 use crate::rig::{start, until_ready};
 
-/// One session of an agent.
-struct Session {
+/// One session of the agent of the worker `w`.
+pub struct Session {
     reports: mpsc::Sender<v1::WorkerUpdate>,
     updates: Streaming<v1::CoordinatorUpdate>,
 }
 
+/// Returns a client of an entry that leads.
+pub fn client(entry: &Entry) -> CoordinationClient<Channel> {
+    let address = format!("http://{}", entry.service().leadership().address);
+    let endpoint = Endpoint::from_shared(address).expect("an address");
+    CoordinationClient::new(endpoint.connect_lazy())
+}
+
 impl Session {
-    async fn open(client: &mut CoordinationClient<Channel>) -> Self {
+    pub async fn open(client: &mut CoordinationClient<Channel>) -> Self {
         let (reports, stream) = mpsc::channel(4);
         let session = client.worker_session(ReceiverStream::new(stream));
         let updates = session.await.expect("a session").into_inner();
@@ -28,7 +36,7 @@
     }
 
     /// Sends a report and waits for its answer; `None` when the leader has closed the session.
-    async fn report(&mut self, sequence: u64, lapsed: bool) -> Option<v1::CoordinatorUpdate> {
+    pub async fn report(&mut self, sequence: u64, lapsed: bool) -> Option<v1::CoordinatorUpdate> {
         let update = v1::WorkerUpdate {
             lapsed,
             listed: true,
@@ -61,9 +69,7 @@
     let store = Arc::new(MemoryTransactor::new());
     let (entry, _) = start("entry-1", store).await;
     until_ready(&entry).await;
-    let address = format!("http://{}", entry.service().leadership().address);
-    let endpoint = Endpoint::from_shared(address).expect("an address");
-    let mut client = CoordinationClient::new(endpoint.connect_lazy());
+    let mut client = client(&entry);
     let mut earlier = Session::open(&mut client).await;
     assert!(earlier.report(1, false).await.is_some());
     let mut later = Session::open(&mut client).await;
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use skylarkpulley_coordination::{CommitOutcome, Journal, LeaderRecord, StoreHealth};
+use skylarkpulley_coordination::{CommitOutcome, Journal, LeaderRecord, Predecessor, StoreHealth};
 use skylarkpulley_jobs::{RowChange, RowKind};
 use skylarkpulley_store::{
     MemoryTransactor, Page, Record, RecordKey, TransactError, TransactFault, Transaction,
@@ -206,3 +206,68 @@
     assert_eq!(journal.commit(vec![row("a")]).await.1, CommitOutcome::Stored);
     assert!(store.read(&RecordKey::new("jobs", "large")).await.unwrap().is_none());
 }
+
+/// Takes over from the leader in the record as the entry `name`. Its answer is lost.
+async fn take_over_unanswered(store: &Arc<MemoryTransactor>, name: &str) {
+    store.inject(&[TransactFault::LostAnswer]);
+    let (record, version) = LeaderRecord::read(store.as_ref()).await.unwrap();
+    let (address, health) = (format!("{name}:1"), Arc::new(StoreHealth::new()));
+    let takeover =
+        Journal::take_over(store.clone(), name, &address, &record, version, health).await;
+    assert!(takeover.is_err(), "{name}: the answer is lost");
+}
+
+async fn take_over(store: &Arc<MemoryTransactor>, name: &str) -> Journal {
+    let (record, version) = LeaderRecord::read(store.as_ref()).await.unwrap();
+    let (address, health) = (format!("{name}:1"), Arc::new(StoreHealth::new()));
+    let takeover =
+        Journal::take_over(store.clone(), name, &address, &record, version, health).await;
+    takeover.expect("an outcome").expect("no other leader")
+}
+
+fn names(predecessors: &[Predecessor]) -> Vec<&str> {
+    predecessors.iter().map(|earlier| earlier.name.as_str()).collect()
+}
+
+/// Guards against an earlier leader that a takeover hides (review/1): leases that it extends were
+/// taken for lapsed. Each takeover passes on whom the one before it had to wait for.
+#[tokio::test]
+async fn take_over_chains() {
+    // A leads, B has no answer to its takeover and takes over again.
+    let store = Arc::new(MemoryTransactor::new());
+    take_over(&store, "a").await;
+    take_over_unanswered(&store, "b").await;
+    assert_eq!(names(take_over(&store, "b").await.predecessors()), ["a"]);
+
+    // A third entry takes over before the second has waited for the first.
+    let store = Arc::new(MemoryTransactor::new());
+    take_over(&store, "a").await;
+    take_over_unanswered(&store, "b").await;
+    assert_eq!(names(take_over(&store, "c").await.predecessors()), ["a", "b"]);
+    take_over_unanswered(&store, "d").await;
+    // The process of B has started again, and A leads once more: neither waits for itself.
+    assert_eq!(names(take_over(&store, "b").await.predecessors()), ["a", "c", "d"]);
+    let journal = take_over(&store, "a").await;
+    assert_eq!(names(journal.predecessors()), ["b", "c", "d"]);
+
+    // The next write forgets leaders that extend no leases any more, and a successor waits only for
+    // the last one.
+    let mut journal = journal;
+    journal.end_predecessors();
+    let (_, end) = journal.commit(vec![row("x")]).await;
+    assert_eq!(end, CommitOutcome::Stored);
+    assert_eq!(names(take_over(&store, "e").await.predecessors()), ["a"]);
+}
+
+/// Guards against a record of an earlier build, which has no list of predecessors, that cannot be
+/// read after an upgrade.
+#[tokio::test]
+async fn take_over_record_without_predecessors() {
+    let store = Arc::new(MemoryTransactor::new());
+    let value = r#"{"address":"a:1","epoch":7,"name":"a","sequence":41}"#;
+    let transaction =
+        Transaction { puts: vec![(LeaderRecord::key(), value.into())], ..Transaction::default() };
+    store.apply(&transaction).await.unwrap();
+    let journal = take_over(&store, "b").await;
+    assert_eq!((journal.epoch(), names(journal.predecessors())), (8, vec!["a"]));
+}
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -52,7 +52,7 @@
     pub row_bytes: usize,
     /// Longest time that a worker takes to stop a run.
     pub stop: Duration,
-    /// Time after a takeover during which the predecessor may still renew leases.
+    /// Time after a takeover during which earlier leaders may still renew leases.
     pub takeover: Duration,
 }
 
@@ -113,7 +113,7 @@
     limits: Limits,
     open_write: Option<Vec<commits::WrittenJob>>,
     plan_due: bool,
-    /// Time from which the predecessor extends no leases.
+    /// Time from which no earlier leader extends leases.
     predecessor_end: Instant,
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
@@ -245,7 +245,12 @@
         }
     }
 
-    /// Records that the predecessor is known to have lost its leadership.
+    /// Reports whether an earlier leader may still extend leases.
+    pub fn has_predecessor(&self, now: Timestamp) -> bool {
+        now.monotonic < self.predecessor_end
+    }
+
+    /// Records that no earlier leader extends leases any more.
     pub fn end_predecessor(&mut self, now: Timestamp) {
         self.predecessor_end = self.predecessor_end.min(now.monotonic);
     }
