Remember starts without an answer over answers, fences and restarts

Cause: the agent forgot that a copy of a start was on its way when a later copy was answered or the run was fenced, though neither binds the next incarnation, in which the copy's deadline lies ahead because the clock begins anew. A new process of the agent knew of no copies and refused starts without a fence. Change: starts without an answer are kept for 30 s and fenced in each new incarnation before it is reported; the starts in the first orders of a process count as sent without an answer. Measured: restart_fences_answered_start, restart_fences_fenced_start and first_orders_may_be_sent fail without the change and pass with it.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -4,7 +4,7 @@
 use crate::pacing::is_shared;
 use crate::{
     AgentAction, AgentLimits, Listing, Orders, Pacer, RefusalKind, RenewalCall, RunEnd, RunRefusal,
-    RunReport, SharingRun, StartAnswer, TaskId, WorkerReport, WorkerStatus,
+    RunReport, SharingRun, StartAnswer, StartOrder, TaskId, WorkerReport, WorkerStatus,
 };
 
 /// Largest relative drift of a worker's clock that is allowed for. Twice the stated maximum of 2%,
@@ -37,6 +37,11 @@
 /// Time from the last message of a leaving worker until its runs count as gone.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
 
+/// A start that was not answered may be carried out up to this much later, also by the next
+/// incarnation of the worker and after a later copy was answered. Workers were seen to do so after
+/// up to 12 s.
+const LATE_START_LIMIT: Duration = Duration::from_secs(30);
+
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     ms: f64,
@@ -83,6 +88,8 @@
     /// are fenced.
     fencing_earlier: bool,
     granted_lease: Option<(Instant, Duration)>,
+    /// Whether orders for the worker were received.
+    has_orders: bool,
     /// Whether the current incarnation has answered a listing.
     has_listing: bool,
     incarnation: u64,
@@ -105,6 +112,9 @@
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
     status: Option<WorkerStatus>,
+    /// Starts that were not answered, and when their calls ended. They are kept over the answer to a
+    /// later copy and over fences, which bind only the incarnation that answered.
+    unanswered: BTreeMap<RunKey, Instant>,
 }
 
 impl RunCalls {
@@ -127,6 +137,7 @@
             epoch: 0,
             fencing_earlier: false,
             granted_lease: None,
+            has_orders: false,
             has_listing: false,
             incarnation: 0,
             known_since: now,
@@ -143,6 +154,7 @@
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
             status: None,
+            unanswered: BTreeMap::new(),
         }
     }
 
@@ -195,6 +207,9 @@
         {
             return true;
         }
+        if !std::mem::replace(&mut self.has_orders, true) {
+            self.adopt_starts(sent.unwrap_or(self.known_since), &orders.start);
+        }
         self.ended = self.ended.split_off(&orders.ended_through.saturating_add(1));
         self.orders = orders;
         self.answered_report = sent.or(self.answered_report);
@@ -206,6 +221,16 @@
         true
     }
 
+    /// Treats the starts in the first orders as sent without an answer, because an earlier process
+    /// of this agent may have sent them.
+    fn adopt_starts(&mut self, at: Instant, starts: &[StartOrder]) {
+        for order in starts {
+            let key = (order.task.clone(), order.run);
+            self.calls.entry(key.clone()).or_default().start_uncertain = true;
+            self.unanswered.insert(key, at);
+        }
+    }
+
     /// Returns the highest epoch that was received.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -286,7 +311,10 @@
             }
             StartAnswer::Late | StartAnswer::Outdated => {}
             StartAnswer::Down => self.down = true,
-            StartAnswer::Unanswered => calls.start_uncertain = true,
+            StartAnswer::Unanswered => {
+                calls.start_uncertain = true;
+                self.unanswered.insert(key, now);
+            }
         }
     }
 
@@ -364,6 +392,7 @@
         let acked =
             if self.orders.incarnation == self.incarnation { self.orders.ended_through } else { 0 };
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
+        self.unanswered.retain(|_, at| now < *at + LATE_START_LIMIT);
         self.ends_truncated = listing.ends_truncated;
         if !self.ends_truncated {
             self.resolve_fenced(number);
@@ -466,6 +495,10 @@
                     ..RunCalls::default()
                 };
             }
+            self.unanswered.retain(|_, at| now < *at + LATE_START_LIMIT);
+            for run in self.unanswered.keys() {
+                self.calls.entry(run.clone()).or_default().start_uncertain = true;
+            }
         }
         self.incarnation = incarnation;
         self.clock = None;
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -30,7 +30,15 @@
 }
 
 impl Rig {
+    /// An agent that has received orders without starts.
     fn new() -> Self {
+        let mut rig = Self::without_orders();
+        rig.order(Orders::default());
+        rig
+    }
+
+    /// An agent that has just started, beside a worker that runs.
+    fn without_orders() -> Self {
         let now = Instant::now();
         let limits =
             AgentLimits { extension: Duration::from_secs(6), longest: Duration::from_secs(10) };
@@ -478,3 +486,82 @@
     rig.list(INCARNATION, &[], &[]);
     assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
 }
+
+impl Rig {
+    /// Restarts the worker, and returns the stops that its agent sends to the new incarnation.
+    fn restart_worker(&mut self) -> Vec<AgentAction> {
+        self.announce(INCARNATION + 1);
+        self.list(INCARNATION + 1, &[], &[]);
+        self.core.actions(self.now)
+    }
+
+    fn answer_start(&mut self, answer: StartAnswer) {
+        self.core.actions(self.now);
+        self.core.handle_start_answer(self.now, &task(), 1, answer);
+    }
+}
+
+/// Guards against a copy of a start that had no answer and is carried out by the next incarnation,
+/// although a later copy was answered (review/5): the run worked beside the next run of its task.
+#[test]
+fn restart_fences_answered_start() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.answer_start(StartAnswer::Unanswered);
+    rig.advance(100);
+    rig.answer_start(StartAnswer::Started);
+    rig.list(INCARNATION, &[1], &[]);
+    rig.advance(3000);
+    assert_eq!(rig.restart_worker(), vec![AgentAction::Stop(task(), 1)]);
+    assert!(rig.core.report(rig.now).worker.is_none(), "not reported before the run is fenced");
+    rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+    rig.list(INCARNATION + 1, &[], &[]);
+    assert!(rig.core.report(rig.now).worker.is_some());
+}
+
+/// Guards against a copy of a start that is carried out by the next incarnation, although the run was
+/// fenced in the one before.
+#[test]
+fn restart_fences_fenced_start() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.answer_start(StartAnswer::Unanswered);
+    rig.order(Orders { stop: vec![(task(), 1)], ..Orders::default() });
+    rig.core.actions(rig.now);
+    rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+    rig.list(INCARNATION, &[], &[]);
+    assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
+    assert_eq!(rig.restart_worker(), vec![AgentAction::Stop(task(), 1)]);
+}
+
+/// Guards against stops that are sent to each later incarnation without end.
+#[test]
+fn restart_forgets_old_starts() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.answer_start(StartAnswer::Unanswered);
+    rig.answer_start(StartAnswer::Started);
+    rig.advance(31_000);
+    assert!(rig.restart_worker().is_empty());
+    assert!(rig.core.report(rig.now).worker.is_some());
+}
+
+/// Guards against a start that an earlier process of the agent sent without an answer: it was refused
+/// without a fence, and carried out later beside the next run (late-start-after-restart).
+#[test]
+fn first_orders_may_be_sent() {
+    let mut rig = Rig::without_orders();
+    let status = WorkerStatus {
+        draining: true,
+        id: "w".to_owned(),
+        incarnation: INCARNATION,
+        ..WorkerStatus::default()
+    };
+    rig.core.announce(rig.now, &status);
+    rig.order_start(1);
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    assert!(rig.refused().is_empty(), "an earlier process may have sent the start");
+    rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+    rig.list(INCARNATION, &[], &[]);
+    assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
+}
