Send the starts of a worker in parts that fit into a message

Cause: the orders for a worker hold the description of the job once for each start, 5 MB here, and a message is limited to 4 MiB. The session failed, and each new one over the same orders. Ruled out: starts that the worker refuses; none was sent. Change: the orders hold starts with at most 1 MiB of texts, at least one; the other runs are runs to keep until the first ones are listed. Measured: without the limit session_large_orders and orders_single_large fail (the session ends), with it they pass. Why it works: each message is far below the limit whatever is placed on a worker, and every start is ordered once those before it are listed or given up.

--- a/crates/coordination/tests/entries/sessions.rs
+++ b/crates/coordination/tests/entries/sessions.rs
@@ -1,9 +1,10 @@
 //! Sessions between agents and the leader.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use skylarkpulley_coordination::Entry;
+use skylarkpulley_coordination::{Entry, JobAnswer, JobCall};
+use skylarkpulley_jobs::{Job, Step};
 use skylarkpulley_proto::v1;
 use skylarkpulley_proto::v1::coordination_client::CoordinationClient;
 use skylarkpulley_store::MemoryTransactor;
@@ -12,7 +13,7 @@
 use tonic::Streaming;
 use tonic::transport::{Channel, Endpoint};
 
-use crate::rig::{start, until_ready};
+use crate::rig::{job, start, until_ready};
 
 /// One session of the agent of the worker `w`.
 pub struct Session {
@@ -37,10 +38,14 @@
 
     /// Sends a report and waits for its answer; `None` when the leader has closed the session.
     pub async fn report(&mut self, sequence: u64, lapsed: bool) -> Option<v1::CoordinatorUpdate> {
+        self.send(v1::WorkerUpdate { lapsed, sequence, ..v1::WorkerUpdate::default() }).await
+    }
+
+    /// Sends a report with the description of the worker added, and waits for its answer.
+    async fn send(&mut self, report: v1::WorkerUpdate) -> Option<v1::CoordinatorUpdate> {
+        let sequence = report.sequence;
         let update = v1::WorkerUpdate {
-            lapsed,
             listed: true,
-            sequence,
             worker: Some(v1::WorkerDescription {
                 accelerators: 8,
                 address: "10.0.0.1:1".to_owned(),
@@ -49,7 +54,7 @@
                 pool: "renders".to_owned(),
                 ..v1::WorkerDescription::default()
             }),
-            ..v1::WorkerUpdate::default()
+            ..report
         };
         self.reports.send(update).await.ok()?;
         loop {
@@ -81,3 +86,35 @@
     );
     assert!(later.report(2, false).await.is_some());
 }
+
+/// Guards against a session that fails because the orders exceed the size of a message (review/3).
+#[tokio::test]
+async fn session_large_orders() {
+    let (entry, _) = start("entry-1", Arc::new(MemoryTransactor::new())).await;
+    until_ready(&entry).await;
+    let mut session = Session::open(&mut client(&entry)).await;
+    assert!(session.report(1, false).await.is_some());
+    for id in ["a", "b"] {
+        let steps = vec![Step { count: 620, ..Step::default() }];
+        let large = Job { payload: "x".repeat(3990), steps, ..*job(id) };
+        let deadline = Instant::now() + Duration::from_secs(20);
+        let answer = entry.service().call(&JobCall::Submit(Box::new(large)), deadline).await;
+        assert_eq!(answer, JobAnswer::Done);
+    }
+    let mut running: Vec<v1::TaskRun> = Vec::new();
+    for sequence in 2..100 {
+        let report =
+            v1::WorkerUpdate { running: running.clone(), sequence, ..v1::WorkerUpdate::default() };
+        let update = session.send(report).await.expect("the session goes on");
+        let started = update.start.into_iter().map(|start| v1::TaskRun {
+            run: start.run,
+            task: start.task,
+            ..v1::TaskRun::default()
+        });
+        running.extend(started);
+        if running.len() == 1240 {
+            return;
+        }
+    }
+    panic!("{} of 1240 starts were ordered", running.len());
+}
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -25,6 +25,10 @@
 /// Version of a job in the write that stores its submission.
 const ACCEPTED_VERSION: u64 = 1;
 
+/// Total size in bytes of the texts of the starts in the orders for one worker. A message to an
+/// agent is limited to 4 MiB; further starts follow when the worker has listed these.
+const MAX_START_BYTES: usize = 1 << 20;
+
 /// Time of an event, as monotonic time and as time of day.
 #[derive(Clone, Copy, Debug)]
 pub struct Timestamp {
@@ -383,7 +387,9 @@
         std::mem::take(&mut self.changed_workers)
     }
 
-    /// Returns the orders for a worker. A start appears only once its row is durable.
+    /// Returns the orders for a worker. A start appears only once its row is durable, and only as far
+    /// as the size of a message allows; otherwise its run is one to keep, for which the agent does
+    /// nothing yet.
     pub fn orders(&self, worker: &str) -> Orders {
         let Some(state) = self.fleet.workers.get(worker) else { return Orders::default() };
         let mut orders = Orders {
@@ -392,6 +398,7 @@
             worker: worker.to_owned(),
             ..Orders::default()
         };
+        let mut start_bytes = 0;
         for (task, run) in &state.runs {
             let Some(entry) = self.jobs.get(&task.job) else { continue };
             let Some(placement) = entry.placement(&task.key) else { continue };
@@ -409,13 +416,19 @@
                 orders.keep.push((task.clone(), *run));
                 continue;
             }
-            orders.start.push(StartOrder {
+            let start = StartOrder {
                 checkpoint: placement.checkpoint.clone(),
                 payload: entry.job.payload.clone(),
                 permit: placement.permit.clone(),
                 run: *run,
                 task: task.clone(),
-            });
+            };
+            start_bytes += start.text_bytes();
+            if start_bytes > MAX_START_BYTES && !orders.start.is_empty() {
+                orders.keep.push((task.clone(), *run));
+                continue;
+            }
+            orders.start.push(start);
         }
         if orders.sharing.iter().all(|run| run.response.is_some()) {
             orders.sharing.clear();
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -143,6 +143,13 @@
     pub task: TaskId,
 }
 
+impl StartOrder {
+    /// Returns the size of its texts in bytes.
+    pub fn text_bytes(&self) -> usize {
+        self.checkpoint.len() + self.payload.len() + self.permit.len() + self.task.job.len()
+    }
+}
+
 /// A serving or filling run that shares its worker with others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SharingRun {
--- a/crates/jobs/tests/coordinator/row_sizes.rs
+++ b/crates/jobs/tests/coordinator/row_sizes.rs
@@ -1,5 +1,5 @@
 use skylarkpulley_jobs::{
-    EndKind, JobState, Limits, RowKind, RunEnd, RunReport, Step, TaskId, TaskKey, WorkerReport,
+    EndKind, Job, JobState, Limits, RowKind, RunEnd, RunReport, Step, TaskId, TaskKey, WorkerReport,
 };
 
 use crate::rig::{Rig, job, report, step, worker};
@@ -183,3 +183,38 @@
     rig.advance(1200);
     assert_eq!(write(&mut rig), 1, "the job is written again");
 }
+
+/// Guards against orders that exceed a message to an agent (review/3): its session failed over the
+/// same orders without end, and no task was started. All starts arrive in parts.
+#[test]
+fn orders_in_parts() {
+    let mut rig = Rig::new(1);
+    for id in ["a", "b"] {
+        let mut large = step(620, 0);
+        (large.resources.cores, large.resources.memory) = (50, 10);
+        rig.submit(Job { payload: "x".repeat(3990), ..job(id, 1, large) });
+    }
+    let mut listed: Vec<(TaskId, u32)> = Vec::new();
+    for part in 0..10 {
+        let orders = rig.core.orders("w0");
+        let bytes: usize = orders.start.iter().map(|order| order.text_bytes()).sum();
+        assert!(bytes <= 1 << 20, "part {part}: {bytes} bytes");
+        assert_eq!(orders.start.len() + orders.keep.len(), 1240, "no run is left out");
+        listed.extend(orders.start.into_iter().map(|order| (order.task, order.run)));
+        rig.core.report(rig.now, &report(&worker(0, 1), &listed));
+    }
+    assert_eq!(listed.len(), 1240);
+}
+
+/// Guards against a start that is never sent because it alone exceeds the limit.
+#[test]
+fn orders_single_large() {
+    let mut rig = Rig::new(1);
+    for (id, bytes) in [("a", (1 << 20) - 1), ("b", (1 << 20) + 1)] {
+        rig.submit(Job { payload: "x".repeat(bytes), ..job(id, 1, step(1, 0)) });
+    }
+    let first = rig.core.orders("w0").start;
+    assert_eq!((first.len(), first[0].task.job.as_str()), (1, "a"));
+    rig.core.report(rig.now, &report(&worker(0, 1), &[(first[0].task.clone(), 1)]));
+    assert_eq!(rig.core.orders("w0").start[0].task.job, "b");
+}
