Ask the placement policy one question at a time, the most urgent first

Cause: all questions went into the queue of the policy at once, where they can be neither withdrawn nor reordered. A step that waited there for more than 5 s was asked about again, and questions about steps that had started were answered all the same, so that the queue grew at 84 % of what the policy can answer. Ruled out: permits that expire (they are asked for again only when a step waits for a worker). Change: one question is open at a time; the next one is chosen when it is answered, from what the last round of planning asked for, in the order of that round. A step that has started, or was cancelled, is not asked for any more; the wait for its turn counts against nothing. A question that failed is sent again after 0.5 s, and others go ahead of it. Why it works: the policy works only on questions whose answer is waited for, at its own pace, so that a backlog is at most one question for each waiting step.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -284,34 +284,34 @@
         }
     }
 
-    /// Sends the open questions to the placement policy.
+    /// Sends the next question to the placement policy, if none is open.
     fn query_policy(&mut self) {
-        for call in self.coordinator.take_advice_calls() {
-            let (Some(policy), Some(inbox)) =
-                (self.context.policy.clone(), self.context.own_inbox.upgrade())
-            else {
-                tracing::error!(
-                    job = call.step.job,
-                    "no placement policy is configured; dropping a question about the job"
-                );
-                continue;
+        let now = self.now();
+        let Some(call) = self.coordinator.next_advice_call(now) else { return };
+        let (Some(policy), Some(inbox)) =
+            (self.context.policy.clone(), self.context.own_inbox.upgrade())
+        else {
+            tracing::error!(
+                job = call.step.job,
+                "no placement policy is configured; dropping a question about the job"
+            );
+            return;
+        };
+        tokio::spawn(async move {
+            let answer = match policy.advise(&call).await {
+                Ok(answer) => Some(answer),
+                Err(error) => {
+                    tracing::warn!(
+                        %error,
+                        job = call.step.job,
+                        "placement policy did not answer; its advice is missing"
+                    );
+                    None
+                }
             };
-            tokio::spawn(async move {
-                let answer = match policy.advise(&call).await {
-                    Ok(answer) => Some(answer),
-                    Err(error) => {
-                        tracing::warn!(
-                            %error,
-                            job = call.step.job,
-                            "placement policy did not answer; its advice is missing"
-                        );
-                        None
-                    }
-                };
-                // Sending fails when the leadership has ended, which needs no handling.
-                let _ = inbox.send(LeaderMessage::Advice { call: Box::new(call), answer }).await;
-            });
-        }
+            // Sending fails when the leadership has ended, which needs no handling.
+            let _ = inbox.send(LeaderMessage::Advice { call: Box::new(call), answer }).await;
+        });
     }
 
     fn now(&self) -> Timestamp {
--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -10,7 +10,8 @@
 /// Part of a permit's validity that is reserved for the start itself.
 const PERMIT_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time after which a request without an answer is sent again.
+/// Time after which the open request counts as lost. The client of the policy gives up a request
+/// earlier and reports that it failed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Delay before a request that failed is sent again.
@@ -65,17 +66,24 @@
     permits: BTreeMap<String, Permit>,
     /// Workers that the policy has rejected for this step. Its decisions do not change.
     rejected: Vec<String>,
-    /// When the open request was sent.
-    requested_at: Option<Instant>,
+    /// Time before which no further request is sent, because the last one failed.
+    retry_at: Option<Instant>,
 }
 
 /// Permits and rejections that the placement policy has given.
 ///
 /// Load pattern: only an external service knows which workers may run a step. It is slow and
-/// handles one request at a time, and its permits expire while a gang waits for free resources.
+/// handles one request at a time, and its permits expire while a gang waits for free resources. After
+/// a burst, more steps wait than it can answer for. Requests that wait in its queue can be neither
+/// reordered nor withdrawn, so that one request is open at a time; the next one is chosen from what
+/// the last round of planning asked for, in its order.
 #[derive(Clone, Debug, Default)]
 pub struct Advice {
+    /// The step of the open request, and when the request was sent.
+    open: Option<(StepId, Instant)>,
     steps: BTreeMap<StepId, StepAdvice>,
+    /// Requests that the current round of planning has asked for, the most urgent first.
+    wanted: Vec<AdviceCall>,
 }
 
 impl Advice {
@@ -97,29 +105,42 @@
             .then_some(permit.text.as_str())
     }
 
-    /// Returns the next request about `workers`. Returns `None` while a request is open, or when
-    /// the policy has rejected all of them.
-    pub fn next_call(
-        &mut self,
-        step: &StepId,
-        workers: &[String],
-        now: Instant,
-    ) -> Option<AdviceCall> {
-        let advice = self.steps.entry(step.clone()).or_default();
-        if advice.requested_at.is_some_and(|requested_at| now < requested_at + CALL_TIMEOUT) {
-            return None;
+    /// Forgets the requests that were asked for. Each round of planning asks anew, so that nothing is
+    /// asked about steps that no longer wait.
+    pub fn clear_wanted(&mut self) {
+        self.wanted.clear();
+    }
+
+    /// Asks for permits of the step for some of `workers`. Steps that are more urgent ask first.
+    pub fn want(&mut self, step: &StepId, workers: &[String]) {
+        if self.wanted.iter().any(|call| call.step == *step) {
+            return;
         }
+        let rejected = &self.steps.entry(step.clone()).or_default().rejected;
         let workers: Vec<String> = workers
             .iter()
-            .filter(|id| !advice.rejected.contains(id))
+            .filter(|id| !rejected.contains(id))
             .take(MAX_WORKERS_PER_CALL)
             .cloned()
             .collect();
-        if workers.is_empty() {
+        if !workers.is_empty() {
+            self.wanted.push(AdviceCall { step: step.clone(), workers });
+        }
+    }
+
+    /// Returns the next request; `None` while one is open, or when nothing is wanted.
+    pub fn next_call(&mut self, now: Instant) -> Option<AdviceCall> {
+        if self.open.as_ref().is_some_and(|(_, sent_at)| now < *sent_at + CALL_TIMEOUT) {
             return None;
         }
-        advice.requested_at = Some(now);
-        Some(AdviceCall { step: step.clone(), workers })
+        let may_ask = |call: &AdviceCall| {
+            let advice = self.steps.get(&call.step);
+            advice.and_then(|advice| advice.retry_at).is_none_or(|retry_at| now >= retry_at)
+        };
+        let index = self.wanted.iter().position(may_ask)?;
+        let call = self.wanted.remove(index);
+        self.open = Some((call.step.clone(), now));
+        Some(call)
     }
 
     /// Records the answer to a request; `None` means that the policy did not answer. `incarnations`
@@ -131,12 +152,15 @@
         incarnations: &BTreeMap<String, u64>,
         now: Instant,
     ) {
+        if self.open.as_ref().is_some_and(|(step, _)| *step == call.step) {
+            self.open = None;
+        }
         let Some(advice) = self.steps.get_mut(&call.step) else { return };
         let Some(answer) = answer else {
-            advice.requested_at = now.checked_sub(CALL_TIMEOUT.saturating_sub(RETRY_DELAY));
+            advice.retry_at = Some(now + RETRY_DELAY);
             return;
         };
-        advice.requested_at = None;
+        advice.retry_at = None;
         let valid_until = now + answer.valid.saturating_sub(PERMIT_MARGIN);
         for id in &call.workers {
             match (answer.permits.get(id), incarnations.get(id)) {
@@ -161,5 +185,6 @@
     /// Removes all steps of a job.
     pub fn remove_job(&mut self, job: &str) {
         self.steps.retain(|step, _| step.job != job);
+        self.wanted.retain(|call| call.step.job != job);
     }
 }
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -105,7 +105,6 @@
 #[derive(Debug)]
 pub struct Coordinator {
     advice: Advice,
-    advice_calls: Vec<AdviceCall>,
     changed_jobs: BTreeSet<String>,
     changed_workers: BTreeSet<String>,
     decisions: Vec<Decision>,
@@ -175,7 +174,6 @@
     pub fn new(limits: Limits, tables: JobTables, now: Timestamp) -> Self {
         Self {
             advice: Advice::new(),
-            advice_calls: Vec::new(),
             changed_jobs: BTreeSet::new(),
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
@@ -358,9 +356,10 @@
         self.jobs.get(id).is_none_or(|entry| entry.durable_version >= version)
     }
 
-    /// Returns the requests to the placement policy since the last call.
-    pub fn take_advice_calls(&mut self) -> Vec<AdviceCall> {
-        std::mem::take(&mut self.advice_calls)
+    /// Returns the next request to the placement policy; `None` while one is open, or when no step
+    /// waits for advice.
+    pub fn next_advice_call(&mut self, now: Timestamp) -> Option<AdviceCall> {
+        self.advice.next_call(now.monotonic)
     }
 
     /// Handles the answer to a request; `None` means that the policy did not answer.
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -61,6 +61,7 @@
     /// Places waiting work.
     pub fn place(&mut self, now: Timestamp) {
         self.plan_due = false;
+        self.advice.clear_wanted();
         let guaranteed = self.guaranteed();
         let units = self.waiting_units(now, &guaranteed);
         let mut views: BTreeMap<String, PoolView> = BTreeMap::new();
@@ -192,10 +193,8 @@
         others.sort_by_key(|index| std::cmp::Reverse(view.candidates[*index].free.accelerators));
         let ids: Vec<String> =
             others.iter().map(|index| view.candidates[*index].id.to_string()).collect();
-        if with_permit.len() < unit.keys.len()
-            && let Some(call) = self.advice.next_call(&step, &ids, now.monotonic)
-        {
-            self.advice_calls.push(call);
+        if with_permit.len() < unit.keys.len() {
+            self.advice.want(&step, &ids);
         }
         with_permit
     }
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the coordinator: placement, ends of runs, guarantees, takeovers, and invariants under
 //! random faults.
 
+mod advice;
 mod capacity;
 mod crashes;
 mod crashing_pool;
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -330,7 +330,7 @@
     advised.advised = true;
     rig.submit(advised);
     assert!(rig.starts().is_empty());
-    let call = rig.core.take_advice_calls().remove(0);
+    let call = rig.core.next_advice_call(rig.now).expect("a question");
     assert_eq!(call.workers.len(), 2);
     let permits = [("w1".to_owned(), "permit".to_owned())].into();
     let answer = AdviceAnswer { permits, valid: Duration::from_secs(3) };
@@ -346,7 +346,7 @@
     }
     rig.place_and_commit();
     assert!(rig.starts().is_empty(), "the permit has expired");
-    let call = rig.core.take_advice_calls().remove(0);
+    let call = rig.core.next_advice_call(rig.now).expect("a question");
     assert_eq!(call.workers, vec!["w1".to_owned()], "a rejection does not change");
 }
 
@@ -357,12 +357,13 @@
     let mut advised = job("a", 1, step(1, 8));
     advised.advised = true;
     rig.submit(advised);
-    let call = rig.core.take_advice_calls().remove(0);
+    let call = rig.core.next_advice_call(rig.now).expect("a question");
     rig.core.handle_advice(rig.now, &call, None);
     rig.advance(100);
-    assert!(rig.core.take_advice_calls().is_empty());
+    assert_eq!(rig.core.next_advice_call(rig.now), None);
     rig.advance(600);
-    assert_eq!(rig.core.take_advice_calls().len(), 1);
+    assert!(rig.core.next_advice_call(rig.now).is_some());
+    assert_eq!(rig.core.next_advice_call(rig.now), None, "one question is open at a time");
 }
 
 /// Guards against filling tasks on the worker of a serving task while another worker is free.
