Check each call about a job against its team and route

Callers saw: anybody with a key that is valid on some route could read and cancel the jobs of other teams, and a job was found on any route by its id. Cause: callers.rs checked only that the key is known where the call arrives; the leader found the job by its id alone. A submission with the id of another team's job was taken for a repeat and answered with success, though it never ran. Change: a call carries its route, the caller's team and whether the route is public, and the leader compares them with the job. The product's own interface refuses a submission of another team with the same idempotency key. docs/platform.md, Who may see a job. Why it works: the check is made where the job is known, for calls that any entry forwards.

--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use skylarkpulley_jobs::{Job, JobState};
+use skylarkpulley_jobs::{Job, JobAccess, JobState};
 use skylarkpulley_proto::v1;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
@@ -25,19 +25,32 @@
 /// A caller's request about a job.
 #[derive(Clone, Debug, PartialEq)]
 pub enum JobCall {
-    /// Submits a job. Idempotent by the id of the job.
-    Submit(Box<Job>),
+    /// Submits a job. Idempotent by the id of the job. The flag tells whether callers of its route
+    /// need no key.
+    Submit(Box<Job>, bool),
     /// Requests the state of the job with this id.
-    State(String),
+    State(String, JobAccess),
     /// Cancels the job with this id.
-    Cancel(String),
+    Cancel(String, JobAccess),
     /// Requests the number of jobs of the route with this name that have not started.
     Pending(String),
 }
 
 impl JobCall {
     fn changes_state(&self) -> bool {
-        matches!(self, Self::Submit(_) | Self::Cancel(_))
+        matches!(self, Self::Submit(..) | Self::Cancel(..))
+    }
+
+    /// Returns the id of the job that the call names, and who asks about it.
+    pub fn access(&self) -> Option<(&str, JobAccess)> {
+        match self {
+            Self::Submit(job, open) => {
+                let (route, team) = (job.route.clone(), job.team.clone());
+                Some((&job.id, JobAccess { open: *open, route, team }))
+            }
+            Self::State(id, access) | Self::Cancel(id, access) => Some((id, access.clone())),
+            Self::Pending(_) => None,
+        }
     }
 }
 
@@ -52,6 +65,8 @@
     Pending(u64),
     /// There is no such job.
     Absent,
+    /// The id names a job of another team or route; nothing was done.
+    Taken,
     /// Nothing was done. A job whose submission was refused never runs.
     Refused {
         /// The limit or condition that caused the refusal.
@@ -197,24 +212,29 @@
 fn encode_call(call: &JobCall) -> v1::JobCallRequest {
     let (kind, id, job) = match call {
         // Encoding cannot fail, because all map keys of a job are strings.
-        JobCall::Submit(job) => {
+        JobCall::Submit(job, _) => {
             (v1::JobCallKind::Submit, job.id.clone(), serde_json::to_vec(job).unwrap_or_default())
         }
-        JobCall::State(id) => (v1::JobCallKind::State, id.clone(), Vec::new()),
-        JobCall::Cancel(id) => (v1::JobCallKind::Cancel, id.clone(), Vec::new()),
+        JobCall::State(id, _) => (v1::JobCallKind::State, id.clone(), Vec::new()),
+        JobCall::Cancel(id, _) => (v1::JobCallKind::Cancel, id.clone(), Vec::new()),
         JobCall::Pending(route) => (v1::JobCallKind::Pending, route.clone(), Vec::new()),
     };
-    v1::JobCallRequest { kind: kind.into(), id, job }
+    let access = call.access().map(|(_, access)| access).unwrap_or_default();
+    let JobAccess { open, route, team } = access;
+    v1::JobCallRequest { kind: kind.into(), id, job, route, team, open }
 }
 
 /// Decodes a call; `None` when its kind is not specified or its job cannot be decoded.
 pub fn decode_call(request: v1::JobCallRequest) -> Option<JobCall> {
-    match request.kind() {
+    let (kind, open) = (request.kind(), request.open);
+    let access = JobAccess { open, route: request.route, team: request.team };
+    match kind {
         v1::JobCallKind::Submit => {
-            serde_json::from_slice(&request.job).ok().map(|job| JobCall::Submit(Box::new(job)))
+            let job: Job = serde_json::from_slice(&request.job).ok()?;
+            Some(JobCall::Submit(Box::new(job), open))
         }
-        v1::JobCallKind::State => Some(JobCall::State(request.id)),
-        v1::JobCallKind::Cancel => Some(JobCall::Cancel(request.id)),
+        v1::JobCallKind::State => Some(JobCall::State(request.id, access)),
+        v1::JobCallKind::Cancel => Some(JobCall::Cancel(request.id, access)),
         v1::JobCallKind::Pending => Some(JobCall::Pending(request.id)),
         v1::JobCallKind::Unspecified => None,
     }
@@ -235,6 +255,7 @@
             v1::JobOutcome::Done
         }
         JobAnswer::Absent => v1::JobOutcome::Absent,
+        JobAnswer::Taken => v1::JobOutcome::Taken,
         JobAnswer::Refused { reason, retry } => {
             reply.detail.clone_from(reason);
             reply.retry_ms = crate::convert::millis(*retry);
@@ -255,6 +276,7 @@
             None => JobAnswer::Done,
         },
         v1::JobOutcome::Absent => JobAnswer::Absent,
+        v1::JobOutcome::Taken => JobAnswer::Taken,
         v1::JobOutcome::Refused => JobAnswer::Refused {
             reason: reply.detail,
             retry: Duration::from_millis(reply.retry_ms),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -5,11 +5,12 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use skylarkpulley_jobs::{
-    AdviceAnswer, AdviceCall, Coordinator, JobTables, Limits, RowKind, Submission, Summary,
-    Timestamp, WorkerReport,
+    AdviceAnswer, AdviceCall, Coordinator, JobAccess, JobTables, Limits, RowKind, Submission,
+    Summary, Timestamp, WorkerReport,
 };
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
+use skylarkpulley_telemetry::Event;
 use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, oneshot, watch};
 use tonic::Status;
@@ -465,15 +466,20 @@
     }
 
     fn handle_call(&mut self, now: Timestamp, call: JobCall, reply: oneshot::Sender<JobAnswer>) {
+        if let Some(answer) = self.deny(&call) {
+            // Sending fails when the caller has left, which needs no handling.
+            let _ = reply.send(answer);
+            return;
+        }
         let stuck = self.is_stuck();
         let answer = match call {
             // The first copy of a repeated submission may be part of the stuck write, so that a
             // repeat must not be refused.
-            JobCall::Submit(job) if stuck && self.coordinator.view(&job.id).is_none() => {
+            JobCall::Submit(job, _) if stuck && self.coordinator.view(&job.id).is_none() => {
                 store_down_answer()
             }
-            JobCall::Cancel(_) if stuck => store_down_answer(),
-            JobCall::Submit(job) => {
+            JobCall::Cancel(..) if stuck => store_down_answer(),
+            JobCall::Submit(job, _) => {
                 let id = job.id.clone();
                 match self.coordinator.submit(now, *job) {
                     Submission::Refused { reason, retry } => JobAnswer::Refused { reason, retry },
@@ -483,14 +489,14 @@
                     }
                 }
             }
-            JobCall::Cancel(id) => match self.coordinator.cancel(now, &id) {
+            JobCall::Cancel(id, _) => match self.coordinator.cancel(now, &id) {
                 Some(version) => {
                     self.waiting_callers.add(id, version, false, reply);
                     return;
                 }
                 None => self.absent_answer(),
             },
-            JobCall::State(id) => match self.coordinator.view(&id) {
+            JobCall::State(id, _) => match self.coordinator.view(&id) {
                 Some(view) => JobAnswer::State(view.state),
                 None => self.absent_answer(),
             },
@@ -502,6 +508,26 @@
         let _ = reply.send(answer);
     }
 
+    /// Returns the answer to a call about a job of another team or route: that of a job that does not
+    /// exist, so that callers cannot find out the ids of others. `None` if the call is allowed.
+    fn deny(&mut self, call: &JobCall) -> Option<JobAnswer> {
+        let (id, access) = call.access()?;
+        if !self.coordinator.is_denied(id, &access) {
+            return None;
+        }
+        let answer = match call {
+            // An id names one job, so that the submission cannot be accepted.
+            JobCall::Submit(..) => JobAnswer::Taken,
+            _ => self.absent_answer(),
+        };
+        let event = Event::RequestDenied;
+        let JobAccess { open, route, team } = access;
+        let detail = format!("route {route}, open {open}, team {team}, answer {answer:?}");
+        self.context.records.metrics.count(event.name());
+        self.context.records.decisions.record(self.context.clock.now(), event, id, &detail);
+        Some(answer)
+    }
+
     /// Answers that a job does not exist, but only while no other entry can have accepted it.
     fn absent_answer(&self) -> JobAnswer {
         let age = boot_time().saturating_sub(self.confirmed_at);
--- a/crates/coordination/tests/entries/operators.rs
+++ b/crates/coordination/tests/entries/operators.rs
@@ -19,7 +19,7 @@
     let (follower, at_follower) = start("entry-2", store).await;
     until_ready(&follower).await;
     let deadline = Instant::now() + Duration::from_secs(20);
-    let answer = follower.service().call(&JobCall::Submit(job("a")), deadline).await;
+    let answer = follower.service().call(&JobCall::Submit(job("a"), false), deadline).await;
     assert_eq!(answer, JobAnswer::Done);
     let event = Event::RequestAnswered;
     follower.records().decisions.record(Instant::now(), event, "a", "submit: done");
--- a/crates/coordination/tests/entries/sessions.rs
+++ b/crates/coordination/tests/entries/sessions.rs
@@ -98,7 +98,7 @@
         let steps = vec![Step { count: 620, ..Step::default() }];
         let large = Job { payload: "x".repeat(3990), steps, ..*job(id) };
         let deadline = Instant::now() + Duration::from_secs(20);
-        let answer = entry.service().call(&JobCall::Submit(Box::new(large)), deadline).await;
+        let answer = entry.service().call(&JobCall::Submit(Box::new(large), false), deadline).await;
         assert_eq!(answer, JobAnswer::Done);
     }
     let mut running: Vec<v1::TaskRun> = Vec::new();
--- a/crates/coordination/tests/entries/store_faults.rs
+++ b/crates/coordination/tests/entries/store_faults.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_coordination::{Entry, JobAnswer, JobCall, JobService};
-use skylarkpulley_jobs::Job;
+use skylarkpulley_jobs::{Job, JobAccess};
 use skylarkpulley_store::{MemoryTransactor, TransactFault};
 
 use crate::rig::{job, start, until_ready};
@@ -29,7 +29,7 @@
     let (_entry, service) = leading_entry(store.clone()).await;
     // The store refuses for longer than the first caller waits, at one attempt in 100 ms.
     store.inject(&[TransactFault::Refused; 50]);
-    let call = JobCall::Submit(job("a"));
+    let call = JobCall::Submit(job("a"), false);
     let first = service.call(&call, deadline_in(3)).await;
     assert_eq!(first, JobAnswer::Unknown, "the write may still apply");
     assert_eq!(service.call(&call, deadline_in(20)).await, JobAnswer::Done);
@@ -43,9 +43,11 @@
     let (_entry, service) = leading_entry(store.clone()).await;
     store.inject(&[TransactFault::Refused; 120]);
     let stuck = service.clone();
-    tokio::spawn(async move { stuck.call(&JobCall::Submit(job("a")), deadline_in(2)).await });
+    tokio::spawn(
+        async move { stuck.call(&JobCall::Submit(job("a"), false), deadline_in(2)).await },
+    );
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let call = JobCall::Submit(job("b"));
+    let call = JobCall::Submit(job("b"), false);
     let (first, second) =
         tokio::join!(service.call(&call, deadline_in(4)), service.call(&call, deadline_in(4)));
     let refused = |answer: &JobAnswer| matches!(answer, JobAnswer::Refused { .. });
@@ -59,9 +61,15 @@
     let store = Arc::new(MemoryTransactor::new());
     let (_entry, service) = leading_entry(store.clone()).await;
     store.inject(&[TransactFault::Delayed, TransactFault::LostAnswer]);
-    assert_eq!(service.call(&JobCall::Submit(job("a")), deadline_in(10)).await, JobAnswer::Done);
+    assert_eq!(
+        service.call(&JobCall::Submit(job("a"), false), deadline_in(10)).await,
+        JobAnswer::Done
+    );
     store.apply_delayed();
-    assert_eq!(service.call(&JobCall::Submit(job("b")), deadline_in(10)).await, JobAnswer::Done);
+    assert_eq!(
+        service.call(&JobCall::Submit(job("b"), false), deadline_in(10)).await,
+        JobAnswer::Done
+    );
     let pending = service.call(&JobCall::Pending("looks".to_owned()), deadline_in(10)).await;
     assert_eq!(pending, JobAnswer::Pending(2));
 }
@@ -71,11 +79,14 @@
 async fn submit_rejected_alone() {
     let store = Arc::new(MemoryTransactor::new().with_record_limit(2000));
     let (_entry, service) = leading_entry(store).await;
-    let large = JobCall::Submit(Box::new(Job { payload: "x".repeat(3000), ..*job("large") }));
-    let small = JobCall::Submit(job("small"));
+    let large =
+        JobCall::Submit(Box::new(Job { payload: "x".repeat(3000), ..*job("large") }), false);
+    let small = JobCall::Submit(job("small"), false);
     let (first, second) =
         tokio::join!(service.call(&large, deadline_in(10)), service.call(&small, deadline_in(10)));
     assert_eq!((first, second), (JobAnswer::Unknown, JobAnswer::Done));
-    let state = service.call(&JobCall::State("large".to_owned()), deadline_in(10)).await;
+    let state = service
+        .call(&JobCall::State("large".to_owned(), JobAccess::default()), deadline_in(10))
+        .await;
     assert_eq!(state, JobAnswer::Absent, "the job was not accepted");
 }
--- a/crates/entry/src/job_record.rs
+++ b/crates/entry/src/job_record.rs
@@ -34,6 +34,12 @@
 }
 
 impl JobRecord {
+    /// Reports whether `request` may be a repeat of the submission: it comes from the same team on
+    /// the same route.
+    pub fn is_repeated_by(&self, request: &SubmitRequest) -> bool {
+        self.request.team == request.team && self.request.route == request.route
+    }
+
     /// Returns the record of a newly submitted job.
     pub fn new(id: &str, pool: &str, class: u8, request: SubmitRequest) -> Self {
         Self {
--- a/crates/entry/src/placement_task.rs
+++ b/crates/entry/src/placement_task.rs
@@ -191,8 +191,13 @@
     }
 
     fn submit(&mut self, id: &str, request: SubmitRequest, now: Instant) -> SubmitAnswer {
-        if self.registry.get(id).is_some() {
-            return SubmitAnswer::Repeated;
+        if let Some(tracked) = self.registry.get(id) {
+            if tracked.record.is_repeated_by(&request) {
+                return SubmitAnswer::Repeated;
+            }
+            let detail = format!("submitted by team {} on route {}", request.team, request.route);
+            self.hub.decisions.record(now, Event::RequestDenied, id, &detail);
+            return SubmitAnswer::Invalid("the key is in use by another job".to_owned());
         }
         let Some(tables) = self.hub.config.borrow().tables() else {
             return SubmitAnswer::Invalid(
--- a/crates/entry/tests/job_registry.rs
+++ b/crates/entry/tests/job_registry.rs
@@ -94,3 +94,15 @@
         "the state of an ended job does not change"
     );
 }
+
+/// Guards against a team that is told that its job was accepted, because another team has submitted a
+/// job with the same key.
+#[test]
+fn repeat_of_other_team() {
+    let stored = record(1, JobState::Queued);
+    let other_team = SubmitRequest { team: "other".to_owned(), ..stored.request.clone() };
+    let other_route = SubmitRequest { route: "other".to_owned(), ..stored.request.clone() };
+    assert!(stored.is_repeated_by(&stored.request));
+    assert!(!stored.is_repeated_by(&other_team));
+    assert!(!stored.is_repeated_by(&other_route));
+}
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -15,8 +15,9 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobState, JobTables, Orders,
-    RowsError, SharingRun, StartOrder, TaskId, TaskKey, decode_progress, progress_key,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobAccess, JobState,
+    JobTables, Orders, RowsError, SharingRun, StartOrder, TaskId, TaskKey, decode_progress,
+    progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
@@ -328,6 +329,11 @@
         Some(self.mark_changed(id))
     }
 
+    /// Reports whether there is a job that the caller may not see.
+    pub fn is_denied(&self, id: &str, access: &JobAccess) -> bool {
+        self.jobs.get(id).is_some_and(|entry| !access.allows(&entry.job))
+    }
+
     /// Returns what callers may see of a job, `None` when there is no such job.
     pub fn view(&self, id: &str) -> Option<View> {
         self.jobs.get(id).map(|entry| View { state: entry.visible_state() })
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -177,6 +177,25 @@
     }
 }
 
+/// Who asks about a job, and on which route.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct JobAccess {
+    /// Whether callers of the route need no key.
+    pub open: bool,
+    /// Name of the route; empty if it is not known, because an earlier build has forwarded the call.
+    pub route: String,
+    /// Name of the caller's team; empty for a caller without a valid key on an open route.
+    pub team: String,
+}
+
+impl JobAccess {
+    /// Reports whether the caller may see and cancel `job`: it asks on the route of the job, and
+    /// with a key of its team unless the route is open.
+    pub fn allows(&self, job: &Job) -> bool {
+        self.route.is_empty() || (self.route == job.route && (self.open || self.team == job.team))
+    }
+}
+
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -39,6 +39,7 @@
     RequestUnknown = 203, "request-unknown", "A request ended without proof of whether it ran.";
     RequestRetried = 204, "request-retried", "A request is dispatched again because its attempt was not run or the request is idempotent.";
     RequestCancelled = 205, "request-cancelled", "A caller closed its connection before its request was dispatched.";
+    RequestDenied = 206, "request-denied", "A request about a job of another team or route was answered as if the job did not exist.";
     KeyReserved = 210, "key-reserved", "An idempotency key was reserved for one attempt.";
     KeyRepeated = 211, "key-repeated", "A request with an idempotency key that was used before was answered without running it again.";
     RangeAssigned = 212, "range-assigned", "A key range has a new owner or witness.";
