Write logs to standard output as JSON objects

Operators saw: the logs of entries and agents on standard error, and as text unless the settings asked for JSON; the users collect standard output, one JSON object for each decision. Cause: init_logging had one output, chosen so that the results of commands stay apart from logs. The line about dropped lines has the format of the others. The queue is bounded and never blocks, as before.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -9,6 +9,7 @@
 /// often it was observed and violated.
 pub(crate) async fn run(command: &Demo, output: &mut Output<'_>) -> Result<ExitStatus, CliError> {
     let _log_guard = skylarkpulley_telemetry::init_logging(
+        skylarkpulley_telemetry::LogOutput::Stderr,
         skylarkpulley_telemetry::LogFormat::Plain,
         command.log.as_deref().unwrap_or("error"),
     );
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -6,7 +6,7 @@
 
 use argh::FromArgs;
 use skylarkpulley_entry::{Entry, Settings};
-use skylarkpulley_telemetry::{init_logging, wait_for_signal};
+use skylarkpulley_telemetry::{LogOutput, init_logging, wait_for_signal};
 use skylarkpulley_types::SystemClock;
 
 /// Accepts requests and jobs, orders them and sends them to upstreams and workers.
@@ -32,7 +32,7 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    let _log_guard = init_logging(settings.log_format, &settings.log_filter);
+    let _log_guard = init_logging(LogOutput::Stdout, settings.log_format, &settings.log_filter);
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -32,7 +32,7 @@
     ProcessStarted = 100, "process-started", "A process has started, and the addresses of its listeners are known.";
     ShutdownStarted = 101, "shutdown-started", "A process is shutting down: it accepts no new work and finishes its current work.";
     ShutdownDone = 102, "shutdown-done", "A process has finished all its work and exits.";
-    LogLinesDropped = 103, "log-lines-dropped", "Log lines were dropped because standard error was not read fast enough.";
+    LogLinesDropped = 103, "log-lines-dropped", "Log lines were dropped because the output was not read fast enough.";
     RequestRouted = 200, "request-routed", "A request was sent to an upstream's agent.";
     RequestAnswered = 201, "request-answered", "A caller received the whole answer of an upstream.";
     RequestRefused = 202, "request-refused", "A request was refused and was not run.";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use decisions::{Decision, Decisions};
 pub use event::Event;
-pub use logging::{LogFormat, LogGuard, LogWriter, init_logging};
+pub use logging::{LogFormat, LogGuard, LogOutput, LogWriter, init_logging};
 pub use metrics::Metrics;
 pub use metrics_page::MetricsPage;
 pub use settings_file::{SettingsError, load_settings};
--- a/crates/telemetry/tests/logging.rs
+++ b/crates/telemetry/tests/logging.rs
@@ -48,5 +48,9 @@
     }
     drop(worker);
     rest.extend(written.try_iter());
-    assert!(rest.iter().any(|line| line.contains("log-lines-dropped")), "{rest:?}");
+    let report = rest.iter().find(|line| line.contains("log-lines-dropped"));
+    let report = report.expect("a line that reports the dropped ones");
+    let report: serde_json::Value = serde_json::from_str(report).expect("a JSON object");
+    assert_eq!(report["code"], 103);
+    assert!(report["lines"].as_u64().is_some_and(|lines| lines > 0), "{report}");
 }
