Keep the runs of a restarted worker until they are fenced there

Cause: the coordinator gave the runs of an earlier incarnation away as soon as a later one under the same id was reported, and relied on the agent to have fenced the copies that it knew of. An agent that has started again knows of none. Change: such runs are ordered to stop in the present incarnation and end when the agent reports them as fenced, with the checkpoint that was known. Runs whose start was never ordered, or that were listed for more than 30 s, end at once. A successor that finds them on the earlier incarnation in its rows fences them as well. Workers under a new id are treated as before. The simulated workers of interleavings.rs carry out late copies after a restart; those of crashing_pool.rs and row_sizes.rs report the fences. Why it works: whatever copy is on its way, the incarnation that could carry it out has refused the run before the next one starts.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -148,12 +148,13 @@
     fn unproven_runs(&self, id: &str) -> Vec<TaskId> {
         let reported = self.fleet.workers.get(id).is_some_and(|worker| worker.has_reported);
         self.runs_where(id, |run| {
-            let may_run = run.listed || run.attempted || (run.restored && !reported);
+            let may_run =
+                run.listed || (!run.lost && (run.attempted || (run.restored && !reported)));
             may_run && !run.proven
         })
     }
 
-    fn runs_where(&self, id: &str, matches: impl Fn(&Placement) -> bool) -> Vec<TaskId> {
+    pub(super) fn runs_where(&self, id: &str, matches: impl Fn(&Placement) -> bool) -> Vec<TaskId> {
         let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
         let runs = worker.runs.keys().filter(|task| self.placement(task).is_some_and(&matches));
         runs.cloned().collect()
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -23,6 +23,9 @@
     pub listed: bool,
     /// When the worker first listed the run.
     pub listed_at: Option<Instant>,
+    /// Whether the run is lost with an earlier incarnation of its worker. It ends once it is fenced
+    /// in the present one, which may still carry out a late copy of its start.
+    pub lost: bool,
     /// Progress in percent.
     pub percent: u8,
     /// Permit of the placement policy.
@@ -131,6 +134,7 @@
                 last_progress: now,
                 listed: false,
                 listed_at: None,
+                lost: false,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -445,6 +445,7 @@
                 last_progress: now.monotonic,
                 listed: false,
                 listed_at: None,
+                lost: false,
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -11,6 +11,10 @@
 /// long, is ordered to stop, so that the agent determines whether it has ended.
 const VANISHED_AFTER: Duration = Duration::from_secs(2);
 
+/// A run that its worker has listed for this long has no copy of its start on its way any more.
+/// Workers were seen to carry out a start up to 12 s late.
+const LATE_START_LIMIT: Duration = Duration::from_secs(30);
+
 /// A worker that refused a run for want of free resources gets no new work for this long. Whatever
 /// occupies the resources is unknown to the coordinator, and is stopped or listed within the
 /// interval of a report. Refused starts are charged.
@@ -129,18 +133,86 @@
         let current = self.fleet.workers.get(&status.id).map(|worker| &worker.status);
         match current {
             Some(current) if current.incarnation > status.incarnation => return false,
-            Some(current) if current.incarnation == status.incarnation => return true,
+            Some(current) if current.incarnation == status.incarnation => {
+                self.fence_restored_runs(status);
+                return true;
+            }
             Some(current) => {
                 let cause = LossCause::of_departure(current);
-                self.end_lost_runs(now, &status.id, cause);
+                let lost = self.end_fenced_runs(now, &status.id, cause);
                 self.fleet.workers.remove(&status.id);
+                self.add_worker(now, status);
+                self.fence_lost_runs(status, lost);
             }
-            None => {}
+            None => self.add_worker(now, status),
         }
+        true
+    }
+
+    fn add_worker(&mut self, now: Timestamp, status: &WorkerStatus) {
         self.end_earlier_incarnations(now, status);
         let worker = FleetWorker::new(&status.id, status.incarnation, now.monotonic);
         self.fleet.workers.insert(status.id.clone(), worker);
-        true
+    }
+
+    /// Ends the runs of an incarnation of which no copy of the start can be carried out any more.
+    /// Returns the others.
+    fn end_fenced_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) -> Vec<TaskId> {
+        let mut lost = self.record_loss(now, id, cause);
+        let ended = lost.extract_if(.., |task| !self.may_start_late(now, task));
+        for task in ended.collect::<Vec<_>>() {
+            let checkpoint = self.checkpoint(&task);
+            self.end_run(now, &task, None, &checkpoint);
+        }
+        lost
+    }
+
+    /// Reports whether a copy of the start of a run may still be on its way to its worker.
+    fn may_start_late(&self, now: Timestamp, task: &TaskId) -> bool {
+        let Some(entry) = self.jobs.get(&task.job) else { return false };
+        let Some(placement) = entry.placement(&task.key) else { return false };
+        let ordered = entry.durable_version >= placement.version;
+        let settled = placement.listed_at.is_some_and(|listed_at| {
+            now.monotonic.saturating_duration_since(listed_at) > LATE_START_LIMIT
+        });
+        ordered && !settled
+    }
+
+    /// Fences the runs that an earlier coordinator has left on an earlier incarnation: its row names
+    /// that one until the run has ended.
+    fn fence_restored_runs(&mut self, status: &WorkerStatus) {
+        if self.fleet.workers.get(&status.id).is_none_or(|worker| worker.has_reported) {
+            return;
+        }
+        let earlier = |run: &Placement| run.incarnation != status.incarnation;
+        let lost = self.runs_where(&status.id, earlier);
+        self.fence_lost_runs(status, lost);
+    }
+
+    /// Orders the lost runs of an earlier incarnation to stop in the present one, so that it does
+    /// not start them. They end when its agent reports that they are fenced.
+    fn fence_lost_runs(&mut self, status: &WorkerStatus, lost: Vec<TaskId>) {
+        for task in lost {
+            let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
+            let resources = entry.resources(task.key.step);
+            let Some(placement) = entry.placement_mut(&task.key) else { continue };
+            placement.address.clone_from(&status.address);
+            placement.full_run = false;
+            placement.incarnation = status.incarnation;
+            placement.listed = false;
+            placement.listed_at = None;
+            placement.lost = true;
+            placement.progress_start = None;
+            placement.proven = false;
+            placement.stopping = true;
+            let run = placement.run;
+            let worker = self.fleet.workers.get(&status.id);
+            if worker.is_some_and(|worker| !worker.runs.contains_key(&task)) {
+                self.fleet.occupy(&status.id, &task, run, &resources);
+            }
+            self.changed_workers.insert(status.id.clone());
+            self.stop_run(&task, "another member of its gang was lost with its worker");
+        }
     }
 
     /// Removes the workers whose address a new incarnation has taken over.
@@ -164,11 +236,19 @@
     }
 
     fn end_lost_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) {
+        for task in self.record_loss(now, id, cause) {
+            let checkpoint = self.checkpoint(&task);
+            self.end_run(now, &task, None, &checkpoint);
+        }
+    }
+
+    /// Records the loss of a worker, and returns the runs that are lost with it.
+    fn record_loss(&mut self, now: Timestamp, id: &str, cause: LossCause) -> Vec<TaskId> {
         self.record_crash(now, id, cause);
-        let Some(worker) = self.fleet.workers.get(id) else { return };
+        let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         if runs.is_empty() {
-            return;
+            return runs;
         }
         let ages: Vec<String> =
             runs.iter().filter_map(|task| self.describe_age(now, task)).collect();
@@ -181,10 +261,7 @@
             ages.join(" "),
         );
         self.record_decision(id, DecisionKind::Lost, detail);
-        for task in runs {
-            let checkpoint = self.checkpoint(&task);
-            self.end_run(now, &task, None, &checkpoint);
-        }
+        runs
     }
 
     /// Returns a run with the time since its placement and how far its start is known to have come.
@@ -268,6 +345,11 @@
         if !self.is_current(status, &refusal.task, refusal.run) {
             return;
         }
+        if self.placement(&refusal.task).is_some_and(|placement| placement.lost) {
+            let checkpoint = self.checkpoint(&refusal.task);
+            self.end_run(now, &refusal.task, None, &checkpoint);
+            return;
+        }
         if refusal.kind == RefusalKind::Permit {
             let step = StepId::new(&refusal.task.job, &refusal.task.key);
             self.advice.remove_permit(&step, &status.id);
--- a/crates/jobs/tests/coordinator/crashing_pool.rs
+++ b/crates/jobs/tests/coordinator/crashing_pool.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 
 use skylarkpulley_jobs::{
-    EndKind, JobState, Orders, RunEnd, RunReport, TaskId, WorkerReport, WorkerStatus,
+    EndKind, JobState, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, TaskId, WorkerReport,
+    WorkerStatus,
 };
 
 use crate::rig::{Rig, worker};
@@ -29,6 +30,8 @@
     ends: u64,
     incarnation: u64,
     number: u32,
+    /// Runs that were stopped here before they started.
+    refused: Vec<(TaskId, u32)>,
     /// Time for which each run has worked, in milliseconds.
     runs: BTreeMap<(TaskId, u32), u64>,
 }
@@ -47,6 +50,10 @@
     workers: Vec<SimWorker>,
 }
 
+fn refusal((task, run): &(TaskId, u32)) -> RunRefusal {
+    RunRefusal { kind: RefusalKind::Fenced, run: *run, task: task.clone() }
+}
+
 impl SimWorker {
     fn status(&self) -> WorkerStatus {
         worker(self.number, self.incarnation)
@@ -64,6 +71,7 @@
             ended: self.ended.values().cloned().collect(),
             ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
             listed: true,
+            refused: self.refused.iter().map(refusal).collect(),
             running: running.collect(),
             unreached: down_ms >= UNREACHED_MS,
             worker: Some(self.status()),
@@ -105,6 +113,7 @@
             ends: 0,
             incarnation: 1,
             number,
+            refused: Vec::new(),
             runs: BTreeMap::new(),
         };
         Self {
@@ -157,6 +166,7 @@
             if worker.crashed_at.is_some_and(|at| time_ms >= at + RESTART_MS) {
                 worker.crashed_at = None;
                 worker.incarnation += 1;
+                worker.refused.clear();
                 worker.runs.clear();
                 worker.ended.clear();
                 worker.ends = 0;
@@ -184,6 +194,10 @@
         for run in &stop {
             worker.end(run, EndKind::Stopped);
         }
+        let has_ended = |(task, run): &(TaskId, u32)| {
+            worker.ended.values().any(|end| end.task == *task && end.run == *run)
+        };
+        worker.refused = stop.into_iter().filter(|run| !has_ended(run)).collect();
         for order in start {
             let key = (order.task.clone(), order.run);
             let ended =
--- a/crates/jobs/tests/coordinator/interleavings.rs
+++ b/crates/jobs/tests/coordinator/interleavings.rs
@@ -163,8 +163,18 @@
         self.rig.core.report(self.rig.now, &worker_report);
     }
 
+    /// Restarts a worker under its id. Late copies of starts that it may still be ordered to run are
+    /// carried out by the new incarnation.
     fn restart(&mut self, index: usize) {
         let incarnation = self.workers[index].incarnation + 1;
+        let core = &self.rig.core;
+        self.delayed_starts.retain_mut(|(worker, copy_incarnation, task, run)| {
+            if *worker != index {
+                return true;
+            }
+            *copy_incarnation = incarnation;
+            core.run_number(task) == Some(*run)
+        });
         self.workers[index] =
             SimulatedWorker { incarnation, next_end: 1, ..SimulatedWorker::default() };
     }
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -2,9 +2,9 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_jobs::{
-    Coordinator, EndKind, Guarantee, Job, JobTables, Limits, Orders, Resources, RowKind, RunEnd,
-    RunReport, Step, Submission, TaskId, TeamEntry, Timestamp, WorkerPool, WorkerReport,
-    WorkerStatus,
+    Coordinator, EndKind, Guarantee, Job, JobTables, Limits, Orders, RefusalKind, Resources,
+    RowKind, RunEnd, RunRefusal, RunReport, Step, Submission, TaskId, TeamEntry, Timestamp,
+    WorkerPool, WorkerReport, WorkerStatus,
 };
 
 pub const POOL: &str = "renders";
@@ -163,6 +163,19 @@
         self.core = core;
     }
 
+    /// Reports a new incarnation of a worker, whose agent fences the runs of the earlier one.
+    pub fn restart_worker(&mut self, status: &WorkerStatus) {
+        self.core.report(self.now, &report(status, &[]));
+        let stops = self.core.orders(&status.id).stop;
+        let refused = stops.into_iter().map(|(task, run)| RunRefusal {
+            kind: RefusalKind::Fenced,
+            run,
+            task,
+        });
+        let fenced = WorkerReport { refused: refused.collect(), ..report(status, &[]) };
+        self.core.report(self.now, &fenced);
+    }
+
     /// Returns all starts that are currently ordered, with their workers.
     pub fn starts(&self) -> Vec<(String, TaskId, u32)> {
         let mut starts = Vec::new();
--- a/crates/jobs/tests/coordinator/row_sizes.rs
+++ b/crates/jobs/tests/coordinator/row_sizes.rs
@@ -34,10 +34,10 @@
     rig
 }
 
-/// Restarts all workers, so that the checkpoints of their runs are stored.
+/// Restarts all workers and fences their runs there, so that the checkpoints of the runs are stored.
 fn restart_workers(rig: &mut Rig, workers: u32) {
     for number in 0..workers {
-        rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+        rig.restart_worker(&worker(number, 2));
     }
     assert_rows_accepted(rig);
 }
--- a/crates/jobs/tests/coordinator/rules.rs
+++ b/crates/jobs/tests/coordinator/rules.rs
@@ -527,3 +527,42 @@
     play(&mut rig, false);
     assert_eq!(rig.stops().len(), 2);
 }
+
+/// Guards against a late copy of a start that the next incarnation of its worker carries out beside
+/// the next run, where the agent has started again as well and knows of no copy. The run counts until
+/// it is fenced there, also over a takeover.
+#[test]
+fn restart_fences_runs() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("a", 1, step(1, 8)));
+    let (id, task, run) = rig.starts().remove(0);
+    let number = u32::from(id == "w1");
+    rig.core.report(rig.now, &report(&worker(number, 2), &[]));
+    rig.place_and_commit();
+    assert!(rig.starts().is_empty(), "a copy of run 1 may be on its way");
+    assert_eq!(rig.stops(), vec![(task.clone(), run)]);
+    rig.take_over();
+    for other in 0..2 {
+        rig.core.report(rig.now, &report(&worker(other, 1 + u64::from(other == number)), &[]));
+    }
+    rig.place_and_commit();
+    assert!(rig.starts().is_empty());
+    rig.restart_worker(&worker(number, 2));
+    rig.place_and_commit();
+    assert_eq!(rig.starts()[0].2, 2);
+}
+
+/// Guards against a wait for fences where no copy of a start can be on its way any more.
+#[test]
+fn restart_long_run_ends_at_once() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, Step { lasting: true, ..step(1, 8) }));
+    let (_, task, run) = rig.starts().remove(0);
+    for _ in 0..400 {
+        rig.core.report(rig.now, &report(&worker(0, 1), &[(task.clone(), run)]));
+        rig.advance(100);
+    }
+    rig.core.report(rig.now, &report(&worker(0, 2), &[]));
+    rig.place_and_commit();
+    assert_eq!(rig.starts()[0].2, 2, "it starts again at once");
+}
