Split the core of the agent

Change: starts without an answer (LateStarts), the state of the calls for a run (RunCalls) and the reading of a worker's clock have files of their own; the coordinator uses the same limit. Behaviour is unchanged.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -1,16 +1,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::clock_reading::{ClockReading, MAX_CLOCK_DRIFT};
+use crate::late_starts::LateStarts;
 use crate::pacing::is_shared;
+use crate::run_calls::RunCalls;
 use crate::{
     AgentAction, AgentLimits, Listing, Orders, Pacer, RefusalKind, RenewalCall, RunEnd, RunRefusal,
     RunReport, SharingRun, StartAnswer, StartOrder, TaskId, WorkerReport, WorkerStatus,
 };
 
-/// Largest relative drift of a worker's clock that is allowed for. Twice the stated maximum of 2%,
-/// so that rounding cannot matter.
-const MAX_CLOCK_DRIFT: f64 = 0.04;
-
 /// Delay before a call that was not answered is sent again. Longer than a round trip, and short
 /// compared with the time within which a gang must be complete.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -37,37 +36,6 @@
 /// Time from the last message of a leaving worker until its runs count as gone.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
 
-/// A start that was not answered may be carried out up to this much later, also by the next
-/// incarnation of the worker and after a later copy was answered. Workers were seen to do so after
-/// up to 12 s.
-const LATE_START_LIMIT: Duration = Duration::from_secs(30);
-
-#[derive(Clone, Copy, Debug)]
-struct ClockReading {
-    ms: f64,
-    received: Instant,
-}
-
-/// State of the start and stop calls for one run.
-#[derive(Clone, Copy, Debug, Default)]
-struct RunCalls {
-    /// Number of the last renewal call when a stop was answered. Only the listing of a later call
-    /// shows for certain whether the run has ended or never started.
-    fenced_at: Option<u64>,
-    /// Refusal to report once the run is fenced.
-    refusal: Option<RefusalKind>,
-    /// Whether the run was reported as lapsed. It must be fenced before any lease is extended.
-    reported_lapsed: bool,
-    /// When the next start may be sent.
-    start_after: Option<Instant>,
-    /// Whether the worker may still carry out a start whose call has ended.
-    start_uncertain: bool,
-    starting: bool,
-    /// When the next stop may be sent.
-    stop_after: Option<Instant>,
-    stopping: bool,
-}
-
 type RunKey = (TaskId, u32);
 
 /// Sans-IO core of the agent of one worker. It carries out the coordinator's orders, extends leases
@@ -102,6 +70,7 @@
     last_contact: Option<Instant>,
     /// Latest end of a lease that was sent to the worker, on its clock.
     latest_deadline: Option<f64>,
+    late_starts: LateStarts,
     left_at: Option<Instant>,
     limits: AgentLimits,
     /// When the listings that have not been read were requested, by the number of their call.
@@ -112,16 +81,6 @@
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
     status: Option<WorkerStatus>,
-    /// Starts that were not answered, and when their calls ended. They are kept over the answer to a
-    /// later copy and over fences, which bind only the incarnation that answered.
-    unanswered: BTreeMap<RunKey, Instant>,
-}
-
-impl RunCalls {
-    /// Reports whether the worker may still carry out a start.
-    fn may_start(&self) -> bool {
-        self.starting || self.start_uncertain
-    }
 }
 
 impl AgentCore {
@@ -145,6 +104,7 @@
             last_call: 0,
             last_contact: None,
             latest_deadline: None,
+            late_starts: LateStarts::new(),
             left_at: None,
             limits,
             listing_requests: BTreeMap::new(),
@@ -154,7 +114,6 @@
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
             status: None,
-            unanswered: BTreeMap::new(),
         }
     }
 
@@ -227,7 +186,7 @@
         for order in starts {
             let key = (order.task.clone(), order.run);
             self.calls.entry(key.clone()).or_default().start_uncertain = true;
-            self.unanswered.insert(key, at);
+            self.late_starts.record(key, at);
         }
     }
 
@@ -313,7 +272,7 @@
             StartAnswer::Down => self.down = true,
             StartAnswer::Unanswered => {
                 calls.start_uncertain = true;
-                self.unanswered.insert(key, now);
+                self.late_starts.record(key, now);
             }
         }
     }
@@ -360,8 +319,8 @@
         }
         let (sent, lease) = self.granted_lease?;
         let clock = self.clock?;
-        let limit = earliest_clock(clock, sent) + lease.as_secs_f64() * 1000.0;
-        let worker_now = earliest_clock(clock, now);
+        let limit = clock.earliest_at(sent) + lease.as_secs_f64() * 1000.0;
+        let worker_now = clock.earliest_at(now);
         let deadline = limit.min(worker_now + self.limits.extension.as_secs_f64() * 1000.0).floor();
         if deadline <= worker_now {
             return None;
@@ -392,7 +351,7 @@
         let acked =
             if self.orders.incarnation == self.incarnation { self.orders.ended_through } else { 0 };
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
-        self.unanswered.retain(|_, at| now < *at + LATE_START_LIMIT);
+        self.late_starts.expire(now);
         self.ends_truncated = listing.ends_truncated;
         if !self.ends_truncated {
             self.resolve_fenced(number);
@@ -457,7 +416,7 @@
             return false;
         }
         match (self.latest_deadline, self.clock) {
-            (Some(deadline), Some(clock)) => earliest_clock(clock, now) > deadline,
+            (Some(deadline), Some(clock)) => clock.earliest_at(now) > deadline,
             _ => now > self.known_since + self.limits.longest.mul_f64(1.0 + MAX_CLOCK_DRIFT),
         }
     }
@@ -495,8 +454,8 @@
                     ..RunCalls::default()
                 };
             }
-            self.unanswered.retain(|_, at| now < *at + LATE_START_LIMIT);
-            for run in self.unanswered.keys() {
+            self.late_starts.expire(now);
+            for run in self.late_starts.runs() {
                 self.calls.entry(run.clone()).or_default().start_uncertain = true;
             }
         }
@@ -627,10 +586,3 @@
         }
     }
 }
-
-/// Returns the lowest value that the worker's clock may have shown at `at`.
-fn earliest_clock(clock: ClockReading, at: Instant) -> f64 {
-    let after = at.saturating_duration_since(clock.received).as_secs_f64() * 1000.0;
-    let before = clock.received.saturating_duration_since(at).as_secs_f64() * 1000.0;
-    clock.ms + after * (1.0 - MAX_CLOCK_DRIFT) - before * (1.0 + MAX_CLOCK_DRIFT)
-}
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -2,6 +2,7 @@
 
 use super::entry::Placement;
 use super::{Coordinator, DecisionKind, Timestamp};
+use crate::late_starts::LATE_START_LIMIT;
 use crate::{
     EndKind, Fault, FleetWorker, LossCause, RefusalKind, Resources, RunEnd, RunRefusal, StepId,
     TaskId, WorkerReport, WorkerStatus,
@@ -11,10 +12,6 @@
 /// long, is ordered to stop, so that the agent determines whether it has ended.
 const VANISHED_AFTER: Duration = Duration::from_secs(2);
 
-/// A run that its worker has listed for this long has no copy of its start on its way any more.
-/// Workers were seen to carry out a start up to 12 s late.
-const LATE_START_LIMIT: Duration = Duration::from_secs(30);
-
 /// A worker that refused a run for want of free resources gets no new work for this long. Whatever
 /// occupies the resources is unknown to the coordinator, and is stopped or listed within the
 /// interval of a report. Refused starts are charged.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -53,6 +53,16 @@
         self.core.announce(self.now, &status);
     }
 
+    fn announce_draining(&mut self) {
+        let status = WorkerStatus {
+            draining: true,
+            id: "w".to_owned(),
+            incarnation: INCARNATION,
+            ..WorkerStatus::default()
+        };
+        self.core.announce(self.now, &status);
+    }
+
     fn advance(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
     }
@@ -241,13 +251,7 @@
 fn actions_draining() {
     let mut rig = Rig::new();
     rig.order_start(1);
-    let status = WorkerStatus {
-        draining: true,
-        id: "w".to_owned(),
-        incarnation: INCARNATION,
-        ..WorkerStatus::default()
-    };
-    rig.core.announce(rig.now, &status);
+    rig.announce_draining();
     assert!(rig.core.actions(rig.now).is_empty());
     assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
 }
@@ -551,13 +555,7 @@
 #[test]
 fn first_orders_may_be_sent() {
     let mut rig = Rig::without_orders();
-    let status = WorkerStatus {
-        draining: true,
-        id: "w".to_owned(),
-        incarnation: INCARNATION,
-        ..WorkerStatus::default()
-    };
-    rig.core.announce(rig.now, &status);
+    rig.announce_draining();
     rig.order_start(1);
     assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
     assert!(rig.refused().is_empty(), "an earlier process may have sent the start");
