--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -52,7 +52,7 @@
         DecisionKind::CrashRecorded => Event::CrashRecorded,
         DecisionKind::GivenUp => Event::JobGivenUp,
         DecisionKind::Lost => Event::WorkerLost,
-        DecisionKind::Unstored => Event::JobUnstored,
         DecisionKind::Silent => Event::AgentSilent,
+        DecisionKind::Unstored => Event::JobUnstored,
     }
 }
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -265,33 +265,33 @@
         if !reply.leads || !is_doubtful(reply) {
             return None;
         }
-        // The store may be down for all entries; only an entry that the store answers takes over.
-        let started = Instant::now();
-        match LeaderRecord::read(self.store.as_ref()).await {
-            Ok((current, _)) if current.epoch > record.epoch => Some(FollowEnd::Changed),
-            // The store is slow for all entries; a change of the leader would not help.
-            Ok(_) if started.elapsed() > SLOW_READ_THRESHOLD => None,
-            Ok(_) => {
-                tokio::time::sleep(CONFIRM_GRACE).await;
-                self.recheck_leader(record).await
-            }
-            Err(_) => None,
+        if self.stored_epoch(record.epoch).await? > record.epoch {
+            return Some(FollowEnd::Changed);
         }
+        tokio::time::sleep(CONFIRM_GRACE).await;
+        self.recheck_leader(record).await
+    }
+
+    /// Returns the epoch in the leader's record. `None` when the store does not answer this entry:
+    /// it may be down for all, and only an entry that it answers takes over. `None` as well when it
+    /// is slow and the record is not newer than `known`: it is slow for all entries, so that a
+    /// change of the leader would not help.
+    async fn stored_epoch(&self, known: u64) -> Option<u64> {
+        let started = Instant::now();
+        let (current, _) = LeaderRecord::read(self.store.as_ref()).await.ok()?;
+        let is_quick = started.elapsed() <= SLOW_READ_THRESHOLD;
+        (is_quick || current.epoch > known).then_some(current.epoch)
     }
 
     /// Decides on an entry that has taken over and does not lead, because it has not loaded the
     /// rows. It is replaced if the store answers this entry quickly.
     async fn check_loading(&self, record: &LeaderRecord) -> Option<FollowEnd> {
-        let started = Instant::now();
-        match LeaderRecord::read(self.store.as_ref()).await {
-            Ok((current, _)) if current.epoch > record.epoch => Some(FollowEnd::Changed),
-            Ok(_) if started.elapsed() <= SLOW_READ_THRESHOLD => {
-                let limit = LOADING_LIMIT.as_millis();
-                let reason = format!("it has not loaded the stored jobs within {limit} ms");
-                Some(FollowEnd::Suspect(reason))
-            }
-            Ok(_) | Err(_) => None,
+        if self.stored_epoch(record.epoch).await? > record.epoch {
+            return Some(FollowEnd::Changed);
         }
+        let limit = LOADING_LIMIT.as_millis();
+        let reason = format!("it has not loaded the stored jobs within {limit} ms");
+        Some(FollowEnd::Suspect(reason))
     }
 
     /// Pings a doubted leader once more; returns the reason for which it is still suspected, if
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -56,10 +56,10 @@
     /// are fenced.
     fencing_earlier: bool,
     granted_lease: Option<(Instant, Duration)>,
-    /// Whether orders for the worker were received.
-    has_orders: bool,
     /// Whether the current incarnation has answered a listing.
     has_listing: bool,
+    /// Whether orders for the worker were received.
+    has_orders: bool,
     incarnation: u64,
     /// When the current incarnation became known.
     known_since: Instant,
@@ -96,8 +96,8 @@
             epoch: 0,
             fencing_earlier: false,
             granted_lease: None,
-            has_orders: false,
             has_listing: false,
+            has_orders: false,
             incarnation: 0,
             known_since: now,
             lapse_reported: None,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -158,8 +158,7 @@
         let mut lost = self.record_loss(now, id, cause);
         let ended = lost.extract_if(.., |task| !self.may_start_late(now, task));
         for task in ended.collect::<Vec<_>>() {
-            let checkpoint = self.checkpoint(&task);
-            self.end_run(now, &task, None, &checkpoint);
+            self.end_lost_run(now, &task);
         }
         lost
     }
@@ -234,11 +233,16 @@
 
     fn end_lost_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) {
         for task in self.record_loss(now, id, cause) {
-            let checkpoint = self.checkpoint(&task);
-            self.end_run(now, &task, None, &checkpoint);
+            self.end_lost_run(now, &task);
         }
     }
 
+    /// Ends a run that is lost with its worker. Its task continues from the last checkpoint.
+    fn end_lost_run(&mut self, now: Timestamp, task: &TaskId) {
+        let checkpoint = self.checkpoint(task);
+        self.end_run(now, task, None, &checkpoint);
+    }
+
     /// Records the loss of a worker, and returns the runs that are lost with it.
     fn record_loss(&mut self, now: Timestamp, id: &str, cause: LossCause) -> Vec<TaskId> {
         self.record_crash(now, id, cause);
@@ -343,8 +347,7 @@
             return;
         }
         if self.placement(&refusal.task).is_some_and(|placement| placement.lost) {
-            let checkpoint = self.checkpoint(&refusal.task);
-            self.end_run(now, &refusal.task, None, &checkpoint);
+            self.end_lost_run(now, &refusal.task);
             return;
         }
         if refusal.kind == RefusalKind::Permit {
