Let agents leave a leader that the store no longer confirms

Cause: the flag `leads` of an update meant "may extend leases". Agents look for a newer record only while it is false, so that they stayed with the cut-off leader although a successor led 1.3 s after the cut.

Change: `leads` is false as soon as calls to the store have failed or been late for 0.4 s, and all agents are told at once. `lease_ms` holds as before, so that running work goes on. The agent looks for a successor beside its session and leaves only when the successor has opened one. The look-ups of all agents are spread to 400 a second. A leader that no follower pings confirms itself every 0.3 s instead of 1.5 s.

What the successor starts on an agent that has moved is safe: the agent ignores updates of a lower epoch, and the worker orders of a lower epoch. Runs of agents that have not moved are waited for as before.

Evidence: cut_leader_told_at_once and cut_leader_agents_move fail with the former meaning of the flag (the first with "leases go on while agents look for a successor", the second after its 60 s), and pass with the new one. Ruled out: that the successor refuses agents; it leads and has none.

Settings, session state and messages of the leader move into files of their own, so that role, leader and entry no longer import each other in a circle. New setting `announced` of an entry: the address under which others reach its control listener, checked when it is loaded.

--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -5,7 +5,7 @@
 use skylarkpulley_proto::v1;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
-use crate::leader::LeaderMessage;
+use crate::leader_message::LeaderMessage;
 use crate::leadership::Leadership;
 use crate::peer::PeerClients;
 use crate::tables_task::TablesAvailability;
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -1,10 +1,8 @@
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use skylarkpulley_jobs::{JobTables, Limits};
+use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::MAX_MESSAGE_BYTES;
 use skylarkpulley_proto::v1::coordination_server::CoordinationServer;
 use skylarkpulley_store::Transactor;
@@ -15,6 +13,8 @@
 use tonic::transport::Server;
 
 use crate::calls::JobService;
+use crate::entry_settings::EntrySettings;
+use crate::followers::Followers;
 use crate::leadership::{Leadership, ReportedLeader};
 use crate::metered_store::MeteredStore;
 use crate::operators::Operators;
@@ -33,23 +33,6 @@
 /// Time without an answer from the source after which the tables may be outdated.
 const TABLES_MAX_AGE: Duration = Duration::from_secs(5);
 
-/// Settings of an entry.
-#[derive(Clone, Debug)]
-pub struct EntrySettings {
-    /// Address of the listener to which other entries and agents connect.
-    pub control: SocketAddr,
-    /// Processor time that the entry may use, in thousandths of a core.
-    pub cores: u64,
-    /// Limits of the coordinator.
-    pub limits: Limits,
-    /// Name of the VM.
-    pub name: String,
-    /// Leases are extended only while the store has confirmed the leadership within this time.
-    pub confirmation_limit: Duration,
-    /// For how long agents may extend leases, counted from the report that the leader answers.
-    pub lease: Duration,
-}
-
 /// An entry, which is either the leader or follows it.
 pub struct Entry {
     availability: watch::Receiver<TablesAvailability>,
@@ -85,10 +68,10 @@
         let shared = Arc::new(Shared {
             health: Arc::new(StoreHealth::new()),
             inbox: inbox.clone(),
+            followers: Arc::new(Followers::new()),
             leader_failed: leader_failed.clone(),
             leadership: leadership.clone(),
             newer_tables,
-            pings: Mutex::new(BTreeMap::new()),
             records,
             reported_leader: reported_sender,
             sessions: AtomicU64::new(1),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,12 +1,10 @@
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use skylarkpulley_jobs::{
-    AdviceAnswer, AdviceCall, Coordinator, JobAccess, JobTables, Limits, RowKind, Submission,
-    Summary, Timestamp, WorkerReport,
+    Coordinator, JobAccess, JobTables, RowKind, Submission, Timestamp, WorkerReport,
 };
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
@@ -19,11 +17,9 @@
 use crate::calls::{JobAnswer, JobCall};
 use crate::convert::{encode_orders, millis};
 use crate::journal::{CommitOutcome, Journal};
-use crate::leadership::ReportedLeader;
-use crate::placement_policy::PlacementPolicy;
+use crate::leader_context::LeaderContext;
+use crate::leader_message::LeaderMessage;
 use crate::plan_pause::plan_pause;
-use crate::records::Records;
-use crate::store_health::StoreHealth;
 use crate::waiting_callers::WaitingCallers;
 
 /// Interval at which the coordinator handles what has become due.
@@ -48,69 +44,24 @@
 /// report, because a takeover takes less time.
 const WRITE_STUCK_LIMIT: Duration = Duration::from_millis(2000);
 
+/// Time between two confirmations while no follower is heard: the leader may be cut off, and its
+/// agents need to know soon.
+const CUT_OFF_CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time for which calls to the store have failed or are late after which agents look for a
+/// successor. A store that is 80 times slower than usual answers a read within 0.35 s.
+const UNCONFIRMED_AFTER: Duration = Duration::from_millis(400);
+
+/// Number of look-ups of the leader's record a second that all agents together may make while the
+/// store does not confirm the leadership. The smallest store serves 2,000 reads a second.
+const SEARCH_RATE: u64 = 400;
+
 /// How long the report of another entry that the store answers it remains valid: two pings.
 const PEER_REPORT_VALIDITY: Duration = Duration::from_millis(800);
 
 /// Delay after which callers are asked to retry while the store is down.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Time limits of the leadership, on which the safety of leases depends.
-#[derive(Clone, Copy, Debug)]
-pub struct LeaderTimes {
-    /// Leases are extended only while the store has confirmed the leadership within this time.
-    pub confirmation_limit: Duration,
-    /// For how long agents may extend leases, counted from the report that the leader answers.
-    pub lease: Duration,
-}
-
-/// Input of the leader.
-pub enum LeaderMessage {
-    /// A caller's request.
-    Call {
-        /// The request.
-        call: JobCall,
-        /// Receives the answer.
-        reply: oneshot::Sender<JobAnswer>,
-    },
-    /// An agent has opened a session.
-    Open {
-        /// Number of the session.
-        session: u64,
-        /// Sends the updates of the session.
-        outbound: mpsc::Sender<Result<v1::CoordinatorUpdate, Status>>,
-    },
-    /// A report of an agent.
-    Report {
-        /// Number of the session.
-        session: u64,
-        /// Number of the message.
-        sequence: u64,
-        /// The content.
-        report: Box<WorkerReport>,
-        /// Whether the worker has left permanently.
-        left: bool,
-    },
-    /// The call to the placement policy has ended.
-    Advice {
-        /// The question.
-        call: Box<AdviceCall>,
-        /// The answer; `None` when the call failed.
-        answer: Option<AdviceAnswer>,
-    },
-    /// No earlier leader extends leases any more.
-    PredecessorsEnded,
-    /// An operator requests the state.
-    Summary {
-        /// Receives the answer.
-        reply: oneshot::Sender<Summary>,
-    },
-    /// A session has ended.
-    Close {
-        /// Number of the session.
-        session: u64,
-    },
-}
-
 struct Session {
     acked: u64,
     outbound: mpsc::Sender<Result<v1::CoordinatorUpdate, Status>>,
@@ -122,26 +73,6 @@
     Confirm(Result<CommitOutcome, TransactError>),
 }
 
-/// Dependencies of a leader, provided by its entry.
-pub struct LeaderContext {
-    /// Time source.
-    pub clock: Arc<dyn Clock>,
-    /// Results of calls to the store.
-    pub health: Arc<StoreHealth>,
-    /// Limits of the coordinator.
-    pub limits: Limits,
-    /// Sends messages to the leader itself.
-    pub own_inbox: mpsc::WeakSender<LeaderMessage>,
-    /// Service that decides which workers may run a step, if one is configured.
-    pub policy: Option<Arc<dyn PlacementPolicy>>,
-    /// Decisions and metrics that the entry records.
-    pub records: Records,
-    /// Leadership with the highest epoch that another entry has reported.
-    pub reported_leader: watch::Receiver<ReportedLeader>,
-    /// Time limits on which the safety of leases depends.
-    pub times: LeaderTimes,
-}
-
 /// Runs the coordinator while this entry is the leader.
 pub struct Leader {
     confirmed_at: Duration,
@@ -152,6 +83,8 @@
     latest_sessions: HashMap<String, u64>,
     sessions: HashMap<u64, Session>,
     store_called: Instant,
+    /// Whether the last updates named this entry as the leader.
+    told_leads: bool,
     waiting_callers: WaitingCallers,
     write_started: Option<Instant>,
 }
@@ -195,6 +128,7 @@
             latest_sessions: HashMap::new(),
             sessions: HashMap::new(),
             store_called,
+            told_leads: true,
             waiting_callers: WaitingCallers::new(),
             write_started: None,
         })
@@ -256,6 +190,7 @@
                     let now = self.now();
                     self.coordinator.tick(now);
                     self.refuse_stuck_submissions();
+                    self.announce_confirmation();
                     self.update_gauges();
                 }
                 Ok(()) = tables.changed() => {
@@ -345,8 +280,15 @@
         }
         let health = &self.context.health;
         let failing = !health.failing_for().max(health.overdue_for()).is_zero();
-        let interval = if failing { PROBE_INTERVAL } else { CONFIRM_INTERVAL };
-        if now.saturating_duration_since(self.store_called) < interval {
+        let since_call = now.saturating_duration_since(self.store_called);
+        let interval = if failing {
+            PROBE_INTERVAL
+        } else if self.context.followers.are_silent() {
+            CUT_OFF_CONFIRM_INTERVAL
+        } else {
+            CONFIRM_INTERVAL
+        };
+        if since_call < interval {
             *idle_journal = Some(journal);
             return;
         }
@@ -431,18 +373,15 @@
     }
 
     fn send_update(&mut self, number: u64) {
-        // A successor relies on this entry to extend no lease after it has answered the successor's
-        // ping.
-        let deposed = self.context.reported_leader.borrow().epoch > self.epoch;
-        let confirmed =
-            boot_time().saturating_sub(self.confirmed_at) < self.context.times.confirmation_limit;
-        let may_extend = confirmed && !deposed;
+        let may_extend = self.may_extend();
+        let search_spread_ms = self.sessions.len() as u64 * 1000 / SEARCH_RATE;
         let Some(session) = self.sessions.get(&number) else { return };
         let mut update = encode_orders(&self.coordinator.orders(&session.worker));
         update.epoch = self.epoch;
         update.acked = session.acked;
-        update.leads = may_extend;
+        update.leads = may_extend && self.is_confirmed();
         update.lease_ms = if may_extend { millis(self.context.times.lease) } else { 0 };
+        update.search_spread_ms = search_spread_ms;
         // An agent that receives no updates ends its session when its silence limit has passed.
         if session.outbound.try_send(Ok(update)).is_err() {
             tracing::debug!(
@@ -452,6 +391,44 @@
         }
     }
 
+    /// Reports whether agents may extend leases. A successor relies on this entry to extend none
+    /// after it has answered the successor's ping.
+    fn may_extend(&self) -> bool {
+        let deposed = self.context.reported_leader.borrow().epoch > self.epoch;
+        let age = boot_time().saturating_sub(self.confirmed_at);
+        !deposed && age < self.context.times.confirmation_limit
+    }
+
+    /// Reports whether the store answers this entry. If it does not, another entry may lead, while
+    /// this one may still extend leases.
+    fn is_confirmed(&self) -> bool {
+        let health = &self.context.health;
+        health.failing_for().max(health.overdue_for()) < UNCONFIRMED_AFTER
+    }
+
+    /// Tells all agents when the store no longer confirms the leadership, or does so again.
+    fn announce_confirmation(&mut self) {
+        let leads = self.may_extend() && self.is_confirmed();
+        if leads == self.told_leads {
+            return;
+        }
+        self.told_leads = leads;
+        let event = Event::LeadershipDoubted;
+        let (agents, age) = (self.sessions.len(), boot_time().saturating_sub(self.confirmed_at));
+        tracing::info!(
+            code = event.code(),
+            event = event.name(),
+            epoch = self.epoch,
+            agents,
+            age = millis(age),
+            confirmed = leads
+        );
+        let numbers: Vec<u64> = self.sessions.keys().copied().collect();
+        for number in numbers {
+            self.send_update(number);
+        }
+    }
+
     fn send_changed_orders(&mut self) {
         let changed_workers = self.coordinator.take_changed_workers();
         let numbers: Vec<u64> = self
--- a/crates/coordination/src/operators.rs
+++ b/crates/coordination/src/operators.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::convert::millis;
-use crate::leader::LeaderMessage;
+use crate::leader_message::LeaderMessage;
 use crate::peer::PeerClients;
 use crate::service::Shared;
 
@@ -44,7 +44,7 @@
         let mut replies = vec![self.local_lines(id)];
         let mut asked = BTreeSet::new();
         let leader = self.shared.leadership.borrow().address.clone();
-        let mut unasked: BTreeSet<String> = self.shared.recent_peers().into_keys().collect();
+        let mut unasked: BTreeSet<String> = self.shared.followers.recent().into_keys().collect();
         if !leader.is_empty() && !self.shared.leadership.borrow().is_local {
             unasked.insert(leader);
         }
@@ -82,7 +82,7 @@
             }
         });
         v1::ExplainReply {
-            entries: self.shared.recent_peers().into_keys().collect(),
+            entries: self.shared.followers.recent().into_keys().collect(),
             lines: lines.collect(),
             process: self.name.clone(),
         }
@@ -147,7 +147,7 @@
             version: tables.version,
             seen_ms: 0,
         };
-        let peers = self.shared.recent_peers().into_values().map(|peer| ProcessStatus {
+        let peers = self.shared.followers.recent().into_values().map(|peer| ProcessStatus {
             process: peer.name,
             kind: "entry".to_owned(),
             version: peer.version,
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -9,9 +9,11 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::convert::millis;
-use crate::entry::EntrySettings;
+use crate::entry_settings::EntrySettings;
 use crate::journal::{CommitOutcome, Journal};
-use crate::leader::{Leader, LeaderContext, LeaderMessage, LeaderTimes, LeadershipEnd};
+use crate::leader::{Leader, LeadershipEnd};
+use crate::leader_context::{LeaderContext, LeaderTimes};
+use crate::leader_message::LeaderMessage;
 use crate::leader_record::{LeaderRecord, Predecessor};
 use crate::leadership::{Leadership, ReportedLeader};
 use crate::peer::PeerClients;
@@ -152,7 +154,7 @@
         let current = self.leadership.borrow();
         let newer = reported.epoch > current.epoch
             || (reported.epoch == current.epoch && !current.reachable);
-        let is_remote = reported.address != self.settings.control.to_string();
+        let is_remote = reported.address != self.settings.announced.to_string();
         (newer && is_remote && !reported.address.is_empty()).then(|| LeaderRecord {
             address: reported.address,
             epoch: reported.epoch,
@@ -313,7 +315,7 @@
         let leader = if current.epoch == epoch { current.address.clone() } else { String::new() };
         v1::PingRequest {
             name: self.settings.name.clone(),
-            address: self.settings.control.to_string(),
+            address: self.settings.announced.to_string(),
             epoch,
             tables_version: self.tables.borrow().version,
             store_answers: self.availability.borrow().answered,
@@ -324,7 +326,7 @@
 
     async fn take_over(&mut self, record: &LeaderRecord, version: u64) {
         let name = &self.settings.name;
-        let address = self.settings.control.to_string();
+        let address = self.settings.announced.to_string();
         let takeover = Journal::take_over(
             self.store.clone(),
             name,
@@ -359,7 +361,7 @@
         epoch: u64,
         inbox: mpsc::Sender<LeaderMessage>,
     ) {
-        let leader = self.settings.control.to_string();
+        let leader = self.settings.announced.to_string();
         let request = v1::PingRequest { leader, ..self.ping(epoch) };
         let notifications = predecessors.iter().map(|earlier| {
             notify_predecessor(self.peers.clone(), earlier.address.clone(), request.clone())
@@ -384,6 +386,7 @@
         loop {
             let context = LeaderContext {
                 clock: self.clock.clone(),
+                followers: self.shared.followers.clone(),
                 health: self.shared.health.clone(),
                 limits: self.settings.limits,
                 own_inbox: sender.downgrade(),
@@ -422,7 +425,7 @@
         self.start_predecessor_notification(journal.predecessors(), epoch, sender.clone());
         self.inbox.send_replace(Some(sender));
         self.leadership.send_replace(Leadership {
-            address: self.settings.control.to_string(),
+            address: self.settings.announced.to_string(),
             epoch,
             is_local: true,
             reachable: true,
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -1,7 +1,6 @@
-use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::v1;
@@ -12,11 +11,11 @@
 
 use crate::calls::{JobAnswer, call_local_leader, decode_call, encode_answer};
 use crate::convert::{decode_report, millis};
-use crate::leader::LeaderMessage;
+use crate::followers::Followers;
+use crate::leader_message::LeaderMessage;
 use crate::leadership::{Leadership, ReportedLeader};
 use crate::operators::Operators;
 use crate::records::Records;
-use crate::standby::{Standby, standby_rank};
 use crate::store_health::StoreHealth;
 
 /// Number of updates that may wait for one agent. Further ones are dropped; an agent that receives
@@ -27,12 +26,10 @@
 /// limit of its own.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// An entry that has sent no ping for this long no longer follows this one. Pings are sent every
-/// 0.3 s and may be late by a time-out and a new connection.
-const PEER_SILENCE_LIMIT: Duration = Duration::from_secs(3);
-
 /// State that the tasks of one entry share.
 pub struct Shared {
+    /// Entries that follow this one.
+    pub followers: Arc<Followers>,
     /// Results of the leader's calls to the store.
     pub health: Arc<StoreHealth>,
     /// Sends messages to the leader task while this entry is the leader.
@@ -45,8 +42,6 @@
     pub newer_tables: mpsc::Sender<String>,
     /// Leadership with the highest epoch that another entry has reported.
     pub reported_leader: watch::Sender<ReportedLeader>,
-    /// Entries that have sent a ping, by address.
-    pub pings: Mutex<BTreeMap<String, PeerEntry>>,
     /// Decisions and metrics that the entry records.
     pub records: Records,
     /// Number of the next session.
@@ -57,48 +52,6 @@
     pub tables: watch::Receiver<JobTables>,
 }
 
-/// An entry that has sent a ping.
-#[derive(Clone, Debug)]
-pub struct PeerEntry {
-    /// Processor time that it may use, in thousandths of a core.
-    pub cores: u64,
-    /// When the last ping arrived.
-    pub last_ping: Instant,
-    /// Name of the entry.
-    pub name: String,
-    /// Version of its tables.
-    pub version: u64,
-}
-
-impl Shared {
-    /// Returns the entries that have sent a ping within [`PEER_SILENCE_LIMIT`], by address.
-    pub fn recent_peers(&self) -> BTreeMap<String, PeerEntry> {
-        let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
-        remove_silent(&mut pings);
-        pings.clone()
-    }
-
-    /// Records a ping. Returns the number of entries that should take over before its sender does.
-    fn record_ping(&self, ping: &v1::PingRequest) -> u64 {
-        let entry = PeerEntry {
-            cores: ping.cores,
-            last_ping: Instant::now(),
-            name: ping.name.clone(),
-            version: ping.tables_version,
-        };
-        let mut pings = self.pings.lock().unwrap_or_else(PoisonError::into_inner);
-        pings.insert(ping.address.clone(), entry);
-        remove_silent(&mut pings);
-        let peers: Vec<Standby> =
-            pings.iter().map(|(address, entry)| Standby { address, cores: entry.cores }).collect();
-        standby_rank(&peers, &Standby { address: &ping.address, cores: ping.cores })
-    }
-}
-
-fn remove_silent(pings: &mut BTreeMap<String, PeerEntry>) {
-    pings.retain(|_, entry| entry.last_ping.elapsed() < PEER_SILENCE_LIMIT);
-}
-
 /// The interface of an entry to other entries and to agents.
 #[derive(Clone)]
 pub struct CoordinationService {
@@ -157,7 +110,7 @@
         request: Request<v1::PingRequest>,
     ) -> Result<Response<v1::PingReply>, Status> {
         let request = request.into_inner();
-        let standby_rank = self.shared.record_ping(&request);
+        let standby_rank = self.shared.followers.record_ping(&request);
         let leadership = self.shared.leadership.borrow().clone();
         self.shared.reported_leader.send_if_modified(|reported| {
             let higher = request.epoch > reported.epoch;
--- a/crates/coordination/src/session.rs
+++ b/crates/coordination/src/session.rs
@@ -2,6 +2,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use skylarkpulley_jobs::{Orders, WorkerReport};
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::Transactor;
@@ -24,6 +26,9 @@
 /// Time limit for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Number of reports that may wait for a connection that accepts no data.
+const REPORT_QUEUE_CAPACITY: usize = 16;
+
 /// First delay before the leader is looked up again. It doubles up to [`MAX_LOOKUP_DELAY`], because
 /// each look-up is a call to the store that costs money.
 const FIRST_LOOKUP_DELAY: Duration = Duration::from_millis(200);
@@ -31,9 +36,12 @@
 /// Longest delay between two look-ups.
 const MAX_LOOKUP_DELAY: Duration = Duration::from_millis(800);
 
-/// Time between two look-ups while the leader reports that the store does not confirm its
-/// leadership.
-const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two look-ups while the leader reports that the store does not confirm its
+/// leadership. Another entry takes over about 1.3 s after the leader was cut off.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest time between two look-ups that the store does not answer. It may be down for all.
+const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The current message of an agent to the leader.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -57,6 +65,26 @@
     pub sent_at: Option<Instant>,
 }
 
+/// A session that the leader has opened, before the first report.
+struct OpenSession {
+    leader: LeaderRecord,
+    reports: mpsc::Sender<v1::WorkerUpdate>,
+    updates: Streaming<v1::CoordinatorUpdate>,
+}
+
+/// How a session ended.
+struct SessionEnd {
+    reason: String,
+    /// Session with the successor of the leader, if one was found.
+    successor: Option<OpenSession>,
+}
+
+impl SessionEnd {
+    fn new(reason: &str) -> Self {
+        Self { reason: reason.to_owned(), successor: None }
+    }
+}
+
 /// Keeps a session with the leader open: sends the content of `outgoing` when it changes and
 /// periodically, and passes the leader's updates to `incoming`.
 pub async fn run_session(
@@ -66,53 +94,76 @@
 ) {
     let mut delay = FIRST_LOOKUP_DELAY;
     let mut highest_epoch = 0;
+    let mut successor = None;
     loop {
-        match LeaderRecord::read(store.as_ref()).await {
-            Ok((record, _)) if record.epoch >= highest_epoch && !record.address.is_empty() => {
-                highest_epoch = record.epoch;
-                let started = Instant::now();
-                let reason =
-                    serve_session(&record, store.as_ref(), outgoing.clone(), &incoming).await;
-                if incoming.is_closed() {
-                    return;
-                }
-                let event = Event::SessionReplaced;
-                tracing::info!(
-                    code = event.code(),
-                    event = event.name(),
-                    id = record.name,
-                    epoch = record.epoch,
-                    reason
-                );
-                if started.elapsed() > SILENCE_LIMIT {
-                    delay = FIRST_LOOKUP_DELAY;
-                }
+        let opened = match successor.take() {
+            Some(session) => Some(session),
+            None => look_up_leader(store.as_ref(), highest_epoch).await,
+        };
+        if let Some(session) = opened {
+            highest_epoch = session.leader.epoch;
+            let (id, started) = (session.leader.name.clone(), Instant::now());
+            let end = serve_session(session, store.clone(), outgoing.clone(), &incoming).await;
+            if incoming.is_closed() {
+                return;
+            }
+            log_session_end(&id, highest_epoch, &end.reason);
+            if started.elapsed() > SILENCE_LIMIT {
+                delay = FIRST_LOOKUP_DELAY;
+            }
+            successor = end.successor;
+            if successor.is_some() {
+                continue;
             }
-            Ok(_) => {}
-            Err(error) => tracing::debug!(%error, "leader's record cannot be read; retrying"),
+        }
+        if incoming.is_closed() {
+            return;
         }
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_LOOKUP_DELAY);
     }
 }
 
-/// Runs one session with the leader that `record` names. Returns the reason for which it ended.
+fn log_session_end(id: &str, epoch: u64, reason: &str) {
+    let event = Event::SessionReplaced;
+    tracing::info!(code = event.code(), event = event.name(), id, epoch, reason);
+}
+
+/// Opens a session with the leader that the store names, unless its epoch is below
+/// `highest_epoch`.
+async fn look_up_leader(store: &dyn Transactor, highest_epoch: u64) -> Option<OpenSession> {
+    let leader = match LeaderRecord::read(store).await {
+        Ok((leader, _)) => leader,
+        Err(error) => {
+            tracing::debug!(%error, "leader's record cannot be read; retrying");
+            return None;
+        }
+    };
+    if leader.epoch < highest_epoch || leader.address.is_empty() {
+        return None;
+    }
+    let (id, epoch) = (leader.name.clone(), leader.epoch);
+    match open(leader).await {
+        Ok(session) => Some(session),
+        Err(reason) => {
+            log_session_end(&id, epoch, &reason);
+            None
+        }
+    }
+}
+
+/// Serves a session until it ends.
 async fn serve_session(
-    record: &LeaderRecord,
-    store: &dyn Transactor,
+    session: OpenSession,
+    store: Arc<dyn Transactor>,
     mut outgoing: watch::Receiver<AgentUpdate>,
     incoming: &mpsc::Sender<LeaderUpdate>,
-) -> String {
-    let (sender, stream) = mpsc::channel(16);
-    let opened = tokio::time::timeout(OPEN_TIMEOUT, open(&record.address, stream)).await;
-    let mut updates = match opened {
-        Ok(Ok(updates)) => updates,
-        Ok(Err(reason)) => return reason,
-        Err(_) => return "the leader did not open the session within the time limit".to_owned(),
-    };
+) -> SessionEnd {
+    let OpenSession { leader, reports, mut updates } = session;
     let mut sent_reports: VecDeque<(u64, Instant)> = VecDeque::new();
     let mut sequence = 0;
-    let mut last_check: Option<Instant> = None;
+    // Runs beside the session, so that the leases go on until the successor has opened a session.
+    let mut search: Option<BoxFuture<'static, OpenSession>> = None;
     let mut tick = tokio::time::interval(REPORT_INTERVAL);
     let silence = tokio::time::sleep(SILENCE_LIMIT);
     tokio::pin!(silence);
@@ -121,28 +172,36 @@
             _ = tick.tick() => {}
             changed = outgoing.changed() => {
                 if changed.is_err() {
-                    return "the agent is stopping".to_owned();
+                    return SessionEnd::new("the agent is stopping");
                 }
                 tick.reset();
             }
             update = updates.message() => {
                 let update = match update {
                     Ok(Some(update)) => update,
-                    Ok(None) => return "the leader closed the session".to_owned(),
-                    Err(status) => return status.message().to_owned(),
+                    Ok(None) => return SessionEnd::new("the leader closed the session"),
+                    Err(status) => return SessionEnd::new(status.message()),
                 };
                 silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_LIMIT);
                 if update.leads {
-                    last_check = None;
-                } else if let Some(reason) = find_new_leader(record, store, &mut last_check).await {
-                    return reason;
+                    search = None;
+                } else if search.is_none() {
+                    let spread = Duration::from_millis(update.search_spread_ms);
+                    let successor = find_successor(store.clone(), leader.epoch, spread);
+                    search = Some(successor.boxed());
                 }
                 if incoming.send(decode_update(update, &mut sent_reports)).await.is_err() {
-                    return "the agent is stopping".to_owned();
+                    return SessionEnd::new("the agent is stopping");
                 }
                 continue;
             }
-            () = &mut silence => return "no update within the silence limit".to_owned(),
+            successor = async { search.as_mut().expect("a search is open").await },
+                if search.is_some() =>
+            {
+                let reason = "another entry leads".to_owned();
+                return SessionEnd { reason, successor: Some(successor) };
+            }
+            () = &mut silence => return SessionEnd::new("no update within the silence limit"),
         }
         sequence += 1;
         let current = outgoing.borrow_and_update().clone();
@@ -152,34 +211,46 @@
         sent_reports.push_back((sequence, Instant::now()));
         // A connection that accepts no data lets the channel fill; the silence limit then ends the
         // session.
-        if sender.try_send(update).is_err() && sender.is_closed() {
-            return "the leader closed the session".to_owned();
+        if reports.try_send(update).is_err() && reports.is_closed() {
+            return SessionEnd::new("the leader closed the session");
         }
     }
 }
 
-/// Looks for a newer leader while the store does not confirm the current one. Returns the reason
-/// for ending the session, if there is one.
-async fn find_new_leader(
-    record: &LeaderRecord,
-    store: &dyn Transactor,
-    last_check: &mut Option<Instant>,
-) -> Option<String> {
-    let now = Instant::now();
-    if last_check.is_some_and(|last| now.saturating_duration_since(last) < LEADER_CHECK_INTERVAL) {
-        return None;
-    }
-    *last_check = Some(now);
-    match LeaderRecord::read(store).await {
-        Ok((current, _)) if current.epoch > record.epoch => Some("another entry leads".to_owned()),
-        Ok(_) => None,
-        Err(error) => {
-            tracing::debug!(%error, "leader's record cannot be read; keeping the session");
-            None
+/// Looks for the successor of the leader of `epoch` until one has opened a session. The look-ups of
+/// all agents are spread over `spread`, so that they do not overload the store.
+async fn find_successor(store: Arc<dyn Transactor>, epoch: u64, spread: Duration) -> OpenSession {
+    let mut delay = random_below(spread);
+    let mut interval = MIN_SEARCH_INTERVAL.max(spread);
+    loop {
+        tokio::time::sleep(delay).await;
+        match LeaderRecord::read(store.as_ref()).await {
+            Ok((leader, _)) => {
+                interval = MIN_SEARCH_INTERVAL.max(spread);
+                if leader.epoch > epoch {
+                    match open(leader).await {
+                        Ok(session) => return session,
+                        Err(reason) => tracing::debug!(
+                            reason,
+                            "successor of the leader has not opened a session; retrying"
+                        ),
+                    }
+                }
+            }
+            Err(error) => {
+                tracing::debug!(%error, "leader's record cannot be read; keeping the session");
+                interval = (interval * 2).min(MAX_SEARCH_INTERVAL.max(spread));
+            }
         }
+        delay = interval / 2 + random_below(interval);
     }
 }
 
+/// Returns a random duration below `limit`.
+fn random_below(limit: Duration) -> Duration {
+    limit.mul_f64(fastrand::f64())
+}
+
 /// Decodes an update and finds the time at which the report that it answers was sent.
 fn decode_update(
     update: v1::CoordinatorUpdate,
@@ -204,11 +275,16 @@
     }
 }
 
-async fn open(
-    address: &str,
-    stream: mpsc::Receiver<v1::WorkerUpdate>,
-) -> Result<Streaming<v1::CoordinatorUpdate>, String> {
-    let mut client = connect(address).ok_or_else(|| format!("invalid address {address:?}"))?;
-    let session = client.worker_session(ReceiverStream::new(stream)).await;
-    session.map(tonic::Response::into_inner).map_err(|status| status.message().to_owned())
+/// Opens a session with the entry that `leader` names.
+async fn open(leader: LeaderRecord) -> Result<OpenSession, String> {
+    let (reports, stream) = mpsc::channel(REPORT_QUEUE_CAPACITY);
+    let Some(mut client) = connect(&leader.address) else {
+        return Err(format!("invalid address {:?}", leader.address));
+    };
+    let session = client.worker_session(ReceiverStream::new(stream));
+    match tokio::time::timeout(OPEN_TIMEOUT, session).await {
+        Ok(Ok(updates)) => Ok(OpenSession { leader, reports, updates: updates.into_inner() }),
+        Ok(Err(status)) => Err(status.message().to_owned()),
+        Err(_) => Err("the leader did not open the session within the time limit".to_owned()),
+    }
 }
--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -1,7 +1,10 @@
 //! Tests of entries that use an in-memory store.
 
+mod cut_leader;
+mod network;
 mod operators;
 mod rig;
 mod sessions;
 mod store_faults;
 mod takeovers;
+mod workers;
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,12 +68,24 @@
     limits: Limits,
 ) -> (Arc<Entry>, Client) {
     let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let announced = control.local_addr().expect("an address");
+    start_announced(name, store, limits, control, announced).await
+}
+
+/// Starts an entry that announces another address than that of its `control` listener.
+pub async fn start_announced(
+    name: &str,
+    store: Arc<dyn Transactor>,
+    limits: Limits,
+    control: TcpListener,
+    announced: SocketAddr,
+) -> (Arc<Entry>, Client) {
     let operators = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = operators.local_addr().expect("an address");
     let settings = EntrySettings {
-        confirmation_limit: Duration::from_secs(12),
+        announced,
+        confirmation_limit: limits.takeover,
         cores: 0,
-        control: control.local_addr().expect("an address"),
         lease: Duration::from_secs(8),
         limits,
         name: name.to_owned(),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -73,6 +73,7 @@
     LeadershipTaken = 410, "leadership-taken", "This entry has become the leader and has loaded all jobs.";
     LeadershipEnded = 411, "leadership-ended", "This entry is no longer the leader.";
     LeaderSuspected = 412, "leader-suspected", "The leader does not answer or cannot reach the store.";
+    LeadershipDoubted = 413, "leadership-doubted", "The store no longer confirms this leader, whose agents look for a successor, or does so again.";
     ConfigAccepted = 500, "config-accepted", "An edit of the tables was accepted as a new version.";
     ConfigRejected = 501, "config-rejected", "An edit of the tables was rejected; nothing changed.";
     ConfigApplied = 502, "config-applied", "This process now uses a new version of the tables.";
