Keep a leader that works and only this entry cannot reach

Cause: an entry replaces a leader that does not answer two pings. Both sides of the cut do so in turn, since each reads a record that the other has written.

Change: an entry that has never had an answer of a leader, and whose calls to it time out, watches the record for 1.3 s. If the leader goes on writing, it leads others, and replacing it would help no caller; the entry follows it, and is not ready while it cannot reach it. So that a leader can be seen to work, it writes every 0.5 s while an earlier leader has not answered it, for at most ten minutes. A leader that refuses connections is replaced as before, and so is one that has answered this entry and falls silent: those entries usually include the majority.

Evidence: takeover_unreachable_kept fails without the check ("entry-a has replaced a leader that works"), and passes with it.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -110,6 +110,7 @@
             peers: peers.clone(),
             policy,
             rank: 0,
+            reached_epoch: 0,
             reported_leader,
             settings,
             shared: shared.clone(),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -48,6 +48,10 @@
 /// agents need to know soon.
 const CUT_OFF_CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time between two writes while an earlier leader does not answer this one. That entry sees by
+/// these writes that this leader works, and does not replace it.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which calls to the store have failed or are late after which agents look for a
 /// successor. A store that is 80 times slower than usual answers a read within 0.35 s.
 const UNCONFIRMED_AFTER: Duration = Duration::from_millis(400);
@@ -71,6 +75,8 @@
 enum StoreCall {
     Commit(CommitOutcome),
     Confirm(Result<CommitOutcome, TransactError>),
+    /// A write without rows.
+    Heartbeat(CommitOutcome),
 }
 
 /// Runs the coordinator while this entry is the leader.
@@ -172,7 +178,9 @@
                             self.end_write(end);
                             end == CommitOutcome::Deposed
                         }
-                        StoreCall::Confirm(Ok(end)) => end == CommitOutcome::Deposed,
+                        StoreCall::Confirm(Ok(end)) | StoreCall::Heartbeat(end) => {
+                            end == CommitOutcome::Deposed
+                        }
                         StoreCall::Confirm(Err(error)) => {
                             tracing::debug!(
                                 %error,
@@ -281,6 +289,14 @@
         let health = &self.context.health;
         let failing = !health.failing_for().max(health.overdue_for()).is_zero();
         let since_call = now.saturating_duration_since(self.store_called);
+        let unanswered = *self.context.unanswered.borrow() > 0;
+        if unanswered && !failing && since_call >= HEARTBEAT_INTERVAL {
+            self.store_called = now;
+            let heartbeat = journal.commit(Vec::new());
+            *store_call =
+                Some(heartbeat.map(|(journal, end)| (journal, StoreCall::Heartbeat(end))).boxed());
+            return;
+        }
         let interval = if failing {
             PROBE_INTERVAL
         } else if self.context.followers.are_silent() {
--- a/crates/coordination/src/leader_context.rs
+++ b/crates/coordination/src/leader_context.rs
@@ -41,4 +41,6 @@
     pub reported_leader: watch::Receiver<ReportedLeader>,
     /// Time limits on which the safety of leases depends.
     pub times: LeaderTimes,
+    /// Number of earlier leaders that have not answered this one.
+    pub unanswered: watch::Receiver<usize>,
 }
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -56,12 +56,23 @@
 const MAX_TAKEOVER_JITTER: Duration = Duration::from_millis(100);
 
 /// Time during which a new leader tries to notify its predecessor that it is no longer the leader.
-const NOTIFY_TIMEOUT: Duration = Duration::from_secs(15);
+/// A predecessor that is only cut off from this entry would replace it once it stops writing.
+const NOTIFY_TIMEOUT: Duration = Duration::from_secs(600);
 
 /// Delay before the leader's record is read again after the store did not answer, and while this
 /// entry must not take over.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which the record of a leader is watched that has never answered this entry. A leader
+/// that is cut off from other entries writes every 0.5 s.
+const WATCH_TIME: Duration = Duration::from_millis(1300);
+
+/// Time after which an earlier leader that has not answered is notified less often.
+const NOTIFY_RARELY_AFTER: Duration = Duration::from_secs(15);
+
+/// Time between two notifications after [`NOTIFY_RARELY_AFTER`].
+const RARE_NOTIFY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Number of messages that may wait for the leader.
 const INBOX_CAPACITY: usize = 1024;
 
@@ -69,8 +80,18 @@
 enum FollowEnd {
     /// Another entry may have become the leader.
     Changed,
-    /// The leader does not answer or cannot write, for this reason.
-    Suspect(String),
+    /// The leader does not answer or cannot write.
+    Suspect {
+        reason: String,
+        /// Whether calls to it had no answer at all, so that it may be cut off from this entry only.
+        silent: bool,
+    },
+}
+
+impl FollowEnd {
+    fn suspect(reason: &str) -> Self {
+        Self::Suspect { reason: reason.to_owned(), silent: false }
+    }
 }
 
 /// The task that follows the leader or is the leader.
@@ -83,6 +104,8 @@
     pub policy: Option<Arc<dyn PlacementPolicy>>,
     /// Number of entries that should take over before this one, by the last ping.
     pub rank: u64,
+    /// Highest epoch whose leader has answered a ping of this entry.
+    pub reached_epoch: u64,
     pub reported_leader: watch::Receiver<ReportedLeader>,
     pub settings: EntrySettings,
     pub shared: Arc<Shared>,
@@ -119,15 +142,19 @@
                 tokio::time::sleep(STORE_RETRY_DELAY).await;
                 continue;
             }
+            let unreached = {
+                let current = self.leadership.borrow();
+                current.epoch == record.epoch && !current.is_local && !current.reachable
+            };
             self.leadership.send_replace(Leadership {
                 address: record.address.clone(),
                 epoch: record.epoch,
                 is_local: false,
-                reachable: true,
+                reachable: !unreached,
             });
             match self.follow(&record).await {
                 FollowEnd::Changed => {}
-                FollowEnd::Suspect(reason) => {
+                FollowEnd::Suspect { reason, silent } => {
                     self.leadership.send_modify(|leadership| leadership.reachable = false);
                     let event = Event::LeaderSuspected;
                     tracing::warn!(
@@ -139,7 +166,7 @@
                     );
                     if *self.stop.borrow() {
                         tokio::time::sleep(STORE_RETRY_DELAY).await;
-                    } else {
+                    } else if !silent || !self.is_working(&record, version).await {
                         self.replace_leader(&record).await;
                     }
                 }
@@ -170,7 +197,7 @@
             is_local: false,
             reachable: true,
         });
-        if let FollowEnd::Suspect(reason) = self.follow(record).await {
+        if let FollowEnd::Suspect { reason, .. } = self.follow(record).await {
             tracing::info!(
                 epoch = record.epoch,
                 reason,
@@ -180,6 +207,37 @@
         }
     }
 
+    /// Reports whether a silent leader that has never answered this entry replaces its record, which
+    /// was read at `version`. It then leads others, and only its connection to this entry is broken:
+    /// replacing it would not help, and the two would replace each other without end.
+    async fn is_working(&self, record: &LeaderRecord, version: u64) -> bool {
+        if self.reached_epoch == record.epoch {
+            return false;
+        }
+        let deadline = Instant::now() + WATCH_TIME;
+        let mut known = version;
+        let mut changes = 0;
+        while Instant::now() < deadline {
+            match LeaderRecord::read(self.store.as_ref()).await {
+                Ok((current, _)) if current.epoch != record.epoch => return false,
+                Ok((_, version)) => {
+                    changes += u32::from(version != known);
+                    known = version;
+                }
+                Err(_) => return false,
+            }
+            // The first change may be of the time before the leader was suspected.
+            if changes > 1 {
+                let event = Event::LeaderKept;
+                let (code, event) = (event.code(), event.name());
+                tracing::info!(code, event, leader = record.name, epoch = record.epoch);
+                return true;
+            }
+            tokio::time::sleep(NOTIFY_INTERVAL).await;
+        }
+        false
+    }
+
     /// Takes over from a suspected leader unless another entry has done so.
     async fn replace_leader(&mut self, suspect: &LeaderRecord) {
         let jitter = millis(MAX_TAKEOVER_JITTER);
@@ -203,25 +261,28 @@
     async fn follow(&mut self, record: &LeaderRecord) -> FollowEnd {
         let started = Instant::now();
         let mut failures = 0;
+        let mut silent = false;
         loop {
             let request = self.ping(record.epoch);
             let reply = match self.peers.client(&record.address) {
-                Some(mut client) => {
-                    tokio::time::timeout(PING_TIMEOUT, client.ping(request)).await.ok()
-                }
-                None => {
-                    return FollowEnd::Suspect("the address in its record is not valid".to_owned());
-                }
+                Some(mut client) => tokio::time::timeout(PING_TIMEOUT, client.ping(request)).await,
+                None => return FollowEnd::suspect("the address in its record is not valid"),
             };
-            let Some(Ok(reply)) = reply else {
+            let Ok(Ok(reply)) = reply else {
+                silent |= reply.is_err();
                 failures += 1;
                 self.peers.drop_connection(&record.address);
                 if failures >= MAX_PING_FAILURES {
-                    return FollowEnd::Suspect(format!("it did not answer {failures} pings"));
+                    let reason = format!("it did not answer {failures} pings");
+                    return FollowEnd::Suspect { reason, silent };
                 }
                 continue;
             };
             failures = 0;
+            silent = false;
+            self.reached_epoch = record.epoch;
+            self.leadership
+                .send_if_modified(|leadership| !std::mem::replace(&mut leadership.reachable, true));
             let reply = reply.into_inner();
             self.rank = reply.standby_rank;
             if let Some(end) = self.evaluate_ping(record, &reply).await {
@@ -259,10 +320,10 @@
             return Some(FollowEnd::Changed);
         }
         if !reply.leads && reply.leaving {
-            return Some(FollowEnd::Suspect("it is shutting down".to_owned()));
+            return Some(FollowEnd::suspect("it is shutting down"));
         }
         if !reply.leads && reply.epoch == record.epoch {
-            return Some(FollowEnd::Suspect("it is no longer the leader".to_owned()));
+            return Some(FollowEnd::suspect("it is no longer the leader"));
         }
         if !reply.leads || !is_doubtful(reply) {
             return None;
@@ -293,7 +354,7 @@
         }
         let limit = LOADING_LIMIT.as_millis();
         let reason = format!("it has not loaded the stored jobs within {limit} ms");
-        Some(FollowEnd::Suspect(reason))
+        Some(FollowEnd::suspect(&reason))
     }
 
     /// Pings a doubted leader once more; returns the reason for which it is still suspected, if
@@ -303,7 +364,7 @@
         let ping = client.ping(self.ping(record.epoch));
         let reply = tokio::time::timeout(PING_TIMEOUT, ping).await.ok()?.ok()?.into_inner();
         is_doubtful(&reply).then(|| {
-            FollowEnd::Suspect(format!(
+            FollowEnd::suspect(&format!(
                 "the store has not confirmed it for {} ms, its calls have failed for {} ms",
                 reply.store_age_ms, reply.failing_ms
             ))
@@ -354,17 +415,27 @@
 
     /// Notifies the earlier leaders in the background, and tells the leader task of this entry when
     /// all of them are known to lead no longer. Without their answers, the leader waits for the
-    /// longest time for which they may extend leases.
+    /// longest time for which they may extend leases. `unanswered` holds how many have not answered.
     fn start_predecessor_notification(
         &self,
         predecessors: &[Predecessor],
         epoch: u64,
         inbox: mpsc::Sender<LeaderMessage>,
+        unanswered: Arc<watch::Sender<usize>>,
     ) {
         let leader = self.settings.announced.to_string();
         let request = v1::PingRequest { leader, ..self.ping(epoch) };
         let notifications = predecessors.iter().map(|earlier| {
-            notify_predecessor(self.peers.clone(), earlier.address.clone(), request.clone())
+            let (address, unanswered) = (earlier.address.clone(), unanswered.clone());
+            let notification = notify_predecessor(self.peers.clone(), address, request.clone());
+            async move {
+                let answered = tokio::select! {
+                    answered = notification => answered,
+                    () = unanswered.closed() => false,
+                };
+                unanswered.send_modify(|count| *count -= 1);
+                answered
+            }
         });
         let notifications = futures::future::join_all(notifications);
         tokio::spawn(async move {
@@ -382,6 +453,7 @@
         &self,
         mut journal: Journal,
         sender: &mpsc::Sender<LeaderMessage>,
+        unanswered: &watch::Receiver<usize>,
     ) -> Option<(Journal, Leader)> {
         loop {
             let context = LeaderContext {
@@ -397,6 +469,7 @@
                     confirmation_limit: self.settings.confirmation_limit,
                     lease: self.settings.lease,
                 },
+                unanswered: unanswered.clone(),
             };
             let tables = self.tables.borrow().clone();
             match Leader::load(&journal, context, tables).await {
@@ -421,8 +494,16 @@
         let started = Instant::now();
         let epoch = journal.epoch();
         let (sender, inbox) = mpsc::channel(INBOX_CAPACITY);
-        let Some((journal, leader)) = self.load(journal, &sender).await else { return };
-        self.start_predecessor_notification(journal.predecessors(), epoch, sender.clone());
+        let (unanswered_sender, unanswered) = watch::channel(journal.predecessors().len());
+        let loaded = self.load(journal, &sender, &unanswered).await;
+        drop(unanswered);
+        let Some((journal, leader)) = loaded else { return };
+        self.start_predecessor_notification(
+            journal.predecessors(),
+            epoch,
+            sender.clone(),
+            Arc::new(unanswered_sender),
+        );
         self.inbox.send_replace(Some(sender));
         self.leadership.send_replace(Leadership {
             address: self.settings.announced.to_string(),
@@ -468,8 +549,8 @@
     address: String,
     request: v1::PingRequest,
 ) -> bool {
-    let deadline = Instant::now() + NOTIFY_TIMEOUT;
-    while Instant::now() < deadline {
+    let started = Instant::now();
+    while started.elapsed() < NOTIFY_TIMEOUT {
         if let Some(mut client) = peers.client(&address) {
             let reply = tokio::time::timeout(PING_TIMEOUT, client.ping(request.clone())).await;
             if matches!(reply, Ok(Ok(_))) {
@@ -477,7 +558,8 @@
             }
             peers.drop_connection(&address);
         }
-        tokio::time::sleep(NOTIFY_INTERVAL).await;
+        let rarely = started.elapsed() > NOTIFY_RARELY_AFTER;
+        tokio::time::sleep(if rarely { RARE_NOTIFY_INTERVAL } else { NOTIFY_INTERVAL }).await;
     }
     false
 }
--- a/crates/coordination/tests/entries/network.rs
+++ b/crates/coordination/tests/entries/network.rs
@@ -49,6 +49,19 @@
     }
 }
 
+/// Returns the address of a listener that accepts connections and never answers.
+pub async fn silent_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut connections = Vec::new();
+        while let Ok((connection, _)) = listener.accept().await {
+            connections.push(connection);
+        }
+    });
+    address
+}
+
 /// Forwards connections to `target`. While the gate is closed, only the first connection carries
 /// data.
 pub async fn forward_first(
--- a/crates/coordination/tests/entries/takeovers.rs
+++ b/crates/coordination/tests/entries/takeovers.rs
@@ -10,8 +10,10 @@
     MemoryTransactor, Page, Record, RecordKey, TransactError, TransactFault, Transaction,
     TransactionOutcome, Transactor,
 };
+use tokio::net::TcpListener;
 
-use crate::rig::{job, start_with, until_ready};
+use crate::network::silent_address;
+use crate::rig::{job, start_announced, start_with, until_ready};
 use crate::sessions::{Session, client};
 
 /// Time for which an earlier leader may extend leases after a takeover.
@@ -130,3 +132,29 @@
     assert_eq!((record.epoch, record.predecessors.len()), (2, 1));
     until_ready(&entry).await;
 }
+
+/// Guards against two entries that cannot reach each other, while the store answers both, replacing
+/// each other without end. The first one is replaced once; it then sees its successor write.
+#[tokio::test]
+async fn takeover_unreachable_kept() {
+    let store = Arc::new(MemoryTransactor::new());
+    let mut entries = Vec::new();
+    for name in ["entry-a", "entry-b"] {
+        let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let announced = silent_address().await;
+        entries.push(
+            start_announced(name, store.clone(), Limits::default(), control, announced).await,
+        );
+        while LeaderRecord::read(store.as_ref()).await.expect("a record").0.epoch == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    loop {
+        let (record, _) = LeaderRecord::read(store.as_ref()).await.expect("a record");
+        assert!(record.epoch <= 2, "{} has replaced a leader that works", record.name);
+        if record.epoch == 2 && record.sequence >= 10 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -74,6 +74,7 @@
     LeadershipEnded = 411, "leadership-ended", "This entry is no longer the leader.";
     LeaderSuspected = 412, "leader-suspected", "The leader does not answer or cannot reach the store.";
     LeadershipDoubted = 413, "leadership-doubted", "The store no longer confirms this leader, whose agents look for a successor, or does so again.";
+    LeaderKept = 414, "leader-kept", "This entry cannot reach the leader and does not replace it, because the leader writes to the store.";
     ConfigAccepted = 500, "config-accepted", "An edit of the tables was accepted as a new version.";
     ConfigRejected = 501, "config-rejected", "An edit of the tables was rejected; nothing changed.";
     ConfigApplied = 502, "config-applied", "This process now uses a new version of the tables.";
