Look up a takeover without an answer after 0.15 s

Cause: a takeover waited for the answer until the time limit of the call, 1.8 s, and was then made once more under the next epoch. Other writes have looked the record up after 0.15 s all along.

Change: a takeover is a write like the others. If the record that is read is the one that was written, the entry leads under its epoch; if it is unchanged and the store answers quickly, the write is sent again, of which at most one copy applies. After 2 s without an outcome it is given up and the record read again, as before.

Evidence: take_over_answer_lost passes now. With the former code it does not end, because nothing but the client's limit ended the call. The chains of takeovers keep their checks: an entry that ends before it has an answer (take_over_chains), one that learns no outcome and takes over twice (takeover_outcome_unknown_waits), and now one that recognises its write (takeover_answer_lost_waits, which expects epoch 2 in place of 3 and waits as long as before).

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -44,6 +44,9 @@
 /// later received no answer.
 const PROMPT_FAILURE_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time limit of a takeover. A write to the slowest store observed takes about a second.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Number of calls for one write that may be open at once. Each of them may be lost or late.
 const MAX_OPEN_CALLS: usize = 4;
 
@@ -80,10 +83,11 @@
 
 impl Journal {
     /// Takes over the leadership from the entry that `record` names, provided that the record is
-    /// still at `version`. Returns `None` when another entry has replaced the record.
+    /// still at `version`. Returns `None` when another entry has replaced the record. When the answer
+    /// is delayed, the record is read to learn the outcome, as for other writes.
     ///
     /// # Errors
-    /// [`TransactError`] when the store gave no outcome.
+    /// [`TransactError`] when the store gave no outcome within 2 s.
     pub async fn take_over(
         store: Arc<dyn Transactor>,
         name: &str,
@@ -93,26 +97,28 @@
         health: Arc<StoreHealth>,
     ) -> Result<Option<Self>, TransactError> {
         let next = record.succeeded_by(name, address);
-        let confirmed_at = boot_time();
-        let transaction = Transaction {
-            expected_versions: vec![(LeaderRecord::key(), version)],
-            puts: vec![(LeaderRecord::key(), next.encode().into())],
-            ..Transaction::default()
+        let earlier = Self {
+            confirmed_at: Duration::ZERO,
+            health,
+            last_sequence: 0,
+            predecessors: next.predecessors.clone(),
+            record: record.clone(),
+            store,
+            version,
         };
-        match store.apply(&transaction).await? {
-            TransactionOutcome::Committed { version } => {
-                health.record_success(confirmed_at);
-                Ok(Some(Self {
-                    confirmed_at,
-                    health,
-                    last_sequence: 0,
-                    predecessors: next.predecessors.clone(),
-                    record: next,
-                    store,
-                    version,
-                }))
+        let takeover = tokio::time::timeout(TAKEOVER_TIMEOUT, earlier.replace_record(next, &[]));
+        match takeover.await {
+            Ok((journal, CommitOutcome::Stored)) => Ok(Some(journal)),
+            Ok((_, CommitOutcome::Deposed)) => Ok(None),
+            Ok((_, CommitOutcome::Rejected)) => {
+                let detail = "takeover rejected".to_owned();
+                Err(TransactError::Rejected { detail })
+            }
+            Err(_) => {
+                let limit = TAKEOVER_TIMEOUT.as_millis();
+                let detail = format!("takeover not stored within {limit} ms");
+                Err(TransactError::Unanswered { detail })
             }
-            TransactionOutcome::Conflict { .. } => Ok(None),
         }
     }
 
@@ -167,10 +173,20 @@
             sequence: self.last_sequence,
             ..self.record.clone()
         };
+        self.replace_record(next, &rows).await
+    }
+
+    /// Replaces the leader's record by `next` and stores `rows` in the same transaction. Returns when
+    /// it is stored or can never be.
+    async fn replace_record(
+        mut self,
+        next: LeaderRecord,
+        rows: &[RowChange],
+    ) -> (Self, CommitOutcome) {
         let mut retry_delay = FIRST_RETRY_DELAY;
         let started = boot_time();
         let mut calls = FuturesUnordered::new();
-        calls.push(self.write(&next, &rows));
+        calls.push(self.write(&next, rows));
         let mut check = self.read_record_after(FIRST_CHECK_DELAY);
         loop {
             let outcome = tokio::select! {
@@ -211,7 +227,7 @@
                             let outcome = self.resolve_read(&next, reading, read.sent_at);
                             let quick = reading.took < QUICK_READ_LIMIT;
                             if outcome.is_none() && quick && calls.len() < MAX_OPEN_CALLS {
-                                calls.push(self.write(&next, &rows));
+                                calls.push(self.write(&next, rows));
                             }
                             (
                                 outcome,
@@ -235,7 +251,7 @@
                 return (self, outcome);
             }
             if calls.is_empty() {
-                calls.push(self.write(&next, &rows));
+                calls.push(self.write(&next, rows));
             }
         }
     }
--- a/crates/coordination/tests/entries/takeovers.rs
+++ b/crates/coordination/tests/entries/takeovers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use skylarkpulley_coordination::LeaderRecord;
+use skylarkpulley_coordination::{Entry, LeaderRecord};
 use skylarkpulley_jobs::{Limits, ProgressRow, TaskKey, TaskRow, WorkerRow};
 use skylarkpulley_store::{
     MemoryTransactor, Page, Record, RecordKey, TransactError, TransactFault, Transaction,
@@ -12,7 +12,7 @@
 };
 use tokio::net::TcpListener;
 
-use crate::network::silent_address;
+use crate::network::{GatedStore, silent_address};
 use crate::rig::{job, start_announced, start_with, until_ready};
 use crate::sessions::{Session, client};
 
@@ -91,24 +91,54 @@
     unreachable!("the reports have no end")
 }
 
+/// Waits until the job of the silent leader is started again, and checks that this took the whole
+/// time for which that leader may extend leases.
+async fn check_waits(entry: &Entry, store: &MemoryTransactor, started: Instant) {
+    let mut session = Session::open(&mut client(entry)).await;
+    let waited = time_to_start(&mut session, started).await;
+    assert!(waited >= TAKEOVER, "started again after {waited:?}");
+    let (record, _) = LeaderRecord::read(store).await.expect("a record");
+    assert!(record.predecessors.is_empty(), "the wait is over");
+}
+
+fn short_limits() -> Limits {
+    Limits { lapse: Duration::from_millis(100), takeover: TAKEOVER, ..Limits::default() }
+}
+
 /// Guards against a takeover without an answer that hides the earlier leader (review/1): its runs
 /// were taken for lost, and started again, while it still extended their leases.
 #[tokio::test]
 async fn takeover_answer_lost_waits() {
     let store = store_of_silent_leader().await;
     store.inject(&[TransactFault::LostAnswer]);
-    let limits =
-        Limits { lapse: Duration::from_millis(100), takeover: TAKEOVER, ..Limits::default() };
     let started = Instant::now();
-    let (entry, _) = start_with("entry-b", store.clone(), limits).await;
+    let (entry, _) = start_with("entry-b", store.clone(), short_limits()).await;
     until_ready(&entry).await;
     let (record, _) = LeaderRecord::read(store.as_ref()).await.expect("a record");
-    assert_eq!((record.epoch, record.name.as_str()), (3, "entry-b"), "it took over twice");
-    let mut session = Session::open(&mut client(&entry)).await;
-    let waited = time_to_start(&mut session, started).await;
-    assert!(waited >= TAKEOVER, "started again after {waited:?}");
+    assert_eq!((record.epoch, record.name.as_str()), (2, "entry-b"), "its write is recognised");
+    check_waits(&entry, &store, started).await;
+}
+
+/// Guards against the same where the entry cannot learn the outcome of its takeover, and takes over
+/// once more.
+#[tokio::test]
+async fn takeover_outcome_unknown_waits() {
+    let store = store_of_silent_leader().await;
+    store.inject(&[TransactFault::Hang]);
+    let (gated, gate) = GatedStore::new(store.clone());
+    let (entry, _) = start_with("entry-b", Arc::new(gated), short_limits()).await;
+    while LeaderRecord::read(store.as_ref()).await.expect("a record").0.epoch < 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    gate.send_replace(false);
+    // The entry gives up its takeover after 2 s.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let started = Instant::now();
+    gate.send_replace(true);
+    until_ready(&entry).await;
     let (record, _) = LeaderRecord::read(store.as_ref()).await.expect("a record");
-    assert!(record.predecessors.is_empty(), "the wait is over");
+    assert_eq!((record.epoch, record.name.as_str()), (3, "entry-b"), "it took over twice");
+    check_waits(&entry, &store, started).await;
 }
 
 /// Guards against an entry that takes over, cannot load the rows, and keeps all others following it.
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -207,14 +207,17 @@
     assert!(store.read(&RecordKey::new("jobs", "large")).await.unwrap().is_none());
 }
 
-/// Takes over from the leader in the record as the entry `name`. Its answer is lost.
+/// Takes over from the leader in the record as the entry `name`, whose process ends before it has
+/// an answer.
 async fn take_over_unanswered(store: &Arc<MemoryTransactor>, name: &str) {
-    store.inject(&[TransactFault::LostAnswer]);
+    store.inject(&[TransactFault::Hang]);
     let (record, version) = LeaderRecord::read(store.as_ref()).await.unwrap();
     let (address, health) = (format!("{name}:1"), Arc::new(StoreHealth::new()));
-    let takeover =
-        Journal::take_over(store.clone(), name, &address, &record, version, health).await;
-    assert!(takeover.is_err(), "{name}: the answer is lost");
+    let takeover = Journal::take_over(store.clone(), name, &address, &record, version, health);
+    let ended = tokio::time::timeout(Duration::from_millis(10), takeover).await;
+    assert!(ended.is_err(), "{name}: there is no answer");
+    let (record, _) = LeaderRecord::read(store.as_ref()).await.unwrap();
+    assert_eq!(record.name, name, "the write is stored");
 }
 
 async fn take_over(store: &Arc<MemoryTransactor>, name: &str) -> Journal {
@@ -229,9 +232,40 @@
     predecessors.iter().map(|earlier| earlier.name.as_str()).collect()
 }
 
+/// Guards against a takeover whose answer is lost and that is noticed only after the time limit of a
+/// call, so that nobody leads for 2 s longer.
+#[tokio::test(start_paused = true)]
+async fn take_over_answer_lost() {
+    for (fault, expected_ms) in
+        [(TransactFault::Hang, 150), (TransactFault::LostAnswer, 50), (TransactFault::Refused, 50)]
+    {
+        let store = Arc::new(MemoryTransactor::new());
+        take_over(&store, "a").await;
+        store.inject(&[fault]);
+        let started = Instant::now();
+        let journal = take_over(&store, "b").await;
+        assert_eq!(started.elapsed(), Duration::from_millis(expected_ms), "{fault:?}");
+        assert_eq!((journal.epoch(), names(journal.predecessors())), (2, vec!["a"]), "{fault:?}");
+        assert_eq!(journal.commit(vec![row("x")]).await.1, CommitOutcome::Stored, "{fault:?}");
+    }
+}
+
+/// Guards against a takeover that is attempted without end while the store is silent.
+#[tokio::test(start_paused = true)]
+async fn take_over_silent_store() {
+    let from = Instant::now();
+    let until = from + Duration::from_secs(3600);
+    let inner = MemoryTransactor::new();
+    let store = Arc::new(FailingStore { from, inner, outage: Outage::Silent, until });
+    let (record, health) = (LeaderRecord::default(), Arc::new(StoreHealth::new()));
+    let takeover = Journal::take_over(store, "a", "a:1", &record, 0, health).await;
+    assert!(matches!(takeover, Err(TransactError::Unanswered { .. })));
+    assert_eq!(from.elapsed(), Duration::from_secs(2));
+}
+
 /// Guards against an earlier leader that a takeover hides (review/1): leases that it extends were
 /// taken for lapsed. Each takeover passes on whom the one before it had to wait for.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn take_over_chains() {
     // A leads, B has no answer to its takeover and takes over again.
     let store = Arc::new(MemoryTransactor::new());
