--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,385 @@
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use tokio::net::TcpListener;
+
+use crate::callers::{Callers, tables_document};
+use crate::links::Links;
+use crate::processes::{EntryValues, Process, agent_settings, entry_settings};
+use crate::scenario::{Connections, Cut, CutTarget, Direction};
+use crate::server::listen;
+use crate::store::{LostAnswers, Store};
+use crate::worker::WorkerLimits;
+use crate::worker_server::{POOL, WorkerServer};
+use crate::{
+    EndKind, HoldRule, Observation, Observations, Party, Scenario, SoakError, Step, Violation,
+    judge,
+};
+
+/// Number of failure domains.
+const DOMAINS: usize = 3;
+
+/// Time limit for the entries to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between readiness and the start of the traffic, in which agents and workers join.
+const JOIN_TIME: Duration = Duration::from_secs(3);
+
+/// Interval at which the leader's record is observed.
+const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time after the start of a cut from which starts show that work goes on.
+const CUT_SETTLED: Duration = Duration::from_millis(500);
+
+/// Settings of a play.
+#[derive(Clone, Debug)]
+pub struct PlaySettings {
+    /// Number of entries.
+    pub entries: usize,
+    /// Time after the traffic within which accepted jobs have to end.
+    pub finish_limit: Duration,
+    /// Folder for settings and logs of the processes.
+    pub folder: PathBuf,
+    /// Folder of the programs.
+    pub programs: PathBuf,
+    /// Seed of jobs and lost answers.
+    pub seed: u64,
+    /// Number of workers, each with an agent.
+    pub workers: usize,
+}
+
+/// What happened during a cut or a pause of the leader.
+#[derive(Clone, Debug)]
+pub struct CutReport {
+    /// Start after that of the traffic.
+    pub at: Duration,
+    /// Time until the first start at any worker; `None` without a start until the end.
+    pub first_start: Option<Duration>,
+    /// Time until the first order of a later leader at each worker; `None` without one until the
+    /// end.
+    pub moved: Vec<Option<Duration>>,
+    /// Starts between 0.5 s after the beginning and the end.
+    pub starts: usize,
+    /// Time until the record named another leader.
+    pub taken_over: Option<Duration>,
+    /// End after the start of the traffic.
+    pub until: Duration,
+}
+
+/// Outcome of a play.
+#[derive(Clone, Debug)]
+pub struct PlayReport {
+    /// Cuts and pauses of a leader, in order.
+    pub cuts: Vec<CutReport>,
+    /// Runs that ended as done.
+    pub done: usize,
+    /// Changes of the leader during the traffic.
+    pub epochs: usize,
+    /// Runs whose lease lapsed.
+    pub lapsed: usize,
+    /// Runs that were started.
+    pub starts: usize,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+/// The deployment under test, its stand-ins and the faults that are in effect.
+struct Deployment {
+    callers: Callers,
+    /// Entry at each index, then the agents.
+    entries: Vec<Arc<Mutex<Process>>>,
+    _agents: Vec<Process>,
+    links: Links,
+    observations: Observations,
+    store: Store,
+}
+
+/// Beginning and end of the cut of a leader, after the start of the traffic.
+type CutTimes = Arc<Mutex<Vec<(Duration, Duration)>>>;
+
+/// Changes of the leader's epoch, with their times after the start of the traffic.
+type EpochChanges = Arc<Mutex<Vec<(Duration, u64)>>>;
+
+/// Plays a scenario and judges what was observed.
+///
+/// # Errors
+/// [`SoakError`] when the deployment cannot be started.
+pub async fn play(settings: &PlaySettings, scenario: &Scenario) -> Result<PlayReport, SoakError> {
+    let started = Instant::now();
+    let observations = Observations::new(started);
+    let deployment = Deployment::start(settings, scenario, observations).await?;
+    tokio::time::sleep(JOIN_TIME).await;
+    let traffic_start = tokio::time::Instant::now();
+    let offset = started.elapsed();
+    let cuts: CutTimes = Arc::default();
+    let epochs: EpochChanges = Arc::default();
+    let watch = tokio::spawn(watch_leader(deployment.store.clone(), traffic_start, epochs.clone()));
+    let traffic = deployment.callers.run(scenario.length, settings.seed);
+    tokio::join!(traffic, deployment.inject(scenario, traffic_start, &cuts));
+    deployment.callers.await_ends(settings.finish_limit).await;
+    watch.abort();
+    let observed = deployment.observations.snapshot();
+    let epochs = lock(&epochs).clone();
+    let cuts = lock(&cuts).clone();
+    let report_cut =
+        |(at, until)| report_cut(&observed, &epochs, offset, (at, until), settings.workers);
+    let count = |matches: fn(&Observation) -> bool| {
+        observed.iter().filter(|(_, observation)| matches(observation)).count()
+    };
+    Ok(PlayReport {
+        cuts: cuts.into_iter().map(report_cut).collect(),
+        done: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Done, .. })),
+        epochs: epochs.len().saturating_sub(1),
+        lapsed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Lapsed, .. })),
+        starts: count(|seen| matches!(seen, Observation::Started { .. })),
+        violations: judge(&observed),
+    })
+}
+
+impl Deployment {
+    async fn start(
+        settings: &PlaySettings,
+        scenario: &Scenario,
+        observations: Observations,
+    ) -> Result<Self, SoakError> {
+        let links = Links::new();
+        let store = Store::new(&tables_document(POOL), settings.seed);
+        let store_address = links.serve(listen().await?, Party::Store, store.start().await?)?;
+        let lease_ms = u64::try_from(scenario.lease.as_millis()).unwrap_or(u64::MAX);
+        let (mut entries, mut callers, mut readiness) = (Vec::new(), Vec::new(), Vec::new());
+        for index in 0..settings.entries {
+            let party = Party::Entry(index);
+            let control = free_address().await?;
+            let values = EntryValues {
+                announced: links.serve(listen().await?, party, control)?,
+                callers: free_address().await?,
+                control,
+                lease_ms,
+                readiness: free_address().await?,
+                store: store_address,
+            };
+            let program = settings.programs.join("skylarkpulley-platform-entry");
+            let text = entry_settings(party, &values);
+            let process = Process::start(&program, &settings.folder, party, &text, &links)?;
+            entries.push(Arc::new(Mutex::new(process)));
+            callers.push(values.callers);
+            readiness.push(values.readiness);
+        }
+        let mut agents = Vec::new();
+        for index in 0..settings.workers {
+            let party = Party::Agent(index);
+            let announcements = free_address().await?;
+            let text = agent_settings(party, announcements, store_address, lease_ms);
+            let program = settings.programs.join("skylarkpulley-platform-agent");
+            agents.push(Process::start(&program, &settings.folder, party, &text, &links)?);
+            let limits = WorkerLimits {
+                accelerators: 8,
+                clock_rate: if index % 2 == 0 { 1.0 } else { 0.98 },
+                longest_lease: scenario.lease,
+                stop: Duration::from_millis(200),
+            };
+            let worker = WorkerServer::new(&worker_id(index), limits, observations.clone());
+            worker.start(announcements, &format!("domain-{}", index % DOMAINS)).await?;
+        }
+        await_ready(&readiness).await?;
+        let callers = Callers::new(&callers, observations.clone());
+        Ok(Self { callers, entries, _agents: agents, links, observations, store })
+    }
+
+    /// Carries out the steps of a scenario, and ends all its faults.
+    async fn inject(
+        &self,
+        scenario: &Scenario,
+        traffic_start: tokio::time::Instant,
+        cuts: &CutTimes,
+    ) {
+        let mut ends = tokio::task::JoinSet::new();
+        for (fault, planned) in scenario.steps.iter().enumerate() {
+            tokio::time::sleep_until(traffic_start + planned.at).await;
+            let leader = self.leader();
+            let interval = |length| (traffic_start.elapsed(), traffic_start.elapsed() + length);
+            match &planned.step {
+                Step::Cut(cut) => {
+                    let Some(leader) = leader else { continue };
+                    lock(cuts).push(interval(cut.length));
+                    let fault = u64::try_from(fault).unwrap_or(u64::MAX);
+                    let rules = cut_rules(fault, leader, cut, self.entries.len());
+                    self.links.add_rules(rules);
+                    let (links, length) = (self.links.clone(), cut.length);
+                    // Connections that have become silent stay so.
+                    if cut.connections != Connections::Earlier {
+                        ends.spawn(async move {
+                            tokio::time::sleep(length).await;
+                            links.remove_rules(fault);
+                        });
+                    }
+                }
+                Step::LoseAnswers(lost, length) => {
+                    self.store.lose_answers(lost.clone());
+                    let (store, length) = (self.store.clone(), *length);
+                    ends.spawn(async move {
+                        tokio::time::sleep(length).await;
+                        store.lose_answers(LostAnswers::default());
+                    });
+                }
+                Step::KillLeader(down) => {
+                    let Some(leader) = leader else { continue };
+                    let (process, down) = (self.entries[leader].clone(), *down);
+                    lock(&process).kill();
+                    ends.spawn(async move {
+                        tokio::time::sleep(down).await;
+                        if let Err(error) = lock(&process).restart() {
+                            eprintln!("{error}");
+                        }
+                    });
+                }
+                Step::PauseLeader(length) => {
+                    let Some(leader) = leader else { continue };
+                    lock(cuts).push(interval(*length));
+                    ends.spawn(pause(self.entries[leader].clone(), *length));
+                }
+                Step::PauseEntry(index, length) => {
+                    ends.spawn(pause(self.entries[*index].clone(), *length));
+                }
+            }
+        }
+        while ends.join_next().await.is_some() {}
+    }
+
+    /// Returns the index of the entry that the leader's record names.
+    fn leader(&self) -> Option<usize> {
+        let (_, name) = self.store.leader()?;
+        (0..self.entries.len()).find(|index| Party::Entry(*index).to_string() == name)
+    }
+}
+
+async fn pause(process: Arc<Mutex<Process>>, length: Duration) {
+    lock(&process).signal(Signal::STOP);
+    tokio::time::sleep(length).await;
+    lock(&process).signal(Signal::CONT);
+}
+
+fn cut_rules(fault: u64, leader: usize, cut: &Cut, entries: usize) -> Vec<HoldRule> {
+    let now = Instant::now();
+    let (opened_before, opened_from) = match cut.connections {
+        Connections::All => (None, None),
+        Connections::Earlier => (Some(now), None),
+        Connections::Later => (None, Some(now)),
+    };
+    let others = (0..entries).filter(|index| *index != leader).map(Party::Entry);
+    let mut parties: Vec<Party> = Vec::new();
+    if cut.targets.contains(&CutTarget::Entries) {
+        parties.extend(others);
+    }
+    if cut.targets.contains(&CutTarget::Store) {
+        parties.push(Party::Store);
+    }
+    let rule = |from, to| HoldRule { fault, from, to, opened_before, opened_from };
+    let leader = Party::Entry(leader);
+    let mut rules = Vec::new();
+    if cut.targets.contains(&CutTarget::Agents) {
+        // Nothing but agents is left then.
+        rules.push(rule(Some(leader), None));
+        rules.push(rule(None, Some(leader)));
+    }
+    for party in parties {
+        rules.push(rule(Some(leader), Some(party)));
+        rules.push(rule(Some(party), Some(leader)));
+    }
+    rules.retain(|rule| match cut.direction {
+        Direction::Both => true,
+        Direction::Sent => rule.from == Some(leader),
+        Direction::Received => rule.to == Some(leader),
+    });
+    rules
+}
+
+fn worker_id(index: usize) -> String {
+    format!("worker-{index}")
+}
+
+/// Returns a loopback address that was free a moment ago. The programs take no port 0.
+async fn free_address() -> Result<SocketAddr, SoakError> {
+    let listener: TcpListener = listen().await?;
+    listener.local_addr().map_err(SoakError::io("a free port"))
+}
+
+async fn await_ready(readiness: &[SocketAddr]) -> Result<(), SoakError> {
+    let client = reqwest::Client::new();
+    let deadline = Instant::now() + READY_LIMIT;
+    for address in readiness {
+        loop {
+            let url = format!("http://{address}/readiness");
+            let answer = client.get(url).timeout(Duration::from_secs(1)).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                break;
+            }
+            if Instant::now() > deadline {
+                return Err(SoakError::NotReady { seconds: READY_LIMIT.as_secs() });
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn watch_leader(store: Store, traffic_start: tokio::time::Instant, changes: EpochChanges) {
+    loop {
+        if let Some((epoch, _)) = store.leader() {
+            let mut changes = lock(&changes);
+            if changes.last().is_none_or(|(_, known)| *known != epoch) {
+                changes.push((traffic_start.elapsed(), epoch));
+            }
+        }
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
+}
+
+/// Summarises what workers observed during a cut. `offset` is the time of the start of the traffic.
+fn report_cut(
+    observed: &[(Duration, Observation)],
+    epochs: &[(Duration, u64)],
+    offset: Duration,
+    (at, until): (Duration, Duration),
+    workers: usize,
+) -> CutReport {
+    let during: Vec<(Duration, &Observation)> = observed
+        .iter()
+        .filter_map(|(time, observation)| Some((time.checked_sub(offset)?, observation)))
+        .filter(|(time, _)| *time > at && *time <= until)
+        .map(|(time, observation)| (time - at, observation))
+        .collect();
+    let epoch_before = epochs.iter().rfind(|(time, _)| *time <= at).map_or(0, |(_, epoch)| *epoch);
+    let moved = (0..workers).map(|index| {
+        let id = worker_id(index);
+        let first = during.iter().find(|(_, observation)| {
+            matches!(observation, Observation::EpochRaised { epoch, worker }
+                if *epoch > epoch_before && *worker == id)
+        });
+        first.map(|(time, _)| *time)
+    });
+    let settled_starts = during.iter().filter(|(time, observation)| {
+        *time > CUT_SETTLED && matches!(observation, Observation::Started { .. })
+    });
+    CutReport {
+        at,
+        first_start: settled_starts.clone().next().map(|(time, _)| *time),
+        moved: moved.collect(),
+        starts: settled_starts.count(),
+        taken_over: epochs.iter().find(|(time, _)| *time > at).map(|(time, _)| *time - at),
+        until,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the folder of the running program, where cargo puts the other programs as well.
+pub fn program_folder() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    own.parent().map(Path::to_owned).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/soak/src/scenario.rs
@@ -0,0 +1,342 @@
+use std::time::Duration;
+
+use crate::store::LostAnswers;
+use crate::{Day, DayFault, SoakError};
+
+/// Longest lease of the workers of the users' site novias-vc.
+const SITE_LEASE: Duration = Duration::from_secs(6);
+
+/// What a leader is cut off from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutTarget {
+    /// All agents.
+    Agents,
+    /// The other entries.
+    Entries,
+    /// The store.
+    Store,
+}
+
+/// Which bytes a cut holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// Those that the leader sends and those that it receives.
+    Both,
+    /// Those that it sends.
+    Sent,
+    /// Those that it receives.
+    Received,
+}
+
+/// Which connections a cut concerns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connections {
+    /// All.
+    All,
+    /// Those that were opened before the cut.
+    Earlier,
+    /// Those that are opened after its beginning.
+    Later,
+}
+
+/// A cut between the leader and others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cut {
+    /// Which connections are concerned.
+    pub connections: Connections,
+    /// Which bytes are held.
+    pub direction: Direction,
+    /// Length.
+    pub length: Duration,
+    /// Who is cut off from the leader.
+    pub targets: Vec<CutTarget>,
+}
+
+/// One action of a play.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Cuts the leader off.
+    Cut(Cut),
+    /// Kills the entry that leads, and starts it again after this time.
+    KillLeader(Duration),
+    /// Loses answers of the store for this time.
+    LoseAnswers(LostAnswers, Duration),
+    /// Pauses an entry for this time.
+    PauseEntry(usize, Duration),
+    /// Pauses the entry that leads for this time.
+    PauseLeader(Duration),
+}
+
+/// An action with its time after the start of the traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedStep {
+    /// When it is due.
+    pub at: Duration,
+    /// The action.
+    pub step: Step,
+}
+
+/// Kinds of plays, which vary a day.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The day as it is.
+    Day,
+    /// The entry that leads after a cut is killed and started again.
+    Kill,
+    /// Writes without an answer are applied 1 to 6 s late.
+    Late,
+    /// Reads are lost as well.
+    Reads,
+    /// The entry that leads after a cut is paused.
+    NextPaused,
+    /// The leader is paused instead of cut off.
+    PauseLeader,
+    /// Only bytes of the leader are held.
+    Sent,
+    /// Only bytes to the leader are held.
+    Received,
+    /// The leader is cut off from the store only.
+    StoreOnly,
+    /// The leader is cut off from the other entries only.
+    EntriesOnly,
+    /// The leader is cut off from its agents as well.
+    AllParties,
+    /// Only connections from before a cut are held, for good.
+    Earlier,
+    /// Only connections from after the beginning of a cut are held.
+    Later,
+    /// A new cut of the leader every 1.6 to 4 s.
+    Rolling,
+    /// The same, and leaders are killed.
+    RollingKill,
+    /// Entries stand still for 0.5 to 3 s in turn, beside the day.
+    Stalls,
+    /// The same, and leaders are killed.
+    StallsKill,
+    /// Workers accept leases of 3 s.
+    ShortLease,
+    /// Workers accept leases of 10 s.
+    LongLease,
+    /// Each cut is of a random variant.
+    Mixed,
+}
+
+impl Kind {
+    /// All kinds, by their names.
+    pub const NAMED: [(&'static str, Self); 20] = [
+        ("day", Self::Day),
+        ("kill", Self::Kill),
+        ("late", Self::Late),
+        ("reads", Self::Reads),
+        ("next-paused", Self::NextPaused),
+        ("pause-leader", Self::PauseLeader),
+        ("sent", Self::Sent),
+        ("received", Self::Received),
+        ("store-only", Self::StoreOnly),
+        ("entries-only", Self::EntriesOnly),
+        ("all-parties", Self::AllParties),
+        ("earlier", Self::Earlier),
+        ("later", Self::Later),
+        ("rolling", Self::Rolling),
+        ("rolling-kill", Self::RollingKill),
+        ("stalls", Self::Stalls),
+        ("stalls-kill", Self::StallsKill),
+        ("short-lease", Self::ShortLease),
+        ("long-lease", Self::LongLease),
+        ("mixed", Self::Mixed),
+    ];
+
+    /// Returns the kind with this name.
+    ///
+    /// # Errors
+    /// [`SoakError::UnknownKind`] when there is none.
+    pub fn named(name: &str) -> Result<Self, SoakError> {
+        let found = Self::NAMED.iter().find(|(known, _)| *known == name);
+        found.map(|(_, kind)| *kind).ok_or_else(|| SoakError::UnknownKind {
+            name: name.to_owned(),
+            known: Self::NAMED.map(|(known, _)| known).join(", "),
+        })
+    }
+}
+
+/// The plan of one play.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Longest lease that workers accept.
+    pub lease: Duration,
+    /// Length of the traffic.
+    pub length: Duration,
+    /// Actions, ordered by time.
+    pub steps: Vec<PlannedStep>,
+}
+
+impl Scenario {
+    /// Returns the plan of a day, varied by `kind` and `seed`. The same arguments give the same
+    /// plan.
+    ///
+    /// # Errors
+    /// [`SoakError::Unsupported`] when the day has a fault that the soak cannot inject.
+    pub fn new(day: &Day, kind: Kind, entries: usize, seed: u64) -> Result<Self, SoakError> {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let length = Duration::from_secs_f64(day.length_s);
+        let mut steps = Vec::new();
+        for fault in &day.faults {
+            steps.push(decode_fault(fault)?);
+        }
+        match kind {
+            Kind::Rolling | Kind::RollingKill => {
+                steps = rolling_cuts(&mut rng, length, kind == Kind::RollingKill);
+            }
+            _ => {
+                steps = steps.into_iter().flat_map(|step| vary(&mut rng, kind, step)).collect();
+            }
+        }
+        if matches!(kind, Kind::Stalls | Kind::StallsKill) {
+            steps.extend(stalls(&mut rng, length, entries));
+        }
+        steps.sort_by_key(|planned| planned.at);
+        let lease = match kind {
+            Kind::ShortLease => Duration::from_secs(3),
+            Kind::LongLease => Duration::from_secs(10),
+            _ => SITE_LEASE,
+        };
+        Ok(Self { lease, length, steps })
+    }
+}
+
+fn decode_fault(fault: &DayFault) -> Result<PlannedStep, SoakError> {
+    let length = Duration::from_secs_f64(fault.for_s);
+    let step = match (fault.kind.as_str(), fault.how.as_str()) {
+        ("node_cut", "leader") => Step::Cut(Cut {
+            connections: Connections::All,
+            direction: Direction::Both,
+            length,
+            targets: vec![CutTarget::Entries, CutTarget::Store],
+        }),
+        ("platform_lost", how @ ("" | "late")) => {
+            let delay_s = (how == "late").then_some((1.0, 6.0));
+            let writes = fault.x.unwrap_or(0.3);
+            Step::LoseAnswers(LostAnswers { writes, reads: 0.0, delay_s }, length)
+        }
+        (kind, how) => {
+            let (kind, how) = (kind.to_owned(), how.to_owned());
+            return Err(SoakError::Unsupported { kind, how });
+        }
+    };
+    Ok(PlannedStep { at: Duration::from_secs_f64(fault.at), step })
+}
+
+/// Returns the steps that take the place of one step of the day.
+fn vary(rng: &mut fastrand::Rng, kind: Kind, planned: PlannedStep) -> Vec<PlannedStep> {
+    let kind = match kind {
+        Kind::Mixed => {
+            let drawn = [
+                Kind::Day,
+                Kind::Kill,
+                Kind::Late,
+                Kind::Reads,
+                Kind::NextPaused,
+                Kind::PauseLeader,
+                Kind::Sent,
+                Kind::Received,
+                Kind::StoreOnly,
+                Kind::EntriesOnly,
+                Kind::AllParties,
+                Kind::Earlier,
+                Kind::Later,
+            ];
+            drawn[rng.usize(..drawn.len())]
+        }
+        kind => kind,
+    };
+    let at = planned.at;
+    match planned.step {
+        Step::Cut(cut) => vary_cut(rng, kind, at, cut),
+        Step::LoseAnswers(lost, length) => {
+            let lost = match kind {
+                Kind::Late => {
+                    let writes = if rng.bool() { lost.writes } else { 0.8 };
+                    LostAnswers { writes, delay_s: Some((1.0, 6.0)), ..lost }
+                }
+                Kind::Reads => LostAnswers { reads: lost.writes, ..lost },
+                _ => lost,
+            };
+            vec![PlannedStep { at, step: Step::LoseAnswers(lost, length) }]
+        }
+        step => vec![PlannedStep { at, step }],
+    }
+}
+
+fn vary_cut(rng: &mut fastrand::Rng, kind: Kind, at: Duration, cut: Cut) -> Vec<PlannedStep> {
+    let after = |rng: &mut fastrand::Rng, least: f64, most: f64| at + between(rng, least, most);
+    let with = |targets: &[CutTarget]| Cut { targets: targets.to_vec(), ..cut.clone() };
+    let varied = match kind {
+        Kind::PauseLeader => {
+            return vec![PlannedStep { at, step: Step::PauseLeader(cut.length) }];
+        }
+        Kind::Sent => Cut { direction: Direction::Sent, ..cut.clone() },
+        Kind::Received => Cut { direction: Direction::Received, ..cut.clone() },
+        Kind::StoreOnly => with(&[CutTarget::Store]),
+        Kind::EntriesOnly => with(&[CutTarget::Entries]),
+        Kind::AllParties => with(&[CutTarget::Agents, CutTarget::Entries, CutTarget::Store]),
+        Kind::Earlier => Cut { connections: Connections::Earlier, ..cut.clone() },
+        Kind::Later => Cut { connections: Connections::Later, ..cut.clone() },
+        _ => cut,
+    };
+    let mut steps = vec![PlannedStep { at, step: Step::Cut(varied) }];
+    match kind {
+        Kind::Kill | Kind::StallsKill => {
+            let down = between(rng, 0.2, 2.0);
+            steps.push(PlannedStep { at: after(rng, 1.0, 3.5), step: Step::KillLeader(down) });
+        }
+        Kind::NextPaused => {
+            let pause = between(rng, 0.5, 6.0);
+            steps.push(PlannedStep { at: after(rng, 0.9, 2.5), step: Step::PauseLeader(pause) });
+        }
+        _ => {}
+    }
+    steps
+}
+
+/// Cuts of each leader in turn, shorter than the time for which an earlier leader may extend leases.
+fn rolling_cuts(rng: &mut fastrand::Rng, length: Duration, kill: bool) -> Vec<PlannedStep> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(4);
+    while at + Duration::from_secs(10) < length {
+        let cut = Cut {
+            connections: Connections::All,
+            direction: Direction::Both,
+            length: between(rng, 2.0, 8.0),
+            targets: vec![CutTarget::Entries, CutTarget::Store],
+        };
+        steps.push(PlannedStep { at, step: Step::Cut(cut) });
+        if rng.f64() < 0.5 {
+            let lost = LostAnswers { writes: 0.35, ..LostAnswers::default() };
+            let step = Step::LoseAnswers(lost, between(rng, 0.5, 3.0));
+            steps.push(PlannedStep { at: at + between(rng, 0.2, 1.5), step });
+        }
+        if kill && rng.f64() < 0.5 {
+            let down = between(rng, 0.2, 2.0);
+            let step = Step::KillLeader(down);
+            steps.push(PlannedStep { at: at + between(rng, 1.0, 3.5), step });
+        }
+        at += between(rng, 1.6, 4.0);
+    }
+    steps
+}
+
+fn stalls(rng: &mut fastrand::Rng, length: Duration, entries: usize) -> Vec<PlannedStep> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(2);
+    while at + Duration::from_secs(5) < length {
+        let step = Step::PauseEntry(rng.usize(..entries), between(rng, 0.5, 3.0));
+        steps.push(PlannedStep { at, step });
+        at += between(rng, 0.5, 3.0);
+    }
+    steps
+}
+
+/// Returns a random duration between two bounds in seconds.
+fn between(rng: &mut fastrand::Rng, least: f64, most: f64) -> Duration {
+    Duration::from_secs_f64(least + rng.f64() * (most - least))
+}
--- /dev/null
+++ b/crates/soak/src/soak_error.rs
@@ -0,0 +1,62 @@
+use std::path::PathBuf;
+
+use derive_more::{Display, Error};
+
+/// Why a play could not run.
+#[derive(Debug, Display, Error)]
+pub enum SoakError {
+    /// A day file cannot be read or decoded.
+    #[display("day file {}: {detail}", path.display())]
+    Day {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        detail: String,
+    },
+    /// A fault of a day file that the soak cannot inject.
+    #[display("fault {kind:?} with how {how:?} is not supported")]
+    Unsupported {
+        /// Kind of the fault.
+        kind: String,
+        /// Variant of the fault.
+        how: String,
+    },
+    /// The scenario is not known.
+    #[display("no scenario {name:?}; known: {known}")]
+    UnknownKind {
+        /// The name.
+        name: String,
+        /// Names of the scenarios.
+        known: String,
+    },
+    /// A program cannot be started.
+    #[display("cannot start {}: {source}", program.display())]
+    Start {
+        /// The program.
+        program: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A file or a listener cannot be used.
+    #[display("{context}: {source}")]
+    Io {
+        /// What was attempted.
+        context: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The entries did not become ready.
+    #[display("entries not ready within {seconds} s")]
+    NotReady {
+        /// Time that was waited, in seconds.
+        seconds: u64,
+    },
+}
+
+impl SoakError {
+    /// Returns a function that adds `context` to an error of the operating system.
+    pub fn io(context: &str) -> impl Fn(std::io::Error) -> Self + use<> {
+        let context = context.to_owned();
+        move |source| Self::Io { context: context.clone(), source }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/scenario.rs
@@ -0,0 +1,65 @@
+//! Plans of plays.
+
+use std::path::Path;
+use std::time::Duration;
+
+use skylarkpulley_soak::{CutTarget, Day, Direction, Kind, Scenario, SoakError, Step};
+
+fn day() -> Day {
+    let days = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/days");
+    Day::read(&days.join("takeover-without-answer.toml")).expect("a day file")
+}
+
+/// Guards against a seed that does not play the same faults again, for every kind.
+#[test]
+fn scenario_repeats() {
+    for (name, kind) in Kind::NAMED {
+        let plan = |seed| Scenario::new(&day(), kind, 3, seed).expect("a plan").steps;
+        assert_eq!(plan(7), plan(7), "{name}");
+        assert!(plan(7).is_sorted_by_key(|planned| planned.at), "{name}");
+    }
+    let plan = |seed| Scenario::new(&day(), Kind::Mixed, 3, seed).expect("a plan").steps;
+    assert_ne!(plan(7), plan(8));
+}
+
+/// Guards against a day that is played otherwise than its file says.
+#[test]
+fn scenario_day() {
+    let scenario = Scenario::new(&day(), Kind::Day, 3, 1).expect("a plan");
+    assert_eq!((scenario.length, scenario.steps.len()), (Duration::from_secs(92), 10));
+    let Step::Cut(cut) = &scenario.steps[0].step else { panic!("{:?}", scenario.steps[0]) };
+    assert_eq!(cut.length, Duration::from_secs(12));
+    assert_eq!((cut.direction, cut.targets.len()), (Direction::Both, 2));
+    let Step::LoseAnswers(lost, length) = &scenario.steps[1].step else {
+        panic!("{:?}", scenario.steps[1])
+    };
+    assert_eq!((lost.writes, lost.delay_s), (0.35, None));
+    assert_eq!(*length, Duration::from_millis(4500));
+}
+
+/// Guards against cuts of the wrong parties.
+#[test]
+fn scenario_targets() {
+    for (kind, expected) in [
+        (Kind::StoreOnly, vec![CutTarget::Store]),
+        (Kind::EntriesOnly, vec![CutTarget::Entries]),
+        (Kind::AllParties, vec![CutTarget::Agents, CutTarget::Entries, CutTarget::Store]),
+    ] {
+        let scenario = Scenario::new(&day(), kind, 3, 1).expect("a plan");
+        let cuts = scenario.steps.iter().filter_map(|planned| match &planned.step {
+            Step::Cut(cut) => Some(&cut.targets),
+            _ => None,
+        });
+        assert!(cuts.clone().count() == 5 && cuts.clone().all(|targets| *targets == expected));
+    }
+}
+
+/// Guards against a fault that is left out without a word.
+#[test]
+fn scenario_unsupported() {
+    let mut day = day();
+    day.faults[0].kind = "burst".to_owned();
+    let error = Scenario::new(&day, Kind::Day, 3, 1).expect_err("not supported");
+    assert!(matches!(error, SoakError::Unsupported { ref kind, .. } if kind == "burst"));
+    assert!(matches!(Kind::named("storm"), Err(SoakError::UnknownKind { .. })));
+}
