Count suspensions of its VM in the leases that an agent extends

Cause: an agent measures a grant by the monotonic clock, which stands still while its VM is suspended, and the coordinator measures by the clock of another VM. After a suspension of 4 s a grant of 8 s reached to 10.1 s on the clock of a worker that went on, and the coordinator counts its runs as lost after 8.8 s: a second run could start beside the first.

Change: the session takes the time at which a report was sent from a clock that counts suspensions, and the agent's task ages grants, orders and contact by each suspension. Readings of the worker's clock stay: the worker may have been suspended as well, so that no lapse may be concluded from the time that has passed.

Evidence: deadline_after_suspension (10100 instead of at most 8000) and lapse_after_suspension fail without the change, session_sent_time_clock fails when the session reads another clock; all pass with it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,6 +34,7 @@
 mod worker_control;
 mod worker_task;
 
+pub use boot_time::BootClock;
 pub use calls::{JobAnswer, JobCall, JobService};
 pub use entry::Entry;
 pub use entry_settings::EntrySettings;
--- a/crates/coordination/src/session.rs
+++ b/crates/coordination/src/session.rs
@@ -8,6 +8,7 @@
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::Transactor;
 use skylarkpulley_telemetry::Event;
+use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
@@ -61,7 +62,8 @@
     pub lease: Duration,
     /// The orders.
     pub orders: Orders,
-    /// When the report that this update answers was sent; `None` when it is not known.
+    /// When the report that this update answers was sent, on a clock that counts suspensions of the
+    /// VM; `None` when it is not known.
     pub sent_at: Option<Instant>,
 }
 
@@ -89,6 +91,7 @@
 /// periodically, and passes the leader's updates to `incoming`.
 pub async fn run_session(
     store: Arc<dyn Transactor>,
+    clock: Arc<dyn Clock>,
     outgoing: watch::Receiver<AgentUpdate>,
     incoming: mpsc::Sender<LeaderUpdate>,
 ) {
@@ -103,7 +106,9 @@
         if let Some(session) = opened {
             highest_epoch = session.leader.epoch;
             let (id, started) = (session.leader.name.clone(), Instant::now());
-            let end = serve_session(session, store.clone(), outgoing.clone(), &incoming).await;
+            let reports = outgoing.clone();
+            let end =
+                serve_session(session, store.clone(), clock.as_ref(), reports, &incoming).await;
             if incoming.is_closed() {
                 return;
             }
@@ -156,6 +161,7 @@
 async fn serve_session(
     session: OpenSession,
     store: Arc<dyn Transactor>,
+    clock: &dyn Clock,
     mut outgoing: watch::Receiver<AgentUpdate>,
     incoming: &mpsc::Sender<LeaderUpdate>,
 ) -> SessionEnd {
@@ -208,7 +214,7 @@
         let mut update = encode_report(&current.report);
         update.sequence = sequence;
         update.left = current.left;
-        sent_reports.push_back((sequence, Instant::now()));
+        sent_reports.push_back((sequence, clock.now()));
         // A connection that accepts no data lets the channel fill; the silence limit then ends the
         // session.
         if reports.try_send(update).is_err() && reports.is_closed() {
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -13,6 +13,7 @@
 use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, watch};
 
+use crate::boot_time::BootClock;
 use crate::session::{AgentUpdate, LeaderUpdate, run_session};
 use crate::worker_control::{WorkerAddress, WorkerControl, WorkerError};
 
@@ -39,6 +40,10 @@
 /// connection; the next one tells whether it is down.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(30);
 
+/// Shortest suspension of the VM that is taken into account. The two clocks are not read at the same
+/// moment.
+const MIN_SUSPENSION: Duration = Duration::from_millis(20);
+
 /// Interval at which the task checks for actions and reports that have become due.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -70,6 +75,8 @@
 pub struct WorkerAgent {
     /// Id and incarnation of the latest worker at each address.
     addresses: BTreeMap<String, (String, u64)>,
+    /// Clock that counts suspensions of the VM.
+    boot_clock: Arc<dyn Clock>,
     clock: Arc<dyn Clock>,
     control: Arc<dyn WorkerControl>,
     settings: WorkerAgentSettings,
@@ -86,7 +93,13 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let (addresses, workers) = (BTreeMap::new(), BTreeMap::new());
-        Self { addresses, clock, control, settings, store, workers }
+        let boot_clock = Arc::new(BootClock::new());
+        Self { addresses, boot_clock, clock, control, settings, store, workers }
+    }
+
+    /// Returns the agent with another clock that counts suspensions of the VM.
+    pub fn with_boot_clock(self, boot_clock: Arc<dyn Clock>) -> Self {
+        Self { boot_clock, ..self }
     }
 
     /// Passes announcements to the tasks of their workers until the sender is dropped.
@@ -135,13 +148,15 @@
         let core = AgentCore::new(&self.settings.name, self.settings.limits, self.clock.now());
         let (outgoing, report) = watch::channel(AgentUpdate::default());
         let (updates, incoming) = mpsc::channel(16);
-        tokio::spawn(run_session(self.store.clone(), report, updates));
+        tokio::spawn(run_session(self.store.clone(), self.boot_clock.clone(), report, updates));
         let task = WorkerTask {
+            boot_clock: self.boot_clock.clone(),
             clock: self.clock.clone(),
             control: self.control.clone(),
             core,
             failed_listings: 0,
             outgoing,
+            suspended: Duration::ZERO,
             worker: None,
         };
         tokio::spawn(task.run(announcements, incoming));
@@ -161,15 +176,26 @@
 type Calls = FuturesUnordered<BoxFuture<'static, CallOutcome>>;
 
 struct WorkerTask {
+    boot_clock: Arc<dyn Clock>,
     clock: Arc<dyn Clock>,
     control: Arc<dyn WorkerControl>,
     core: AgentCore,
     /// Listings that failed since the last successful one.
     failed_listings: u32,
     outgoing: watch::Sender<AgentUpdate>,
+    /// Time for which the VM has been suspended so far.
+    suspended: Duration,
     worker: Option<WorkerAddress>,
 }
 
+/// What a worker's task waits for.
+enum Input {
+    Announcement(Option<Announcement>),
+    Outcome(CallOutcome),
+    Tick,
+    Update(LeaderUpdate),
+}
+
 impl WorkerTask {
     async fn run(
         mut self,
@@ -181,25 +207,21 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut listing_open = false;
         loop {
-            tokio::select! {
-                announcement = announcements.recv() => match announcement {
-                    Some(announcement) => self.handle_announcement(announcement),
-                    None => return,
-                },
-                Some(update) = incoming.recv() => {
-                    let LeaderUpdate { epoch, lease, orders, sent_at } = update;
-                    if !self.core.handle_orders(epoch, orders, sent_at, lease) {
-                        tracing::debug!(
-                            epoch,
-                            known = self.core.epoch(),
-                            "ignoring orders of an older epoch than the latest one"
-                        );
-                    }
-                }
-                Some(outcome) = calls.next(), if !calls.is_empty() => {
+            let input = tokio::select! {
+                announcement = announcements.recv() => Input::Announcement(announcement),
+                Some(update) = incoming.recv() => Input::Update(update),
+                Some(outcome) = calls.next(), if !calls.is_empty() => Input::Outcome(outcome),
+                _ = tick.tick() => Input::Tick,
+            };
+            self.observe_suspension();
+            match input {
+                Input::Announcement(Some(announcement)) => self.handle_announcement(announcement),
+                Input::Announcement(None) => return,
+                Input::Outcome(outcome) => {
                     listing_open &= !self.handle_outcome(outcome, &mut calls);
                 }
-                _ = tick.tick() => {}
+                Input::Tick => {}
+                Input::Update(update) => self.handle_update(update),
             }
             let now = self.clock.now();
             if let Some(worker) = self.worker.clone() {
@@ -226,6 +248,38 @@
         }
     }
 
+    /// Ages what the agent holds by the time for which the VM was suspended since the last call.
+    fn observe_suspension(&mut self) {
+        let suspended = self.suspended_time();
+        let since_last = suspended.saturating_sub(self.suspended);
+        if since_last < MIN_SUSPENSION {
+            return;
+        }
+        tracing::info!(length = ?since_last, "VM was suspended; leases count from before");
+        self.suspended = suspended;
+        self.core.record_suspension(since_last);
+    }
+
+    fn suspended_time(&self) -> Duration {
+        self.boot_clock.now().saturating_duration_since(self.clock.now())
+    }
+
+    fn handle_update(&mut self, update: LeaderUpdate) {
+        let LeaderUpdate { epoch, lease, orders, sent_at } = update;
+        // The core measures by the monotonic clock, so that a time before a suspension is earlier
+        // there by its length.
+        let sent_at = sent_at.and_then(|sent_at| {
+            self.clock.now().checked_sub(self.boot_clock.now().saturating_duration_since(sent_at))
+        });
+        if !self.core.handle_orders(epoch, orders, sent_at, lease) {
+            tracing::debug!(
+                epoch,
+                known = self.core.epoch(),
+                "ignoring orders of an older epoch than the latest one"
+            );
+        }
+    }
+
     fn handle_announcement(&mut self, announcement: Announcement) {
         let now = self.clock.now();
         match announcement {
--- a/crates/coordination/tests/entries/sessions.rs
+++ b/crates/coordination/tests/entries/sessions.rs
@@ -3,17 +3,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use skylarkpulley_coordination::{Entry, JobAnswer, JobCall};
+use skylarkpulley_coordination::{BootClock, Entry, JobAnswer, JobCall};
 use skylarkpulley_jobs::{Job, Step};
 use skylarkpulley_proto::v1;
 use skylarkpulley_proto::v1::coordination_client::CoordinationClient;
 use skylarkpulley_store::MemoryTransactor;
+use skylarkpulley_types::Clock;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
 use tonic::transport::{Channel, Endpoint};
 
 use crate::rig::{job, start, until_ready};
+use crate::workers::{EndlessWorker, Order};
 
 /// One session of the agent of the worker `w`.
 pub struct Session {
@@ -118,3 +120,36 @@
     }
     panic!("{} of 1240 starts were ordered", running.len());
 }
+
+/// A clock that is an hour ahead of the monotonic clock, as after suspensions of the VM.
+struct ClockAhead;
+
+impl Clock for ClockAhead {
+    fn now(&self) -> Instant {
+        Instant::now() + Duration::from_secs(3600)
+    }
+}
+
+/// Guards against leases that are counted from a time that another clock shows than that of the
+/// agent: the monotonic clock stands still while a VM is suspended, so that leases were extended by
+/// the time of the suspension, beyond the time after which the coordinator counts them as lapsed.
+#[tokio::test]
+async fn session_sent_time_clock() {
+    let store = Arc::new(MemoryTransactor::new());
+    let (entry, _) = start("entry-1", store.clone()).await;
+    until_ready(&entry).await;
+    let worker = EndlessWorker::start_with(store, Arc::new(ClockAhead)).await;
+    let renewed = worker.await_order(|order| matches!(order, Order::Renewal(_)));
+    // With two clocks every grant is an hour old.
+    tokio::time::timeout(Duration::from_secs(60), renewed).await.expect("leases are extended");
+}
+
+/// Guards against a clock of the agent that stands still while the monotonic one advances.
+#[test]
+fn boot_clock_advances() {
+    let (clock, started) = (BootClock::new(), Instant::now());
+    let first = clock.now();
+    std::thread::sleep(Duration::from_millis(5));
+    assert!(clock.now() >= first + Duration::from_millis(5));
+    assert!(first >= started - Duration::from_millis(5));
+}
--- a/crates/coordination/tests/entries/workers.rs
+++ b/crates/coordination/tests/entries/workers.rs
@@ -5,14 +5,15 @@
 
 use async_trait::async_trait;
 use skylarkpulley_coordination::{
-    Announcement, WorkerAddress, WorkerAgent, WorkerAgentSettings, WorkerControl, WorkerError,
+    Announcement, BootClock, WorkerAddress, WorkerAgent, WorkerAgentSettings, WorkerControl,
+    WorkerError,
 };
 use skylarkpulley_jobs::{
     AgentLimits, Listing, RenewalCall, Resources, RunReport, StartAnswer, StartOrder, TaskId,
     WorkerStatus,
 };
 use skylarkpulley_store::Transactor;
-use skylarkpulley_types::SystemClock;
+use skylarkpulley_types::{Clock, SystemClock};
 use tokio::sync::mpsc;
 
 /// An order that a worker has received.
@@ -42,6 +43,11 @@
 impl EndlessWorker {
     /// Starts an agent beside a new worker.
     pub async fn start(store: Arc<dyn Transactor>) -> Arc<Self> {
+        Self::start_with(store, Arc::new(BootClock::new())).await
+    }
+
+    /// Starts an agent with the given clock that counts suspensions, beside a new worker.
+    pub async fn start_with(store: Arc<dyn Transactor>, boot_clock: Arc<dyn Clock>) -> Arc<Self> {
         let worker = Arc::new(Self {
             born: Instant::now(),
             orders: Mutex::default(),
@@ -51,7 +57,8 @@
         let limits = AgentLimits { extension: longest, longest };
         let settings = WorkerAgentSettings { limits, name: "agent-1".to_owned() };
         let clock = Arc::new(SystemClock::new());
-        let agent = WorkerAgent::new(settings, store, worker.clone(), clock);
+        let agent =
+            WorkerAgent::new(settings, store, worker.clone(), clock).with_boot_clock(boot_clock);
         let (sender, announcements) = mpsc::channel(4);
         tokio::spawn(agent.run(announcements));
         let status = WorkerStatus {
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -180,6 +180,18 @@
         true
     }
 
+    /// Records that the VM was suspended for `length`, which the clock of the agent does not count:
+    /// what was granted or observed before is older by that time. Readings of the worker's clock stay,
+    /// because the worker may have been suspended as well.
+    pub fn record_suspension(&mut self, length: Duration) {
+        let requests = self.listing_requests.values_mut();
+        let granted = self.granted_lease.iter_mut().map(|(sent, _)| sent);
+        let observed = self.answered_report.iter_mut().chain(&mut self.last_contact);
+        for time in requests.chain(granted).chain(observed) {
+            *time -= length;
+        }
+    }
+
     /// Treats the starts in the first orders as sent without an answer, because an earlier process
     /// of this agent may have sent them.
     fn adopt_starts(&mut self, at: Instant, starts: &[StartOrder]) {
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -245,6 +245,33 @@
     assert!(deadline <= 8000, "{deadline}");
 }
 
+/// Guards against leases that are extended by the time for which the VM of the agent was suspended,
+/// which its clock does not count: the coordinator counts the runs as lost earlier.
+#[test]
+fn deadline_after_suspension() {
+    let mut rig = Rig::new();
+    let suspended = Duration::from_secs(4);
+    // The worker's clock goes on.
+    rig.origin = rig.origin.checked_sub(suspended).expect("an earlier time");
+    rig.core.record_suspension(suspended);
+    rig.advance(100);
+    rig.list(INCARNATION, &[], &[]);
+    let deadline = rig.core.deadline(rig.now).expect("the rest of the lease");
+    assert!(deadline <= 8000, "{deadline}");
+}
+
+/// Guards against a lapse that is reported although the worker was suspended as well, so that its
+/// runs go on under their leases.
+#[test]
+fn lapse_after_suspension() {
+    let mut rig = Rig::new();
+    assert!(rig.core.next_renewal(rig.now).deadline_ms.is_some());
+    rig.core.record_suspension(Duration::from_secs(60));
+    let report = rig.core.report(rig.now);
+    assert!(report.unreached && !report.lapsed);
+    assert_eq!(rig.core.next_renewal(rig.now).deadline_ms, None, "the grant is too old");
+}
+
 /// Guards against starts on a draining worker: the order may have been sent before the
 /// announcement.
 #[test]
