Move what speaks the platform's protocol in the soak to platform/standins

Change: they are a crate of their own there, which records what it observes in the product's words; crates/soak keeps plan, proxy, processes and judge.

Evidence: the tests of both crates pass as before (their checks are unchanged but for the names), and no word of the platform is left in crates/soak. The programs of the platform are not touched.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -3,7 +3,7 @@
 
 use derive_more::Display;
 
-use crate::{CallOutcome, EndKind, JobSpec, Observation};
+use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation};
 
 /// A promise to the users that a play has broken.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use skylarkpulley_platform_standins::Day;
 use skylarkpulley_soak::{
-    CutReport, Day, Kind, PlayReport, PlaySettings, Scenario, SoakError, play, program_folder,
+    CutReport, Kind, PlayReport, PlaySettings, Scenario, SoakError, play, program_folder,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -4,20 +4,16 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
+use skylarkpulley_platform_standins::{
+    Callers, EndKind, LostAnswers, Observation, Observations, POOL, Store, WorkerLimits,
+    WorkerServer, listen, tables_document,
+};
 use tokio::net::TcpListener;
 
-use crate::callers::{Callers, tables_document};
 use crate::links::Links;
 use crate::processes::{EntryValues, Process, agent_settings, entry_settings};
 use crate::scenario::{Connections, Cut, CutTarget, Direction};
-use crate::server::listen;
-use crate::store::{LostAnswers, Store};
-use crate::worker::WorkerLimits;
-use crate::worker_server::{POOL, WorkerServer};
-use crate::{
-    EndKind, HoldRule, Observation, Observations, Party, Scenario, SoakError, Step, Violation,
-    judge,
-};
+use crate::{HoldRule, Party, Scenario, SoakError, Step, Violation, judge};
 
 /// Number of failure domains.
 const DOMAINS: usize = 3;
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -1,11 +1,15 @@
 use std::time::Duration;
 
-use crate::store::LostAnswers;
-use crate::{Day, DayFault, SoakError};
+use skylarkpulley_platform_standins::{Day, DayFault, Disruption, LostAnswers};
+
+use crate::SoakError;
 
 /// Longest lease of the workers of the users' site novias-vc.
 const SITE_LEASE: Duration = Duration::from_secs(6);
 
+/// Range of the delay, in seconds, after which a late write is applied.
+const LATE_DELAY_S: (f64, f64) = (1.0, 6.0);
+
 /// What a leader is cut off from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CutTarget {
@@ -175,7 +179,7 @@
     /// plan.
     ///
     /// # Errors
-    /// [`SoakError::Unsupported`] when the day has a fault that the soak cannot inject.
+    /// [`SoakError::Standin`] when the day has a fault that the soak cannot inject.
     pub fn new(day: &Day, kind: Kind, entries: usize, seed: u64) -> Result<Self, SoakError> {
         let mut rng = fastrand::Rng::with_seed(seed);
         let length = Duration::from_secs_f64(day.length_s);
@@ -205,22 +209,16 @@
 }
 
 fn decode_fault(fault: &DayFault) -> Result<PlannedStep, SoakError> {
-    let length = Duration::from_secs_f64(fault.for_s);
-    let step = match (fault.kind.as_str(), fault.how.as_str()) {
-        ("node_cut", "leader") => Step::Cut(Cut {
+    let step = match fault.disruption()? {
+        Disruption::LeaderCut(length) => Step::Cut(Cut {
             connections: Connections::All,
             direction: Direction::Both,
             length,
             targets: vec![CutTarget::Entries, CutTarget::Store],
         }),
-        ("platform_lost", how @ ("" | "late")) => {
-            let delay_s = (how == "late").then_some((1.0, 6.0));
-            let writes = fault.x.unwrap_or(0.3);
-            Step::LoseAnswers(LostAnswers { writes, reads: 0.0, delay_s }, length)
-        }
-        (kind, how) => {
-            let (kind, how) = (kind.to_owned(), how.to_owned());
-            return Err(SoakError::Unsupported { kind, how });
+        Disruption::LostWrites { late, length, share } => {
+            let delay_s = late.then_some(LATE_DELAY_S);
+            Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
         }
     };
     Ok(PlannedStep { at: Duration::from_secs_f64(fault.at), step })
@@ -256,7 +254,7 @@
             let lost = match kind {
                 Kind::Late => {
                     let writes = if rng.bool() { lost.writes } else { 0.8 };
-                    LostAnswers { writes, delay_s: Some((1.0, 6.0)), ..lost }
+                    LostAnswers { writes, delay_s: Some(LATE_DELAY_S), ..lost }
                 }
                 Kind::Reads => LostAnswers { reads: lost.writes, ..lost },
                 _ => lost,
--- a/crates/soak/src/soak_error.rs
+++ b/crates/soak/src/soak_error.rs
@@ -1,26 +1,11 @@
 use std::path::PathBuf;
 
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
+use skylarkpulley_platform_standins::StandinError;
 
 /// Why a play could not run.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, Error, From)]
 pub enum SoakError {
-    /// A day file cannot be read or decoded.
-    #[display("day file {}: {detail}", path.display())]
-    Day {
-        /// The file.
-        path: PathBuf,
-        /// Cause.
-        detail: String,
-    },
-    /// A fault of a day file that the soak cannot inject.
-    #[display("fault {kind:?} with how {how:?} is not supported")]
-    Unsupported {
-        /// Kind of the fault.
-        kind: String,
-        /// Variant of the fault.
-        how: String,
-    },
     /// The scenario is not known.
     #[display("no scenario {name:?}; known: {known}")]
     UnknownKind {
@@ -29,6 +14,10 @@
         /// Names of the scenarios.
         known: String,
     },
+    /// A stand-in or a day file.
+    #[display("{_0}")]
+    #[from]
+    Standin(StandinError),
     /// A program cannot be started.
     #[display("cannot start {}: {source}", program.display())]
     Start {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use skylarkpulley_soak::{CallOutcome, EndKind, JobSpec, Observation, StepSpec, Violation, judge};
+use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation, StepSpec};
+use skylarkpulley_soak::{Violation, judge};
 
 const TASK: &str = "a.0.0.0";
 
--- a/crates/soak/tests/scenario.rs
+++ b/crates/soak/tests/scenario.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use skylarkpulley_soak::{CutTarget, Day, Direction, Kind, Scenario, SoakError, Step};
+use skylarkpulley_platform_standins::{Day, StandinError};
+use skylarkpulley_soak::{CutTarget, Direction, Kind, Scenario, SoakError, Step};
 
 fn day() -> Day {
     let days = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/days");
@@ -60,6 +61,9 @@
     let mut day = day();
     day.faults[0].kind = "burst".to_owned();
     let error = Scenario::new(&day, Kind::Day, 3, 1).expect_err("not supported");
-    assert!(matches!(error, SoakError::Unsupported { ref kind, .. } if kind == "burst"));
+    let SoakError::Standin(StandinError::Unsupported { kind, .. }) = error else {
+        panic!("{error}")
+    };
+    assert_eq!(kind, "burst");
     assert!(matches!(Kind::named("storm"), Err(SoakError::UnknownKind { .. })));
 }
