--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -73,6 +73,15 @@
         Ok(())
     }
 
+    /// Checks that the process has not ended by itself.
+    ///
+    /// # Errors
+    /// [`SoakError::Ended`] when it has.
+    pub fn check_running(&mut self) -> Result<(), SoakError> {
+        let running = self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)));
+        if running { Ok(()) } else { Err(SoakError::Ended { party: self.party }) }
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         self.signal(Signal::KILL);
--- a/crates/soak/src/soak_error.rs
+++ b/crates/soak/src/soak_error.rs
@@ -3,9 +3,17 @@
 use derive_more::{Display, Error, From};
 use skylarkpulley_platform_standins::StandinError;
 
+use crate::Party;
+
 /// Why a play could not run.
 #[derive(Debug, Display, Error, From)]
 pub enum SoakError {
+    /// A process ended at its start; its log has the cause.
+    #[display("{party} ended at its start")]
+    Ended {
+        /// The process.
+        party: Party,
+    },
     /// The scenario is not known.
     #[display("no scenario {name:?}; known: {known}")]
     UnknownKind {
