Look up the owners of connections from one reading of the socket table

Cause: the proxy of the soak read and split the kernel's table of sockets up to five times for each new connection, on the threads of its runtime. With 17,546 rows of mostly closed connections this took longer than the processes wait before they connect again, so that connections piled up (both threads were seen in it). The programs under test were not at fault.

Change: readings are shared by all connections for 20 ms, made on a thread of their own, and searched for the row instead of split.

--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -7,14 +7,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::socket_owner::find_owner;
+use crate::socket_owner::SocketOwners;
 use crate::{HoldRule, Party, SoakError};
 
 /// Size of the buffer of one direction of a connection in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Number of times that the owner of a new connection is looked up, 2 ms apart.
-const OWNER_ATTEMPTS: u32 = 5;
+/// Number of times that the owner of a new connection is looked up. It has none once its process has
+/// closed it.
+const OWNER_ATTEMPTS: u32 = 3;
+
+/// Delay before the owner is looked up again.
+const OWNER_RETRY_DELAY: Duration = Duration::from_millis(25);
 
 /// Proxies between the parties. Each connection is attributed to the process that opened it, and
 /// its bytes are held as long as a rule says so. Held bytes are delivered once the rule is gone, also
@@ -23,12 +27,14 @@
 pub struct Links {
     owners: Arc<Mutex<BTreeMap<u32, Party>>>,
     rules: Arc<watch::Sender<Vec<HoldRule>>>,
+    sockets: SocketOwners,
 }
 
 impl Links {
     /// Returns links without rules.
     pub fn new() -> Self {
-        Self { owners: Arc::default(), rules: Arc::new(watch::Sender::new(Vec::new())) }
+        let rules = Arc::new(watch::Sender::new(Vec::new()));
+        Self { owners: Arc::default(), rules, sockets: SocketOwners::default() }
     }
 
     /// Records the process of a party.
@@ -77,7 +83,7 @@
         address: SocketAddr,
     ) {
         let opened_at = Instant::now();
-        let Some(source) = self.owner(peer).await else { return };
+        let Some(source) = self.owner(&stream, peer, opened_at).await else { return };
         let Ok(upstream) = TcpStream::connect(address).await else { return };
         // Failures show as lost latency only.
         let _ = (stream.set_nodelay(true), upstream.set_nodelay(true));
@@ -89,14 +95,20 @@
         );
     }
 
-    async fn owner(&self, peer: SocketAddr) -> Option<Party> {
+    async fn owner(
+        &self,
+        stream: &TcpStream,
+        peer: SocketAddr,
+        opened_at: Instant,
+    ) -> Option<Party> {
+        let own = stream.local_addr().ok()?;
         for _ in 0..OWNER_ATTEMPTS {
             let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let pids: Vec<u32> = owners.keys().copied().collect();
-            if let Some(pid) = find_owner(peer, &pids) {
+            let pids = owners.keys().copied().collect();
+            if let Some(pid) = self.sockets.find(peer, own, opened_at, pids).await {
                 return owners.get(&pid).copied();
             }
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            tokio::time::sleep(OWNER_RETRY_DELAY).await;
         }
         None
     }
--- a/crates/soak/src/socket_owner.rs
+++ b/crates/soak/src/socket_owner.rs
@@ -1,26 +1,86 @@
 use std::fs;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-/// Returns which of the processes `pids` has a socket that is bound to `address`.
-pub fn find_owner(address: SocketAddr, pids: &[u32]) -> Option<u32> {
-    let inode = socket_inode(address)?;
-    let link = format!("socket:[{inode}]");
-    pids.iter().copied().find(|pid| {
-        let Ok(entries) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
-        entries.flatten().any(|entry| {
-            fs::read_link(entry.path()).is_ok_and(|target| target.as_os_str() == &*link)
-        })
-    })
+use tokio::sync::Mutex;
+
+/// Time for which a reading of the kernel's table of sockets serves further connections. With many
+/// closed connections the table has tens of thousands of rows, and reading it for each new connection
+/// would take longer than the processes wait before they connect again.
+const TABLE_VALIDITY: Duration = Duration::from_millis(20);
+
+/// A reading of the kernel's table of TCP sockets.
+#[derive(Clone, Debug)]
+struct Reading {
+    /// When it began.
+    at: Instant,
+    table: Arc<str>,
 }
 
-/// Returns the inode of the socket that is bound to `address`, from the kernel's table of TCP
-/// sockets: the second column is the local address, the tenth the inode.
-fn socket_inode(address: SocketAddr) -> Option<String> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let suffix = format!(":{:04X}", address.port());
-    table.lines().skip(1).find_map(|line| {
-        let columns: Vec<&str> = line.split_whitespace().collect();
-        let (local, inode) = (columns.get(1)?, columns.get(9)?);
-        (local.ends_with(&suffix) && *inode != "0").then(|| (*inode).to_owned())
-    })
+/// Looks up which process has opened a connection, in the kernel's table of TCP sockets and among the
+/// open files of the known processes.
+#[derive(Clone, Debug, Default)]
+pub struct SocketOwners {
+    latest: Arc<Mutex<Option<Reading>>>,
+}
+
+impl SocketOwners {
+    /// Returns which of the processes `pids` has connected from `peer` to `own` since `opened_at`.
+    /// `None` when none is found, which may change with the next reading.
+    pub async fn find(
+        &self,
+        peer: SocketAddr,
+        own: SocketAddr,
+        opened_at: Instant,
+        pids: Vec<u32>,
+    ) -> Option<u32> {
+        let table = self.table_since(opened_at).await?;
+        let owner = move || {
+            let inode = socket_inode(&table, peer, own)?;
+            pids.into_iter().find(|pid| has_socket(*pid, &inode))
+        };
+        tokio::task::spawn_blocking(owner).await.ok().flatten()
+    }
+
+    /// Returns a table that was read after `since`. Callers that wait share one reading.
+    async fn table_since(&self, since: Instant) -> Option<Arc<str>> {
+        let mut latest = self.latest.lock().await;
+        if let Some(reading) = latest.as_ref()
+            && reading.at >= since
+            && reading.at.elapsed() < TABLE_VALIDITY
+        {
+            return Some(reading.table.clone());
+        }
+        let at = Instant::now();
+        let read = tokio::task::spawn_blocking(|| fs::read_to_string("/proc/net/tcp")).await;
+        let table: Arc<str> = read.ok()?.ok()?.into();
+        *latest = Some(Reading { at, table: table.clone() });
+        Some(table)
+    }
+}
+
+/// Returns the inode of the socket that is connected from `peer` to `own`. A row holds its number,
+/// both addresses in hexadecimal digits, seven further columns, and the inode.
+fn socket_inode(table: &str, peer: SocketAddr, own: SocketAddr) -> Option<String> {
+    let addresses = format!("{} {} ", hexadecimal(peer)?, hexadecimal(own)?);
+    let start = table.find(&addresses)? + addresses.len();
+    let inode = table[start..].split_whitespace().nth(6)?;
+    (inode != "0").then(|| inode.to_owned())
+}
+
+/// Returns an address as the table shows it: the IPv4 address as a number in the order of bytes of
+/// the machine, and the port.
+fn hexadecimal(address: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(address) = address else { return None };
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
+}
+
+fn has_socket(pid: u32, inode: &str) -> bool {
+    let link = format!("socket:[{inode}]");
+    let Ok(files) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
+    files
+        .flatten()
+        .any(|file| fs::read_link(file.path()).is_ok_and(|target| target.as_os_str() == &*link))
 }
