Share a reading of the socket table with all connections before it

Cause: the proxy, not the programs. A reading served further connections for 20 ms from its beginning, and took longer than that, so that each connection read the table anew, one after another. In the running play 2,364 connections to the proxy before the store were closed by their process with 121 bytes that the proxy had not yet read, and three threads did nothing but read the table.

Change: a reading serves every connection that was opened before it. A failed accept no longer ends a proxy, and the limit of open files is raised to what the system allows.

--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -13,6 +13,10 @@
 /// Size of the buffer of one direction of a connection in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Delay before the next connection is accepted after a failure, for example for want of file
+/// descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Number of times that the owner of a new connection is looked up. It has none once its process has
 /// closed it.
 const OWNER_ATTEMPTS: u32 = 3;
@@ -67,9 +71,19 @@
         let own_address = listener.local_addr().map_err(SoakError::io("address of a proxy"))?;
         let links = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, peer)) = listener.accept().await {
-                let links = links.clone();
-                tokio::spawn(async move { links.forward(stream, peer, target, address).await });
+            loop {
+                match listener.accept().await {
+                    Ok((stream, peer)) => {
+                        let links = links.clone();
+                        tokio::spawn(async move {
+                            links.forward(stream, peer, target, address).await;
+                        });
+                    }
+                    Err(error) => {
+                        eprintln!("proxy before {target} cannot accept a connection: {error}");
+                        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                }
             }
         });
         Ok(own_address)
@@ -102,13 +116,15 @@
         opened_at: Instant,
     ) -> Option<Party> {
         let own = stream.local_addr().ok()?;
+        let mut since = opened_at;
         for _ in 0..OWNER_ATTEMPTS {
             let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner).clone();
             let pids = owners.keys().copied().collect();
-            if let Some(pid) = self.sockets.find(peer, own, opened_at, pids).await {
+            if let Some(pid) = self.sockets.find(peer, own, since, pids).await {
                 return owners.get(&pid).copied();
             }
             tokio::time::sleep(OWNER_RETRY_DELAY).await;
+            since = Instant::now();
         }
         None
     }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use rustix::process::Signal;
+use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use skylarkpulley_platform_standins::{
     Callers, EndKind, LostAnswers, Observation, Observations, POOL, Store, WorkerLimits,
     WorkerServer, listen, tables_document,
@@ -108,6 +108,7 @@
 /// # Errors
 /// [`SoakError`] when the deployment cannot be started.
 pub async fn play(settings: &PlaySettings, scenario: &Scenario) -> Result<PlayReport, SoakError> {
+    raise_descriptor_limit();
     let started = Instant::now();
     let observations = Observations::new(started);
     let mut attempt = 1;
@@ -149,6 +150,15 @@
     })
 }
 
+/// Raises the limit of open files to what the system allows. Each connection takes three descriptors
+/// in this process, and stays open while its bytes are held.
+fn raise_descriptor_limit() {
+    let limit = getrlimit(Resource::Nofile);
+    if setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, ..limit }).is_err() {
+        eprintln!("limit of open files stays at {:?}", limit.current);
+    }
+}
+
 impl Deployment {
     async fn start(
         settings: &PlaySettings,
--- a/crates/soak/src/socket_owner.rs
+++ b/crates/soak/src/socket_owner.rs
@@ -1,15 +1,10 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tokio::sync::Mutex;
 
-/// Time for which a reading of the kernel's table of sockets serves further connections. With many
-/// closed connections the table has tens of thousands of rows, and reading it for each new connection
-/// would take longer than the processes wait before they connect again.
-const TABLE_VALIDITY: Duration = Duration::from_millis(20);
-
 /// A reading of the kernel's table of TCP sockets.
 #[derive(Clone, Debug)]
 struct Reading {
@@ -26,16 +21,16 @@
 }
 
 impl SocketOwners {
-    /// Returns which of the processes `pids` has connected from `peer` to `own` since `opened_at`.
-    /// `None` when none is found, which may change with the next reading.
+    /// Returns which of the processes `pids` has connected from `peer` to `own`, by a table that was
+    /// read after `since`. `None` when none is found, which may change with the next reading.
     pub async fn find(
         &self,
         peer: SocketAddr,
         own: SocketAddr,
-        opened_at: Instant,
+        since: Instant,
         pids: Vec<u32>,
     ) -> Option<u32> {
-        let table = self.table_since(opened_at).await?;
+        let table = self.table_since(since).await?;
         let owner = move || {
             let inode = socket_inode(&table, peer, own)?;
             pids.into_iter().find(|pid| has_socket(*pid, &inode))
@@ -43,12 +38,13 @@
         tokio::task::spawn_blocking(owner).await.ok().flatten()
     }
 
-    /// Returns a table that was read after `since`. Callers that wait share one reading.
+    /// Returns a table that was read after `since`. Callers that wait share one reading: with many
+    /// closed connections the table has tens of thousands of rows, and reading it for each new
+    /// connection would take longer than the processes wait before they connect again.
     async fn table_since(&self, since: Instant) -> Option<Arc<str>> {
         let mut latest = self.latest.lock().await;
         if let Some(reading) = latest.as_ref()
             && reading.at >= since
-            && reading.at.elapsed() < TABLE_VALIDITY
         {
             return Some(reading.table.clone());
         }
