Join logic that stood twice in the leader and in the soak's plans

Cause: whether agents should stay with the leader was computed at two places, the description of start_store_call did not name the write that shows an earlier leader that this one works, and the plans of the soak repeated the cut of a leader and the kill of the next one.

Change: `leads`, `Cut::new` and `kill_next_leader` serve both places; descriptions corrected. Behaviour is unchanged.

--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -87,7 +87,7 @@
     /// is delayed, the record is read to learn the outcome, as for other writes.
     ///
     /// # Errors
-    /// [`TransactError`] when the store gave no outcome within 2 s.
+    /// [`TransactError`] when the store rejected the record, or gave no outcome within 2 s.
     pub async fn take_over(
         store: Arc<dyn Transactor>,
         name: &str,
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -266,8 +266,8 @@
         self.confirmed_at = journal.confirmed_at();
     }
 
-    /// Starts a write if one is due, otherwise a confirmation if one is due; otherwise the journal
-    /// stays idle.
+    /// Starts a write of rows if one is due, otherwise a write that shows an earlier leader that this
+    /// one works, otherwise a confirmation; if none is due, the journal stays idle.
     fn start_store_call(
         &mut self,
         mut journal: Journal,
@@ -395,7 +395,7 @@
         let mut update = encode_orders(&self.coordinator.orders(&session.worker));
         update.epoch = self.epoch;
         update.acked = session.acked;
-        update.leads = may_extend && self.is_confirmed();
+        update.leads = self.leads();
         update.lease_ms = if may_extend { millis(self.context.times.lease) } else { 0 };
         update.search_spread_ms = search_spread_ms;
         // An agent that receives no updates ends its session when its silence limit has passed.
@@ -415,16 +415,18 @@
         !deposed && age < self.context.times.confirmation_limit
     }
 
-    /// Reports whether the store answers this entry. If it does not, another entry may lead, while
-    /// this one may still extend leases.
-    fn is_confirmed(&self) -> bool {
+    /// Reports whether agents should stay with this entry: it may extend leases, and the store
+    /// answers it. If the store does not, another entry may lead, while this one may still extend
+    /// leases.
+    fn leads(&self) -> bool {
         let health = &self.context.health;
-        health.failing_for().max(health.overdue_for()) < UNCONFIRMED_AFTER
+        let confirmed = health.failing_for().max(health.overdue_for()) < UNCONFIRMED_AFTER;
+        confirmed && self.may_extend()
     }
 
     /// Tells all agents when the store no longer confirms the leadership, or does so again.
     fn announce_confirmation(&mut self) {
-        let leads = self.may_extend() && self.is_confirmed();
+        let leads = self.leads();
         if leads == self.told_leads {
             return;
         }
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -56,6 +56,18 @@
     pub targets: Vec<CutTarget>,
 }
 
+impl Cut {
+    /// Returns a cut of all connections to the store and the other entries.
+    fn new(length: Duration) -> Self {
+        Self {
+            connections: Connections::All,
+            direction: Direction::Both,
+            length,
+            targets: vec![CutTarget::Entries, CutTarget::Store],
+        }
+    }
+}
+
 /// One action of a play.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -210,12 +222,7 @@
 
 fn decode_fault(fault: &DayFault) -> Result<PlannedStep, SoakError> {
     let step = match fault.disruption()? {
-        Disruption::LeaderCut(length) => Step::Cut(Cut {
-            connections: Connections::All,
-            direction: Direction::Both,
-            length,
-            targets: vec![CutTarget::Entries, CutTarget::Store],
-        }),
+        Disruption::LeaderCut(length) => Step::Cut(Cut::new(length)),
         Disruption::LostWrites { late, length, share } => {
             let delay_s = late.then_some(LATE_DELAY_S);
             Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
@@ -266,7 +273,6 @@
 }
 
 fn vary_cut(rng: &mut fastrand::Rng, kind: Kind, at: Duration, cut: Cut) -> Vec<PlannedStep> {
-    let after = |rng: &mut fastrand::Rng, least: f64, most: f64| at + between(rng, least, most);
     let with = |targets: &[CutTarget]| Cut { targets: targets.to_vec(), ..cut.clone() };
     let varied = match kind {
         Kind::PauseLeader => {
@@ -283,30 +289,29 @@
     };
     let mut steps = vec![PlannedStep { at, step: Step::Cut(varied) }];
     match kind {
-        Kind::Kill | Kind::StallsKill => {
-            let down = between(rng, 0.2, 2.0);
-            steps.push(PlannedStep { at: after(rng, 1.0, 3.5), step: Step::KillLeader(down) });
-        }
+        Kind::Kill | Kind::StallsKill => steps.push(kill_next_leader(rng, at)),
         Kind::NextPaused => {
             let pause = between(rng, 0.5, 6.0);
-            steps.push(PlannedStep { at: after(rng, 0.9, 2.5), step: Step::PauseLeader(pause) });
+            let at = at + between(rng, 0.9, 2.5);
+            steps.push(PlannedStep { at, step: Step::PauseLeader(pause) });
         }
         _ => {}
     }
     steps
 }
 
+/// Kills the entry that leads 1 to 3.5 s after the cut at `cut_at`, and starts it again.
+fn kill_next_leader(rng: &mut fastrand::Rng, cut_at: Duration) -> PlannedStep {
+    let down = between(rng, 0.2, 2.0);
+    PlannedStep { at: cut_at + between(rng, 1.0, 3.5), step: Step::KillLeader(down) }
+}
+
 /// Cuts of each leader in turn, shorter than the time for which an earlier leader may extend leases.
 fn rolling_cuts(rng: &mut fastrand::Rng, length: Duration, kill: bool) -> Vec<PlannedStep> {
     let mut steps = Vec::new();
     let mut at = Duration::from_secs(4);
     while at + Duration::from_secs(10) < length {
-        let cut = Cut {
-            connections: Connections::All,
-            direction: Direction::Both,
-            length: between(rng, 2.0, 8.0),
-            targets: vec![CutTarget::Entries, CutTarget::Store],
-        };
+        let cut = Cut::new(between(rng, 2.0, 8.0));
         steps.push(PlannedStep { at, step: Step::Cut(cut) });
         if rng.f64() < 0.5 {
             let lost = LostAnswers { writes: 0.35, ..LostAnswers::default() };
@@ -314,9 +319,7 @@
             steps.push(PlannedStep { at: at + between(rng, 0.2, 1.5), step });
         }
         if kill && rng.f64() < 0.5 {
-            let down = between(rng, 0.2, 2.0);
-            let step = Step::KillLeader(down);
-            steps.push(PlannedStep { at: at + between(rng, 1.0, 3.5), step });
+            steps.push(kill_next_leader(rng, at));
         }
         at += between(rng, 1.6, 4.0);
     }
