--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -395,7 +395,7 @@
         let mut update = encode_orders(&self.coordinator.orders(&session.worker));
         update.epoch = self.epoch;
         update.acked = session.acked;
-        update.leads = self.leads();
+        update.leads = may_extend && self.is_confirmed();
         update.lease_ms = if may_extend { millis(self.context.times.lease) } else { 0 };
         update.search_spread_ms = search_spread_ms;
         // An agent that receives no updates ends its session when its silence limit has passed.
@@ -415,18 +415,16 @@
         !deposed && age < self.context.times.confirmation_limit
     }
 
-    /// Reports whether agents should stay with this entry: it may extend leases, and the store
-    /// answers it. If the store does not, another entry may lead, while this one may still extend
-    /// leases.
-    fn leads(&self) -> bool {
+    /// Reports whether the store answers this entry. If it does not, another entry may lead, while
+    /// this one may still extend leases.
+    fn is_confirmed(&self) -> bool {
         let health = &self.context.health;
-        let confirmed = health.failing_for().max(health.overdue_for()) < UNCONFIRMED_AFTER;
-        confirmed && self.may_extend()
+        health.failing_for().max(health.overdue_for()) < UNCONFIRMED_AFTER
     }
 
     /// Tells all agents when the store no longer confirms the leadership, or does so again.
     fn announce_confirmation(&mut self) {
-        let leads = self.leads();
+        let leads = self.may_extend() && self.is_confirmed();
         if leads == self.told_leads {
             return;
         }
