Release a run from its worker's book by its number, not by incarnation

Callers saw: a task whose worker was lost around a takeover was started again and again, each time given up within a tick (run 41 after 25 s in a test), or its end was never taken in although its worker's other ends were, so that its job never ended.

Cause: stored rows may name two incarnations of one worker id: a run that is lost with the earlier one and not fenced yet, and one placed on the later one. After a takeover both stand in the book of that worker. When its agent stayed silent until its leases had lapsed, both runs ended, but the book released only runs of the latest incarnation. The other stayed there for ever: every tick ended whatever run its task had then, on any worker, and when the agent reported again, that run was given the incarnation of the wrong worker, after which no report of its own worker counted.

Evidence: losses::expire_earlier_incarnation and losses::fence_earlier_incarnation fail before this change (the first with run 41 instead of 2) and pass with it.

A run's number is unique for its task, so that the number alone tells whether the entry in the book is that run's.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -307,7 +307,7 @@
         let Some(entry) = self.jobs.remove(id) else { return };
         for (task, placement) in entry.placements() {
             let resources = entry.resources(task.key.step);
-            self.fleet.release(&placement.worker, placement.incarnation, &task, &resources);
+            self.fleet.release(&placement.worker, &task, placement.run, &resources);
             self.changed_workers.insert(placement.worker.clone());
         }
         self.changed_jobs.remove(id);
@@ -502,11 +502,11 @@
     fn end_run(&mut self, now: Timestamp, task: &TaskId, kind: Option<EndKind>, checkpoint: &str) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = entry.take_placement(&task.key) else { return };
-        let Placement { worker, incarnation, run, .. } = placement;
+        let Placement { worker, run, .. } = placement;
         let resources = entry.resources(task.key.step);
         entry.apply_end(&task.key, run, kind, checkpoint, &worker);
         let failed = entry.failed;
-        self.fleet.release(&worker, incarnation, task, &resources);
+        self.fleet.release(&worker, task, run, &resources);
         self.changed_workers.insert(worker.clone());
         self.plan_due = true;
         let detail = format!("run {run} on {worker}: {kind:?}");
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -95,10 +95,12 @@
         }
     }
 
-    /// Removes a run and its resources from a worker.
-    pub fn release(&mut self, id: &str, incarnation: u64, task: &TaskId, resources: &Resources) {
+    /// Removes a run and its resources from a worker. The run may be of an earlier incarnation, if
+    /// stored rows name two incarnations of the worker.
+    pub fn release(&mut self, id: &str, task: &TaskId, run: u32, resources: &Resources) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.status.incarnation == incarnation && worker.runs.remove(task).is_some() {
+        if worker.runs.get(task) == Some(&run) {
+            worker.runs.remove(task);
             worker.occupied.subtract(resources);
         }
     }
--- /dev/null
+++ b/crates/jobs/tests/coordinator/losses.rs
@@ -0,0 +1,55 @@
+//! Runs that are lost with their workers, where a takeover lies between loss and end.
+
+use skylarkpulley_jobs::{EndKind, JobState};
+
+use crate::rig::{Rig, ended, job, report, step, worker};
+
+/// Returns a successor whose rows name two incarnations of worker 0: run 1 of `a` is lost with the
+/// first one and not fenced yet, `b` is placed on the second one. Worker 1 is new.
+fn rig_with_two_incarnations() -> Rig {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, step(1, 4)));
+    rig.core.report(rig.now, &report(&worker(0, 2), &[]));
+    rig.submit(job("b", 1, step(1, 4)));
+    rig.take_over();
+    rig.core.report(rig.now, &report(&worker(1, 1), &[]));
+    rig
+}
+
+/// Guards against a run of an earlier incarnation that stays in the book of a silent worker after
+/// its end. Each later run of its task was then given up within a tick, on whatever worker.
+#[test]
+fn expire_earlier_incarnation() {
+    let mut rig = rig_with_two_incarnations();
+    for _ in 0..250 {
+        rig.advance_reporting(100, &[1]);
+        rig.place_and_commit();
+    }
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 2, "both lost runs are placed on worker 1: {starts:?}");
+    rig.advance_reporting(1000, &[1]);
+    rig.place_and_commit();
+    assert_eq!(rig.starts(), starts, "the runs stay");
+}
+
+/// Guards against taking a task that runs elsewhere for a lost run of a worker that reports again.
+/// The run then counted for another incarnation than that of its worker, and its end was dropped.
+#[test]
+fn fence_earlier_incarnation() {
+    let mut rig = rig_with_two_incarnations();
+    for _ in 0..250 {
+        rig.advance_reporting(100, &[1]);
+        rig.place_and_commit();
+    }
+    rig.core.report(rig.now, &report(&worker(0, 2), &[]));
+    let starts = rig.starts();
+    assert!(starts.iter().all(|start| start.0 == "w1"), "{starts:?}");
+    for (number, (_, task, run)) in (1..).zip(&starts) {
+        rig.core.report(rig.now, &ended(&worker(1, 1), number, task, *run, EndKind::Done));
+    }
+    rig.place_and_commit();
+    for id in ["a", "b"] {
+        let state = rig.core.view(id).map(|view| view.state);
+        assert_eq!(state, Some(JobState::Completed), "{id}");
+    }
+}
