Stop the rest of a gang after a takeover if other members have ended

Cause: rows do not hold the order to stop. The successor restored the remaining members as runs that continue and ordered their starts again; the check for stalled gangs judges only complete ones.

A gang starts again only once all of its runs have ended, so that a member that is not done and has no run shows that the others are to stop.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -147,6 +147,7 @@
                 worker: worker.id.clone(),
             });
         }
+        entry.stop_incomplete_gangs();
         for crash_row in &row.crashes {
             let Some(task) = entry.tasks.get_mut(&crash_row.key) else { continue };
             task.crash_record = crash_row.record;
@@ -156,6 +157,22 @@
         entry
     }
 
+    /// Orders the remaining runs of a gang to stop if other members have ended. Rows do not hold
+    /// such orders, and a gang starts again only once all of its runs have ended.
+    fn stop_incomplete_gangs(&mut self) {
+        let is_missing =
+            |(_, task): &(&TaskKey, &TaskEntry)| !task.done && task.placement.is_none();
+        let missing: Vec<TaskKey> =
+            self.tasks.iter().filter(is_missing).map(|(key, _)| *key).collect();
+        for key in missing {
+            for member in self.members(&key) {
+                if let Some(placement) = self.placement_mut(&member) {
+                    placement.stopping = true;
+                }
+            }
+        }
+    }
+
     pub fn row(&self) -> ProgressRow {
         let workers: BTreeSet<WorkerRow> =
             self.placements().map(|(_, placement)| worker_row(placement)).collect();
--- a/crates/jobs/tests/coordinator/losses.rs
+++ b/crates/jobs/tests/coordinator/losses.rs
@@ -1,6 +1,6 @@
 //! Runs that are lost with their workers, where a takeover lies between loss and end.
 
-use skylarkpulley_jobs::{EndKind, JobState};
+use skylarkpulley_jobs::{EndKind, JobState, Step};
 
 use crate::rig::{Rig, ended, job, report, step, worker};
 
@@ -53,3 +53,20 @@
         assert_eq!(state, Some(JobState::Completed), "{id}");
     }
 }
+
+/// Guards against a successor that starts the rest of a gang again whose other members have ended.
+/// The gang then waited until its workers gave up the lone members.
+#[test]
+fn restore_incomplete_gang() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("gang", 1, Step { gang: true, ..step(2, 8) }));
+    let starts = rig.starts();
+    let (id, task, run) = &starts[0];
+    let number = id[1..].parse().expect("a number");
+    rig.core.report(rig.now, &ended(&worker(number, 1), 1, task, *run, EndKind::Broken));
+    rig.place_and_commit();
+    rig.take_over();
+    assert_eq!(rig.starts(), Vec::new());
+    let (_, other, run) = &starts[1];
+    assert_eq!(rig.stops(), vec![(other.clone(), *run)]);
+}
