Count the waits of a job from the takeover if it was accepted in the future

Callers saw: after a takeover by an entry whose clock is behind, tasks waited up to the difference of the clocks longer, with free workers: the waits for a near worker (6 s) and for headroom (2 s) are counted from the time of acceptance, which lay in the successor's future.

Evidence: losses::restore_clock_behind (60 s) fails before this change: nothing is placed after 7 s.

No job is accepted in the future, so that such a time shows that the clocks differ; the leader takes its own time instead, at which it learned of the job.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -209,7 +209,8 @@
     ) -> Result<(), RowsError> {
         let error =
             |error: serde_json::Error| RowsError { key: key.to_owned(), detail: error.to_string() };
-        let job: Job = serde_json::from_slice(job).map_err(error)?;
+        let mut job: Job = serde_json::from_slice(job).map_err(error)?;
+        limit_acceptance(&mut job, now);
         let further =
             (1..).take_while(|number| progress.contains_key(&progress_key(key, *number))).count();
         if further > 0 {
@@ -259,7 +260,8 @@
     }
 
     /// Accepts or refuses a submission.
-    pub fn submit(&mut self, now: Timestamp, job: Job) -> Submission {
+    pub fn submit(&mut self, now: Timestamp, mut job: Job) -> Submission {
+        limit_acceptance(&mut job, now);
         if self.jobs.contains_key(&job.id) {
             return Submission::Accepted { version: ACCEPTED_VERSION };
         }
@@ -536,3 +538,9 @@
         self.record_decision(id, DecisionKind::Ended, format!("{state:?}"));
     }
 }
+
+/// Moves an acceptance that lies in the future to the present: the entry that accepted the job has
+/// a clock that is ahead. Otherwise all waits of the job would last longer by the difference.
+fn limit_acceptance(job: &mut Job, now: Timestamp) {
+    job.accepted_ms = job.accepted_ms.min(now.wall_ms);
+}
--- a/crates/jobs/tests/coordinator/losses.rs
+++ b/crates/jobs/tests/coordinator/losses.rs
@@ -1,4 +1,5 @@
-//! Runs that are lost with their workers, where a takeover lies between loss and end.
+//! What a successor makes of the rows: runs that are lost with their workers, gangs that end, and
+//! jobs of a leader with another clock.
 
 use skylarkpulley_jobs::{EndKind, JobState, Step};
 
@@ -70,3 +71,28 @@
     let (_, other, run) = &starts[1];
     assert_eq!(rig.stops(), vec![(other.clone(), *run)]);
 }
+
+/// Guards against waits that last longer by the difference of two leaders' clocks. A job that was
+/// accepted in the successor's future waited for a near worker for up to a minute.
+#[test]
+fn restore_clock_behind() {
+    let mut rig = Rig::new(4);
+    rig.submit(job("others", 1, Step { lasting: true, ..step(3, 8) }));
+    let others = rig.starts();
+    rig.submit(job("near", 1, Step { near_rack: Some("r0".to_owned()), ..step(1, 8) }));
+    rig.now.wall_ms -= 60_000;
+    rig.take_over();
+    for _ in 0..70 {
+        for number in 0..4 {
+            let status = worker(number, 1);
+            let runs = others.iter().filter(|(id, ..)| *id == status.id);
+            let runs: Vec<_> = runs.map(|(_, task, run)| (task.clone(), *run)).collect();
+            rig.core.report(rig.now, &report(&status, &runs));
+        }
+        rig.advance(100);
+        rig.place_and_commit();
+    }
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!((starts[0].0.as_str(), starts[0].1.job.as_str()), ("w3", "near"));
+}
