--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -209,7 +209,8 @@
     ) -> Result<(), RowsError> {
         let error =
             |error: serde_json::Error| RowsError { key: key.to_owned(), detail: error.to_string() };
-        let job: Job = serde_json::from_slice(job).map_err(error)?;
+        let mut job: Job = serde_json::from_slice(job).map_err(error)?;
+        limit_acceptance(&mut job, now);
         let further =
             (1..).take_while(|number| progress.contains_key(&progress_key(key, *number))).count();
         if further > 0 {
@@ -259,7 +260,8 @@
     }
 
     /// Accepts or refuses a submission.
-    pub fn submit(&mut self, now: Timestamp, job: Job) -> Submission {
+    pub fn submit(&mut self, now: Timestamp, mut job: Job) -> Submission {
+        limit_acceptance(&mut job, now);
         if self.jobs.contains_key(&job.id) {
             return Submission::Accepted { version: ACCEPTED_VERSION };
         }
@@ -307,7 +309,7 @@
         let Some(entry) = self.jobs.remove(id) else { return };
         for (task, placement) in entry.placements() {
             let resources = entry.resources(task.key.step);
-            self.fleet.release(&placement.worker, placement.incarnation, &task, &resources);
+            self.fleet.release(&placement.worker, &task, placement.run, &resources);
             self.changed_workers.insert(placement.worker.clone());
         }
         self.changed_jobs.remove(id);
@@ -502,11 +504,11 @@
     fn end_run(&mut self, now: Timestamp, task: &TaskId, kind: Option<EndKind>, checkpoint: &str) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = entry.take_placement(&task.key) else { return };
-        let Placement { worker, incarnation, run, .. } = placement;
+        let Placement { worker, run, .. } = placement;
         let resources = entry.resources(task.key.step);
         entry.apply_end(&task.key, run, kind, checkpoint, &worker);
         let failed = entry.failed;
-        self.fleet.release(&worker, incarnation, task, &resources);
+        self.fleet.release(&worker, task, run, &resources);
         self.changed_workers.insert(worker.clone());
         self.plan_due = true;
         let detail = format!("run {run} on {worker}: {kind:?}");
@@ -536,3 +538,9 @@
         self.record_decision(id, DecisionKind::Ended, format!("{state:?}"));
     }
 }
+
+/// Moves an acceptance that lies in the future to the present: the entry that accepted the job has
+/// a clock that is ahead. Otherwise all waits of the job would last longer by the difference.
+fn limit_acceptance(job: &mut Job, now: Timestamp) {
+    job.accepted_ms = job.accepted_ms.min(now.wall_ms);
+}
