Ask for permits of other workers while the permitted ones are held

Callers saw: an accepted step waited for as long as other work, lasting work too, held the workers that the placement policy had permitted, while others were free and never asked about. On pools with more workers than a question names, a single permit was enough to end the questions.

Cause: further permits were requested only while there were fewer of them than waiting tasks, whether or not the tasks fit on those workers.

Evidence: liveness::permitted_workers_held fails before this change.

Now others are asked about as well when the tasks would fit now with them and do not fit on the permitted workers; the workers that would be chosen are named first. Questions of a unit that fits nowhere are as before.

--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -105,6 +105,11 @@
             .then_some(permit.text.as_str())
     }
 
+    /// Reports whether the policy has rejected a worker for the step.
+    pub fn is_rejected(&self, step: &StepId, worker: &str) -> bool {
+        self.steps.get(step).is_some_and(|advice| advice.rejected.iter().any(|id| id == worker))
+    }
+
     /// Forgets the requests that were asked for. Each round of planning asks anew, so that nothing is
     /// asked about steps that no longer wait.
     pub fn clear_wanted(&mut self) {
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod earliest_fit;
 mod entry;
 mod gang_time;
+mod permits;
 mod planning;
 mod preemption;
 mod reports;
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -146,7 +146,7 @@
         let Some((demand, allowed)) = self.demand(unit, keys, view) else {
             return Outcome::Blocked;
         };
-        let allowed = self.with_permits(now, unit, view, allowed);
+        let allowed = self.with_permits(now, unit, &demand, view, allowed);
         let allowed = self.without_failed_worker(unit, keys, view, allowed);
         let allowed = self.without_interference(unit, &demand, view, allowed);
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
@@ -170,35 +170,6 @@
         Outcome::Blocked
     }
 
-    /// Returns the candidates with a permit of the placement policy, and requests further permits
-    /// if these are too few.
-    fn with_permits(
-        &mut self,
-        now: Timestamp,
-        unit: &Unit,
-        view: &PoolView,
-        allowed: Vec<usize>,
-    ) -> Vec<usize> {
-        let advised = self.jobs.get(&unit.job).is_some_and(|entry| entry.job.advised);
-        let (true, Some(first)) = (advised, unit.keys.first()) else { return allowed };
-        let step = StepId::new(&unit.job, first);
-        let incarnation =
-            |id: &str| self.fleet.workers.get(id).map_or(0, |worker| worker.status.incarnation);
-        let permits = |index: &usize| {
-            let id = &view.candidates[*index].id;
-            self.advice.permit(&step, id, incarnation(id), now.monotonic).is_some()
-        };
-        let (with_permit, mut others): (Vec<usize>, Vec<usize>) =
-            allowed.into_iter().partition(|index| permits(index));
-        others.sort_by_key(|index| std::cmp::Reverse(view.candidates[*index].free.accelerators));
-        let ids: Vec<String> =
-            others.iter().map(|index| view.candidates[*index].id.to_string()).collect();
-        if with_permit.len() < unit.keys.len() {
-            self.advice.want(&step, &ids);
-        }
-        with_permit
-    }
-
     /// Excludes the worker on which the last run failed, unless there is no other.
     fn without_failed_worker(
         &self,
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -7,6 +7,7 @@
 mod crashing_pool;
 mod gangs;
 mod interleavings;
+mod liveness;
 mod losses;
 mod rig;
 mod row_sizes;
