Wait for a rack only while its workers can run the gang

Callers saw: a gang that is to run on one rack was accepted and never started, although most of the workers were free.

Cause: a gang gives up its rack only if no rack could run it, and workers that are gone for good, leave, are held by lasting tasks or are rejected by the placement policy counted as able to. Nothing bounded the wait.

A worker counts while it is open or has been closed for less than 6 s, which covers restarts. Beside that, a gang that has waited for twice its estimate takes several racks where its resources are free twice over: its tasks then take about three times as long, so that a longer wait gains nothing, and nothing is taken from other work.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod permits;
 mod planning;
 mod preemption;
+mod racks;
 mod reports;
 mod summary;
 mod units;
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -10,9 +10,8 @@
     is_small,
 };
 
-/// Longest wait for a worker near the data or on one rack, because tasks on others are several
-/// times slower.
-const MAX_NEAR_WAIT: Duration = Duration::from_secs(6);
+/// Longest wait for a worker near the data, because tasks on others are several times slower.
+pub(super) const MAX_NEAR_WAIT: Duration = Duration::from_secs(6);
 
 /// Time after which a small task of a job without runs may use the workers that are reserved for
 /// larger tasks.
@@ -50,6 +49,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.close_silent(now);
         self.expire_workers(now);
+        self.track_closed(now);
         self.stop_stalled(now);
         self.move_off_draining(now);
         self.remove_ended_jobs(now);
@@ -143,7 +143,7 @@
         view: &mut PoolView,
         guaranteed: &BTreeSet<String>,
     ) -> Outcome {
-        let Some((demand, allowed)) = self.demand(unit, keys, view) else {
+        let Some((demand, allowed)) = self.demand(now, unit, keys, view) else {
             return Outcome::Blocked;
         };
         let allowed = self.with_permits(now, unit, &demand, view, allowed);
@@ -151,7 +151,7 @@
         let allowed = self.without_interference(unit, &demand, view, allowed);
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
-        if let Some(chosen) = self.choose_now(unit, &demand, view, &allowed) {
+        if let Some(chosen) = self.choose_now(now, unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
             return Outcome::Placed;
         }
@@ -220,6 +220,7 @@
     /// Returns the demand of the tasks and the candidates that may run them.
     fn demand(
         &self,
+        now: Timestamp,
         unit: &Unit,
         keys: &[TaskKey],
         view: &PoolView,
@@ -242,8 +243,7 @@
             same_rack: step.same_rack && keys.len() > 1,
             spread: step.spread,
         };
-        if demand.same_rack && !self.any_rack_fits(&entry.job.pool, &demand, step.label.as_deref())
-        {
+        if demand.same_rack && !self.any_rack_fits(now, unit, &demand) {
             demand.same_rack = false;
         }
         if step.same_rack && keys.len() == 1 {
@@ -300,22 +300,6 @@
         })
     }
 
-    /// Reports whether any rack of the pool could run the whole demand if it were empty.
-    fn any_rack_fits(&self, pool: &str, demand: &Demand, label: Option<&str>) -> bool {
-        self.fleet.racks(pool).values().any(|members| {
-            let slots = members.iter().filter_map(|id| self.fleet.workers.get(*id)).map(|worker| {
-                let labels = &worker.status.labels;
-                if worker.status.draining
-                    || label.is_some_and(|label| !labels.iter().any(|other| other == label))
-                {
-                    return 0;
-                }
-                demand.slots(&worker.status.resources, 0)
-            });
-            slots.sum::<u32>() >= demand.count
-        })
-    }
-
     fn sibling_rack(&self, job: &str, key: &TaskKey) -> Option<String> {
         let entry = self.jobs.get(job)?;
         let (_, placement) = entry
@@ -328,6 +312,7 @@
     /// is the better choice.
     fn choose_now(
         &self,
+        now: Timestamp,
         unit: &Unit,
         demand: &Demand,
         view: &PoolView,
@@ -335,13 +320,14 @@
     ) -> Option<Vec<usize>> {
         let candidates =
             self.count_same_step(unit, demand, select_candidates(view, allowed, false));
-        let chosen = choose_workers(demand, &candidates)?;
+        let chosen = choose_workers(demand, &candidates)
+            .or_else(|| self.choose_racks(unit, demand, &candidates))?;
         let near = demand.near_rack.as_deref();
         let far =
             near.is_some_and(|near| chosen.iter().any(|index| &*candidates[*index].rack != near));
         let possible = near.is_some_and(|near| {
             self.fleet.workers.values().any(|worker| {
-                worker.has_reported
+                worker.is_expected(now.monotonic)
                     && worker.status.rack == near
                     && worker.status.resources.fits(&demand.resources)
             })
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -1,8 +1,12 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::{Health, Resources, TaskId, WorkerStatus};
 
+/// A worker that has been closed for this long is not waited for. Covers a restart of its process,
+/// of its agent or of the leader; a worker that is gone for good never returns.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// State of one worker as the coordinator knows it.
 #[derive(Clone, Debug)]
 pub struct FleetWorker {
@@ -11,6 +15,8 @@
     /// Ends that are applied in memory but not acknowledged: the number of the last one, and the
     /// job versions that must be durable first.
     pub applied: Option<(u64, Vec<(String, u64)>)>,
+    /// Since when it has been closed for new work; `None` while it is open.
+    pub closed_since: Option<Instant>,
     /// Whether it may have ended further runs that it did not list in the last report.
     pub ends_truncated: bool,
     /// Time until which it gets no new work, because it refused a run for want of free resources.
@@ -42,6 +48,7 @@
         Self {
             acked: 0,
             applied: None,
+            closed_since: None,
             ends_truncated: false,
             full_until: None,
             has_reported: false,
@@ -72,6 +79,15 @@
             && self.full_until.is_none_or(|until| now >= until)
             && self.health.is_usable(now)
     }
+
+    /// Reports whether new work may soon be placed on the worker: it is open, or has been closed
+    /// only for a short time and does not leave.
+    pub fn is_expected(&self, now: Instant) -> bool {
+        let closed = self.closed_since.map(|since| now.saturating_duration_since(since));
+        self.has_reported
+            && !self.status.draining
+            && closed.is_none_or(|closed| closed < RETURN_TIMEOUT)
+    }
 }
 
 /// All workers by id.
--- a/crates/jobs/tests/coordinator/liveness.rs
+++ b/crates/jobs/tests/coordinator/liveness.rs
@@ -1,10 +1,78 @@
 //! Work that could start, and the rules that make it wait for something that does not come.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use skylarkpulley_jobs::{AdviceAnswer, Job, Step};
+use skylarkpulley_jobs::{AdviceAnswer, Job, Step, WorkerReport};
 
-use crate::rig::{Rig, job, step};
+use crate::rig::{Rig, job, report, step, worker};
+
+/// Longest wait of work that has room twice over, the sum of all rules that hold it back.
+const MAX_WAIT_MS: u64 = 15_000;
+
+/// Number of workers that are reported in a test; racks have three.
+const WORKERS: u32 = 12;
+
+fn rack_gang() -> Step {
+    Step { gang: true, same_rack: true, ..step(3, 8) }
+}
+
+/// Advances the time until starts are ordered, and returns their number. All workers report without
+/// runs; `closed` ones do not answer their agents.
+fn await_starts(rig: &mut Rig, closed: &[u32], millis: u64) -> usize {
+    for _ in 0..millis / 100 {
+        for number in 0..WORKERS {
+            let unreached = closed.contains(&number);
+            let report = report(&worker(number, 1), &[]);
+            rig.core.report(rig.now, &WorkerReport { listed: !unreached, unreached, ..report });
+        }
+        rig.advance(100);
+        rig.place_and_commit();
+        if !rig.starts().is_empty() {
+            break;
+        }
+    }
+    rig.starts().len()
+}
+
+/// Answers the open question to the placement policy, which permits the workers that `permits`
+/// names.
+fn answer_policy(rig: &mut Rig, permits: impl Fn(u32) -> bool) {
+    let Some(call) = rig.core.next_advice_call(rig.now) else { return };
+    let number = |id: &str| id[1..].parse().expect("a number");
+    let permitted = call.workers.iter().filter(|id| permits(number(id)));
+    let permits: BTreeMap<String, String> =
+        permitted.map(|id| (id.clone(), "permit".to_owned())).collect();
+    let answer = AdviceAnswer { permits, valid: Duration::from_secs(600) };
+    rig.core.handle_advice(rig.now, &call, Some(&answer));
+    rig.place_and_commit();
+}
+
+/// Guards against a gang that waits for ever for a whole rack, because workers that are gone for
+/// good count as able to run it.
+#[test]
+fn rack_workers_gone() {
+    let mut rig = Rig::new(WORKERS);
+    let gone = [0, 3, 6, 9];
+    await_starts(&mut rig, &gone, 1000);
+    rig.submit(job("gang", 1, rack_gang()));
+    assert_eq!(await_starts(&mut rig, &gone, MAX_WAIT_MS), 3);
+}
+
+/// Guards against a gang that waits for ever for a rack of which the placement policy permits only
+/// a part.
+#[test]
+fn rack_workers_rejected() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(Job { advised: true, ..job("gang", 1, rack_gang()) });
+    for _ in 0..MAX_WAIT_MS / 1000 {
+        answer_policy(&mut rig, |number| number % 3 > 0);
+        if await_starts(&mut rig, &[], 1000) > 0 {
+            break;
+        }
+    }
+    assert_eq!(rig.starts().len(), 3);
+}
 
 /// Guards against a step that asks for no further permits while lasting work holds all workers that
 /// it has permits for.
@@ -24,3 +92,17 @@
     let further = rig.core.next_advice_call(rig.now).expect("a question about the other workers");
     assert!(further.workers.iter().all(|id| !call.workers.contains(id)));
 }
+
+/// Guards against a wait for a rack near the data that never ends, because an entry whose clock is
+/// ahead accepted the job.
+#[test]
+fn near_rack_clock_ahead() {
+    let mut rig = Rig::new(WORKERS);
+    let gone = [0, 1, 2];
+    await_starts(&mut rig, &gone, 1000);
+    let near = Step { near_rack: Some("r0".to_owned()), ..step(1, 1) };
+    let ahead = Job { accepted_ms: rig.now.wall_ms + 60_000, ..job("near", 1, near) };
+    rig.core.submit(rig.now, ahead);
+    rig.place_and_commit();
+    assert_eq!(await_starts(&mut rig, &gone, MAX_WAIT_MS), 1);
+}
