--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -7,8 +7,9 @@
 mod crashing_pool;
 mod gangs;
 mod interleavings;
-mod liveness;
+
 mod losses;
+mod preferences;
 mod rig;
 mod row_sizes;
 mod rules;
