--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -7,7 +7,6 @@
 mod crashing_pool;
 mod gangs;
 mod interleavings;
-
 mod losses;
 mod preferences;
 mod rig;
