Name the cause for which a worker gets no new work

Cause: whether a worker is open was one condition over six fields, so that a line about waiting tasks could not say which of them closed it.

Change: FleetWorker::closure returns the first cause that applies, and is_open asks it. The conditions and their order are the same.

--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::{Health, Resources, TaskId, WorkerStatus};
+use crate::{Closure, Health, Resources, TaskId, WorkerStatus};
 
 /// State of one worker as the coordinator knows it.
 #[derive(Clone, Debug)]
@@ -65,12 +65,27 @@
 
     /// Reports whether new work may be placed on the worker.
     pub fn is_open(&self, now: Instant) -> bool {
-        self.has_reported
-            && self.has_session
-            && self.is_reached
-            && !self.status.draining
-            && self.full_until.is_none_or(|until| now >= until)
-            && self.health.is_usable(now)
+        self.closure(now).is_none()
+    }
+
+    /// Returns why no new work may be placed on the worker; `None` if it may.
+    pub fn closure(&self, now: Instant) -> Option<Closure> {
+        if !self.has_reported {
+            return Some(Closure::Unreported);
+        }
+        if !self.has_session {
+            return Some(Closure::NoSession);
+        }
+        if !self.is_reached {
+            return Some(Closure::Unreached);
+        }
+        if self.status.draining {
+            return Some(Closure::Draining);
+        }
+        if self.full_until.is_some_and(|until| now < until) {
+            return Some(Closure::Full);
+        }
+        (!self.health.is_usable(now)).then_some(Closure::Quarantined)
     }
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod agent_calls;
 mod clock_reading;
+mod closure;
 mod coordinator;
 mod crash_record;
 mod estimates;
@@ -34,6 +35,7 @@
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::AgentCore;
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
+pub use closure::Closure;
 pub use coordinator::{
     Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
     View, WorkerSummary,
