Log why tasks that could start do not

Cause: accepted work that could run and did not start while most of the pool was free left no line after its acceptance. The logs could not tell tasks that are not counted as waiting from free resources that are not counted as free, nor from permits, stops or ends that do not come.

Change: after a round of planning, at most once a second, the steps whose tasks have been able to start for 3 s are listed, the longest waits first, at most 12 of them; a step without a line comes before those that have one. A line is written at the first look, when the reason changes and every 5 s (event 320, tasks-waiting). It begins with the class: not counted as waiting, not counted as free, or waits for. Steps without any waiting unit get the state of the run that is in the way. The lines are logged and not kept among the decisions, which they would displace.

--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -28,6 +28,11 @@
         let event = decision_event(decision.kind);
         let detail = format!("{}; epoch {epoch}", decision.detail);
         self.metrics.count(event.name());
+        // `explain` asks the leader for the present reason.
+        if decision.kind == DecisionKind::Waiting {
+            self.decisions.log(event, &decision.id, &detail);
+            return;
+        }
         self.decisions.record(now, event, &decision.id, &detail);
     }
 
@@ -54,5 +59,6 @@
         DecisionKind::Lost => Event::WorkerLost,
         DecisionKind::Silent => Event::AgentSilent,
         DecisionKind::Unstored => Event::JobUnstored,
+        DecisionKind::Waiting => Event::TasksWaiting,
     }
 }
--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
+
 use crate::TaskKey;
 
 /// Maximum number of workers in one request to the placement policy. Each worker makes its answer
@@ -18,7 +20,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Id of a step of one occurrence of a job.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[display("{job}.{occurrence}.{step}")]
 pub struct StepId {
     /// Id of the job.
     pub job: String,
@@ -175,6 +178,28 @@
         }
     }
 
+    /// Describes the requests about a step: how many workers the policy has rejected for it, whether
+    /// its request is open, waits for its turn or failed, and which step's request is open.
+    pub fn describe(&self, step: &StepId, now: Instant) -> String {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis();
+        let advice = self.steps.get(step);
+        let rejected = advice.map_or(0, |advice| advice.rejected.len());
+        let retrying = advice.and_then(|advice| advice.retry_at).is_some_and(|at| now < at);
+        let open = self.open.as_ref().map(|(open, sent_at)| (open == step, open, age(*sent_at)));
+        let request = match open {
+            Some((true, _, age)) => format!("asked {age} ms ago"),
+            _ if retrying => "the last request failed".to_owned(),
+            _ if self.wanted.iter().any(|call| call.step == *step) => match open {
+                Some((_, other, age)) => {
+                    format!("waits to ask, {other} was asked about {age} ms ago")
+                }
+                None => "waits to ask".to_owned(),
+            },
+            _ => "asks for no worker".to_owned(),
+        };
+        format!("rejected {rejected}, {request}")
+    }
+
     /// Removes the permit of a worker that has rejected it.
     pub fn remove_permit(&mut self, step: &StepId, worker: &str) {
         if let Some(advice) = self.steps.get_mut(step) {
--- a/crates/jobs/src/coordinator/earliest_fit.rs
+++ b/crates/jobs/src/coordinator/earliest_fit.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::gang_time::GangTimes;
+use super::hold::HoldKind;
 use super::planning::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
@@ -27,7 +28,8 @@
         allowed: &[usize],
     ) {
         if let Some((_, chosen)) = self.earliest_fit(now, unit, demand, view, allowed) {
-            reserve(view, demand, &to_view_indexes(allowed, &chosen));
+            let chosen = to_view_indexes(allowed, &chosen);
+            reserve(view, unit, HoldKind::RunEnds, demand, &chosen);
         }
     }
 
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -4,11 +4,17 @@
 mod earliest_fit;
 mod entry;
 mod gang_time;
+mod hold;
 mod planning;
+mod pool_state;
 mod preemption;
 mod reports;
 mod summary;
+mod uncounted;
+mod unit_rules;
 mod units;
+mod wait_reason;
+mod waiting;
 mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,7 +27,10 @@
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
+use hold::Hold;
 pub use summary::{QueueSummary, Summary, WorkerSummary};
+pub use waiting::WaitCounts;
+use waiting::WaitLog;
 
 /// Version of a job in the write that stores its submission.
 const ACCEPTED_VERSION: u64 = 1;
@@ -113,6 +122,8 @@
     fleet: Fleet,
     /// Number of stored rows beyond the first, of each job whose state takes more than one row.
     further_rows: BTreeMap<String, usize>,
+    /// Resources that the last round of planning has reserved.
+    holds: Vec<Hold>,
     jobs: BTreeMap<String, JobEntry>,
     limits: Limits,
     open_write: Option<Vec<commits::WrittenJob>>,
@@ -125,6 +136,7 @@
     suspects: BTreeSet<TaskId>,
     tables: JobTables,
     unexplained_crashes: VecDeque<UnexplainedCrash>,
+    wait_log: WaitLog,
     waiting_jobs: BTreeSet<String>,
     /// Maximum number of jobs in the next write.
     write_limit: usize,
@@ -168,6 +180,8 @@
     Silent,
     /// The store rejects the rows of a job.
     Unstored,
+    /// Tasks that could start have waited for long.
+    Waiting,
 }
 
 impl Coordinator {
@@ -181,6 +195,7 @@
             estimates: Estimates::new(),
             fleet: Fleet::new(),
             further_rows: BTreeMap::new(),
+            holds: Vec::new(),
             jobs: BTreeMap::new(),
             limits,
             open_write: None,
@@ -190,6 +205,7 @@
             suspects: BTreeSet::new(),
             tables,
             unexplained_crashes: VecDeque::new(),
+            wait_log: WaitLog::new(),
             waiting_jobs: BTreeSet::new(),
             write_limit: commits::MAX_JOBS_PER_WRITE,
         }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -3,6 +3,7 @@
 
 use super::earliest_fit::RunEndTime;
 use super::entry::Placement;
+use super::hold::{Hold, HoldKind};
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
@@ -38,6 +39,8 @@
     pub(super) candidates: Vec<Candidate>,
     /// Resources that are free once the runs that are ordered to stop have ended.
     pub(super) future_free: Vec<Resources>,
+    /// Resources that are reserved in this round.
+    pub(super) holds: Vec<Hold>,
     /// When the runs on the candidates are expected to end by themselves, the earliest first.
     /// `None` until a claim needs them, and after runs were ordered to stop.
     pub(super) run_ends: Option<Vec<RunEndTime>>,
@@ -75,6 +78,8 @@
             let Some(view) = views.get_mut(&pool) else { continue };
             self.place_unit(now, unit, view, &guaranteed);
         }
+        self.holds = views.into_values().flat_map(|view| view.holds).collect();
+        self.check_waiting(now, &units);
     }
 
     /// Reports whether something has changed since the last round of planning.
@@ -82,10 +87,11 @@
         self.plan_due
     }
 
-    fn pool_view(&self, pool: &str, now: Timestamp) -> PoolView {
+    pub(super) fn pool_view(&self, pool: &str, now: Timestamp) -> PoolView {
         let mut view = PoolView {
             candidates: Vec::new(),
             future_free: Vec::new(),
+            holds: Vec::new(),
             run_ends: None,
             reservations: 0,
         };
@@ -157,7 +163,7 @@
         }
         let after_stops = select_candidates(view, &allowed, true);
         if let Some(chosen) = choose_workers(&demand, &after_stops) {
-            reserve(view, &demand, &to_view_indexes(&allowed, &chosen));
+            reserve(view, unit, HoldKind::Stops, &demand, &to_view_indexes(&allowed, &chosen));
             return Outcome::Reserved;
         }
         if self.preempt(now, unit, &demand, view, &allowed, guaranteed) {
@@ -200,7 +206,7 @@
     }
 
     /// Excludes the worker on which the last run failed, unless there is no other.
-    fn without_failed_worker(
+    pub(super) fn without_failed_worker(
         &self,
         unit: &Unit,
         keys: &[TaskKey],
@@ -220,7 +226,7 @@
     /// Excludes the workers that are reserved for larger tasks, if the tasks are small and have
     /// slack. After [`MAX_HEADROOM_WAIT`] a job without runs may use any worker, so that it does
     /// not wait while workers are idle.
-    fn with_headroom(
+    pub(super) fn with_headroom(
         &self,
         now: Timestamp,
         unit: &Unit,
@@ -247,7 +253,7 @@
     }
 
     /// Returns the demand of the tasks and the candidates that may run them.
-    fn demand(
+    pub(super) fn demand(
         &self,
         unit: &Unit,
         keys: &[TaskKey],
@@ -284,7 +290,7 @@
     /// Excludes the workers on which the unit and the runs there would interfere with each other,
     /// if the tasks fit on the other workers. Otherwise filling and serving tasks share a worker,
     /// whose agent slows the filling tasks down.
-    fn without_interference(
+    pub(super) fn without_interference(
         &self,
         unit: &Unit,
         demand: &Demand,
@@ -355,7 +361,7 @@
 
     /// Chooses workers with free resources. Returns `None` while waiting for a worker near the data
     /// is the better choice.
-    fn choose_now(
+    pub(super) fn choose_now(
         &self,
         unit: &Unit,
         demand: &Demand,
@@ -515,7 +521,18 @@
 }
 
 /// Removes the resources of a demand from the view without placing it, so that they stay reserved.
-pub(super) fn reserve(view: &mut PoolView, demand: &Demand, chosen: &[usize]) {
+pub(super) fn reserve(
+    view: &mut PoolView,
+    unit: &Unit,
+    kind: HoldKind,
+    demand: &Demand,
+    chosen: &[usize],
+) {
+    if let Some(first) = unit.keys.first() {
+        let workers = chosen.iter().map(|index| view.candidates[*index].id.clone()).collect();
+        let (resources, step) = (demand.resources, StepId::new(&unit.job, first));
+        view.holds.push(Hold { kind, resources, step, workers });
+    }
     for index in chosen {
         view.candidates[*index].free.subtract(&demand.resources);
         view.future_free[*index].subtract(&demand.resources);
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -3,6 +3,7 @@
 
 use super::absences::Absences;
 use super::entry::{JobEntry, Placement};
+use super::hold::HoldKind;
 use super::planning::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
@@ -35,7 +36,8 @@
         let max_lost_work = match decide_claim(&claim, self.limits.stop, self.limits.reclaim) {
             ClaimDecision::Wait => {
                 if let Some((_, chosen)) = fit {
-                    reserve(view, demand, &to_view_indexes(allowed, &chosen));
+                    let chosen = to_view_indexes(allowed, &chosen);
+                    reserve(view, unit, HoldKind::RunEnds, demand, &chosen);
                 }
                 return true;
             }
@@ -64,7 +66,8 @@
         for run in preemptible_runs.iter().filter(|run| plan.groups.contains(&run.group)) {
             view.future_free[allowed[run.candidate]].add(&run.resources);
         }
-        reserve(view, demand, &to_view_indexes(allowed, &plan.chosen));
+        let chosen = to_view_indexes(allowed, &plan.chosen);
+        reserve(view, unit, HoldKind::Stops, demand, &chosen);
         true
     }
 
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -61,7 +61,7 @@
         units
     }
 
-    fn units_of(&self, entry: &JobEntry, now: Timestamp, tier: u8) -> Vec<Unit> {
+    pub(super) fn units_of(&self, entry: &JobEntry, now: Timestamp, tier: u8) -> Vec<Unit> {
         let mut units = Vec::new();
         for occurrence in 0..entry.job.occurrences() {
             let due = entry.job.due_ms(occurrence);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -38,7 +38,7 @@
 pub use closure::Closure;
 pub use coordinator::{
     Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
-    View, WorkerSummary,
+    View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
 pub use estimates::Estimates;
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -10,3 +10,4 @@
 mod rig;
 mod row_sizes;
 mod rules;
+mod waiting;
--- a/crates/telemetry/src/decisions.rs
+++ b/crates/telemetry/src/decisions.rs
@@ -31,9 +31,14 @@
         Self { limit, ring: Mutex::new(VecDeque::new()) }
     }
 
+    /// Writes the log line of an observation, which is repeated and therefore not kept.
+    pub fn log(&self, event: Event, id: &str, detail: &str) {
+        tracing::info!(code = event.code(), event = event.name(), id, detail);
+    }
+
     /// Records a decision and writes its log line.
     pub fn record(&self, at: Instant, event: Event, id: &str, detail: &str) {
-        tracing::info!(code = event.code(), event = event.name(), id, detail);
+        self.log(event, id, detail);
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         if ring.len() >= self.limit {
             ring.pop_front();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -64,6 +64,7 @@
     CrashRecorded = 317, "crash-recorded", "A worker crashed under a task that may have caused it; the next run of the task is isolated.";
     JobGivenUp = 318, "job-given-up", "A job ended as failed because workers crash under one of its tasks.";
     JobUnstored = 319, "job-unstored", "The store rejects the rows of a job; other jobs are stored without it.";
+    TasksWaiting = 320, "tasks-waiting", "Tasks that could start have waited for seconds; the detail begins with the reason.";
     AgentJoined = 400, "agent-joined", "An agent opened a session.";
     AgentSilent = 401, "agent-silent", "An agent sent nothing within the time-out and gets no new work.";
     AgentLeaving = 402, "agent-leaving", "An agent or its upstream is leaving.";
