Answer explain with the reason for which tasks wait now

Cause: explain showed only what was recorded, and nothing is recorded about a job that is accepted and does not start.

Change: each entry that is asked for its records adds, if it leads, the line that the log would have now for each step of the job that could start, also before the 3 s have passed; without an answer of the leader within 0.4 s the records come without it. Two gauges: steps_waiting, and of these steps_waiting_fitting, whose tasks the free resources of open workers would hold twice.

The test explain_at_any_entry compared all events of the explanation; its job waits without any worker, so that it now also demands the line with this reason, at both entries.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -326,6 +326,10 @@
                 // Sending fails when the operator has left, which needs no handling.
                 let _ = reply.send(self.coordinator.summary(now));
             }
+            LeaderMessage::Explain { id, reply } => {
+                // Sending fails when the operator has left, which needs no handling.
+                let _ = reply.send(self.coordinator.explain_waiting(now, &id));
+            }
             LeaderMessage::Open { session, outbound } => {
                 self.sessions
                     .insert(session, Session { acked: 0, outbound, worker: String::new() });
@@ -570,7 +574,8 @@
 
     fn update_gauges(&self) {
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
-        self.context.records.update_gauges(agents, callers, self.epoch);
+        let steps = self.coordinator.wait_counts();
+        self.context.records.update_gauges(agents, callers, steps, self.epoch);
     }
 
     fn record_decisions(&mut self) {
--- a/crates/coordination/src/leader_message.rs
+++ b/crates/coordination/src/leader_message.rs
@@ -1,4 +1,4 @@
-use skylarkpulley_jobs::{AdviceAnswer, AdviceCall, Summary, WorkerReport};
+use skylarkpulley_jobs::{AdviceAnswer, AdviceCall, Decision, Summary, WorkerReport};
 use skylarkpulley_proto::v1;
 use tokio::sync::{mpsc, oneshot};
 use tonic::Status;
@@ -46,6 +46,13 @@
         /// Receives the answer.
         reply: oneshot::Sender<Summary>,
     },
+    /// An operator asks why the tasks of a job do not start.
+    Explain {
+        /// Id of the job, of a step or of a task.
+        id: String,
+        /// Receives a line for each step whose tasks could start.
+        reply: oneshot::Sender<Vec<Decision>>,
+    },
     /// A session has ended.
     Close {
         /// Number of the session.
--- a/crates/coordination/src/operators.rs
+++ b/crates/coordination/src/operators.rs
@@ -6,19 +6,25 @@
 use skylarkpulley_admin::{
     ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus, WorkerStatus,
 };
-use skylarkpulley_jobs::{JobTables, Summary};
+use skylarkpulley_jobs::{Decision, JobTables, Summary};
 use skylarkpulley_proto::v1;
+use skylarkpulley_telemetry::Event;
 use skylarkpulley_types::Clock;
 use tokio::sync::oneshot;
 
 use crate::convert::millis;
 use crate::leader_message::LeaderMessage;
 use crate::peer::PeerClients;
+use crate::records::decision_event;
 use crate::service::Shared;
 
 /// Time limit of a call to another entry. An operator waits for the slowest of the calls.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time limit for the reason why tasks wait. The records of this entry are given without it, and
+/// within the time limit of another entry that asks for them.
+const WAITING_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Explanations and status that an entry gives to operators.
 #[derive(Clone)]
 pub struct Operators {
@@ -41,7 +47,7 @@
     /// Returns what the entries have recorded about a request, job or worker, oldest first. The
     /// records of entries that do not answer are missing.
     pub async fn explain(&self, id: &str) -> Explanation {
-        let mut replies = vec![self.local_lines(id)];
+        let mut replies = vec![self.local_lines(id).await];
         let mut asked = BTreeSet::new();
         let leader = self.shared.leadership.borrow().address.clone();
         let mut unasked: BTreeSet<String> = self.shared.followers.recent().into_keys().collect();
@@ -65,29 +71,38 @@
         Explanation { id: id.to_owned(), lines }
     }
 
-    /// Returns what this entry has recorded about `id`, and the entries that it knows.
-    pub(crate) fn local_lines(&self, id: &str) -> v1::ExplainReply {
+    /// Returns what this entry has recorded about `id`, why its tasks wait now if this entry is the
+    /// leader, and the entries that it knows.
+    pub(crate) async fn local_lines(&self, id: &str) -> v1::ExplainReply {
         let decisions = self.shared.records.decisions.explain(id, self.clock.now());
-        let lines = decisions.into_iter().map(|(age, decision)| {
-            let (decision_id, detail) = (&decision.id, &decision.detail);
-            v1::ExplainLine {
-                age_ms: millis(age),
-                code: u32::from(decision.event.code()),
-                event: decision.event.name().to_owned(),
-                detail: if decision_id == id {
-                    detail.clone()
-                } else {
-                    format!("{decision_id}: {detail}")
-                },
-            }
+        let recorded = decisions.iter().map(|(age, decision)| {
+            encode_line(id, *age, decision.event, &decision.id, &decision.detail)
         });
+        let mut lines: Vec<v1::ExplainLine> = recorded.collect();
+        lines.extend(self.waiting_lines(id).await);
         v1::ExplainReply {
             entries: self.shared.followers.recent().into_keys().collect(),
-            lines: lines.collect(),
+            lines,
             process: self.name.clone(),
         }
     }
 
+    /// Returns why the tasks of `id` wait now; nothing if this entry is not the leader or is busy.
+    async fn waiting_lines(&self, id: &str) -> Vec<v1::ExplainLine> {
+        let Some(inbox) = self.shared.inbox.borrow().clone() else { return Vec::new() };
+        let (reply, answer) = oneshot::channel();
+        let ask = async {
+            inbox.send(LeaderMessage::Explain { id: id.to_owned(), reply }).await.ok()?;
+            answer.await.ok()
+        };
+        let decisions = tokio::time::timeout(WAITING_TIMEOUT, ask).await.ok().flatten();
+        let line = |decision: &Decision| {
+            let event = decision_event(decision.kind);
+            encode_line(id, Duration::ZERO, event, &decision.id, &decision.detail)
+        };
+        decisions.iter().flatten().map(line).collect()
+    }
+
     async fn fetch_lines(&self, address: &str, id: &str) -> Option<v1::ExplainReply> {
         let mut client = self.peers.client(address)?;
         let call = client.explain(v1::ExplainRequest { id: id.to_owned() });
@@ -168,6 +183,23 @@
     }
 }
 
+/// Returns the line of a decision about `decision_id` in an explanation of `id`.
+fn encode_line(
+    id: &str,
+    age: Duration,
+    event: Event,
+    decision_id: &str,
+    detail: &str,
+) -> v1::ExplainLine {
+    let is_part = decision_id != id;
+    v1::ExplainLine {
+        age_ms: millis(age),
+        code: u32::from(event.code()),
+        event: event.name().to_owned(),
+        detail: if is_part { format!("{decision_id}: {detail}") } else { detail.to_owned() },
+    }
+}
+
 fn decode_lines(reply: v1::ExplainReply) -> Vec<ExplainLine> {
     let line = |line: &v1::ExplainLine| {
         ExplainLine::new(&reply.process, line.age_ms, line.code, &line.event, &line.detail)
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use skylarkpulley_jobs::{Decision, DecisionKind};
+use skylarkpulley_jobs::{Decision, DecisionKind, WaitCounts};
 use skylarkpulley_telemetry::{Decisions, Event, Metrics};
 
 /// Number of decisions that an entry keeps for `explain`. At about 300 bytes each, they take 3 MB
@@ -36,16 +36,24 @@
         self.decisions.record(now, event, &decision.id, &detail);
     }
 
-    /// Updates the gauges of the leader of `epoch`: its agents, and the callers that wait for it.
-    pub fn update_gauges(&self, agents: usize, callers: usize, epoch: u64) {
-        for (name, value) in [("agents", agents), ("callers-waiting", callers)] {
+    /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, and
+    /// the steps whose tasks wait.
+    pub fn update_gauges(&self, agents: usize, callers: usize, steps: WaitCounts, epoch: u64) {
+        let gauges = [
+            ("agents", agents),
+            ("callers-waiting", callers),
+            ("steps-waiting", steps.overdue),
+            ("steps-waiting-fitting", steps.fitting),
+        ];
+        for (name, value) in gauges {
             self.metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
         }
         self.metrics.gauge("epoch", epoch);
     }
 }
 
-fn decision_event(kind: DecisionKind) -> Event {
+/// Returns the event of a decision.
+pub(crate) fn decision_event(kind: DecisionKind) -> Event {
     match kind {
         DecisionKind::Accepted => Event::JobSubmitted,
         DecisionKind::Refused => Event::JobRefused,
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -155,7 +155,7 @@
         &self,
         request: Request<v1::ExplainRequest>,
     ) -> Result<Response<v1::ExplainReply>, Status> {
-        Ok(Response::new(self.operators.local_lines(&request.into_inner().id)))
+        Ok(Response::new(self.operators.local_lines(&request.into_inner().id).await))
     }
 
     async fn system_status(
--- a/crates/coordination/tests/entries/operators.rs
+++ b/crates/coordination/tests/entries/operators.rs
@@ -9,8 +9,9 @@
 
 use crate::rig::{job, start, until_ready};
 
-/// Guards against decisions that an operator cannot find because another entry made them, and
-/// against a status that only the leader can give.
+/// Guards against decisions that an operator cannot find because another entry made them, against
+/// an explanation without the reason for which a job waits now, and against a status that only the
+/// leader can give.
 #[tokio::test]
 async fn explain_at_any_entry() {
     let store = Arc::new(MemoryTransactor::new());
@@ -43,7 +44,18 @@
             .collect();
         // Ages of different processes are a few milliseconds apart.
         events.sort_unstable();
-        assert_eq!(events, vec![("entry-1", "job-submitted"), ("entry-2", "request-answered")]);
+        assert_eq!(
+            events,
+            vec![
+                ("entry-1", "job-submitted"),
+                ("entry-1", "tasks-waiting"),
+                ("entry-2", "request-answered"),
+            ]
+        );
+        let waiting = explanation.lines.iter().find(|line| line.event == "tasks-waiting");
+        let detail = waiting.map_or("", |line| line.detail.as_str());
+        let reason = "a.0.0: waits for workers: it fits on none that are known; blocked;";
+        assert!(detail.starts_with(reason), "{detail}");
     }
     let event = Event::RunEnded;
     leader.records().decisions.record(Instant::now(), event, "a.0.0.1", "run 1 on w1: done");
