--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod agent_calls;
 mod clock_reading;
+mod closure;
 mod coordinator;
 mod crash_record;
 mod estimates;
@@ -34,9 +35,10 @@
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::AgentCore;
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
+pub use closure::Closure;
 pub use coordinator::{
     Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
-    View, WorkerSummary,
+    View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
 pub use estimates::Estimates;
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -12,3 +12,4 @@
 mod rig;
 mod row_sizes;
 mod rules;
+mod waiting;
