Count the runs on closed workers in the lines about waiting tasks

Cause: a worker whose start is not carried out is quarantined when it is told to stop; from then on the line no longer counted the run that does not stop there.

Change: runs that stop or have not started are counted on all known workers. Tests for starts that are not carried out, stops that do not come, and the rule that keeps workers for larger tasks.

--- a/crates/jobs/src/coordinator/pool_state.rs
+++ b/crates/jobs/src/coordinator/pool_state.rs
@@ -44,7 +44,6 @@
             state.known += 1;
             if let Some(closure) = worker.closure(now.monotonic) {
                 state.closures.entry(closure).or_default().push(id.clone());
-                continue;
             }
             // Starts from the total, so that resources occupied without a run count as idle.
             let mut idle = worker.status.resources;
@@ -68,7 +67,9 @@
                 idle.subtract(&resources);
             }
             state.unmatched += usize::from(needed != worker.occupied);
-            state.idle.push(idle);
+            if worker.is_open(now.monotonic) {
+                state.idle.push(idle);
+            }
         }
         state
     }
--- a/crates/jobs/src/coordinator/wait_reason.rs
+++ b/crates/jobs/src/coordinator/wait_reason.rs
@@ -39,7 +39,7 @@
     /// Each step that is not done waits for another one.
     #[display("not counted as waiting: no step may start")]
     Unready,
-    /// They would fit if the closed workers were open.
+    /// They would fit if the closed workers were open, at the latest once the runs there have ended.
     #[display("not counted as free: closed workers")]
     Closed,
     /// They would fit without a rule.
--- a/crates/jobs/tests/coordinator/waiting.rs
+++ b/crates/jobs/tests/coordinator/waiting.rs
@@ -122,6 +122,49 @@
     assert_line(lines.last().expect("a line"), "a.0.0", reason, &parts);
 }
 
+/// Guards against a line that counts a worker as full on which a start is neither carried out nor
+/// refused, and against one without the quarantine that follows.
+#[test]
+fn waiting_behind_unstarted() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("stuck", 1, long(1, 8)));
+    rig.submit(job("b", 1, long(1, 8)));
+    let lines = watch(&mut rig, 6500, &[(0, Vec::new())]);
+    let lines: Vec<Line> = lines.into_iter().filter(|line| line.1.id == "b.0.0").collect();
+    let reason = "not counted as free: occupied by runs that do not start";
+    assert_line(&lines[0], "b.0.0", reason, &["runs 0 stopping, 1 not listed, 0 unmatched"]);
+    let parts = ["0 open, quarantined 1 (w0)", "runs 1 stopping, 0 not listed"];
+    assert_line(&lines[1], "b.0.0", "not counted as free: closed workers", &parts);
+}
+
+/// Guards against a line that does not tell that the stops do not come for which resources are
+/// reserved.
+#[test]
+fn waiting_for_stops() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, long(1, 8)));
+    let listed = start_all(&rig, 1);
+    watch(&mut rig, 1000, &listed);
+    rig.core.cancel(rig.now, "a");
+    rig.submit(job("b", 1, long(1, 8)));
+    let lines = watch(&mut rig, 4000, &listed);
+    let parts = ["reserved for stops on w0", "runs 1 stopping, 0 not listed", "1 after stops"];
+    assert_line(&lines[0], "b.0.0", "waits for stops", &parts);
+}
+
+/// Guards against small tasks that wait beside workers that are kept for larger ones, without a
+/// line that names the rule.
+#[test]
+fn waiting_for_headroom() {
+    let mut rig = Rig::new(3);
+    rig.submit(job("a", 1, long(20, 2)));
+    let listed = start_all(&rig, 3);
+    let lines = watch(&mut rig, 4000, &listed);
+    let reason = "not counted as free: excluded by headroom";
+    let parts = ["12 tasks wait", "free 8 accelerators", "1 by headroom, 2 left; 0 of 1 fit"];
+    assert_line(&lines[0], "a.0.0", reason, &parts);
+}
+
 /// Guards against a gang that waits without a line because one of its members does not stop.
 #[test]
 fn waiting_gang_incomplete() {
