Show how many workers the placement policy permitted

Cause: the line showed how many workers lack a permit, and how many the policy rejected, so that the permitted ones had to be computed from two counts.

Change: the number stands before that of the rejected ones.

Measured: all tests of skylarkpulley-jobs pass.

--- a/crates/jobs/src/coordinator/unit_rules.rs
+++ b/crates/jobs/src/coordinator/unit_rules.rs
@@ -93,7 +93,7 @@
             entry.job.pool,
         );
         // Writing to a string cannot fail.
-        let _ = self.write_rules(&mut line, now, unit, &step, &rules);
+        let _ = self.write_rules(&mut line, now, &step, &rules);
         Some((reason, line))
     }
 
@@ -206,7 +206,6 @@
         &self,
         line: &mut String,
         now: Timestamp,
-        unit: &Unit,
         step: &StepId,
         rules: &UnitRules,
     ) -> std::fmt::Result {
@@ -226,8 +225,11 @@
             rules.slots(demand, rules.allowed(), &rules.left),
             rules.slots(demand, rules.allowed(), &state.view.future_free),
         )?;
-        if self.jobs.get(&unit.job).is_some_and(|entry| entry.job.advised) {
-            write!(line, "; policy {}", self.advice.describe(step, now.monotonic))?;
+        if let Some((_, permitted)) =
+            rules.remaining.iter().find(|(rule, _)| *rule == Rule::Permits)
+        {
+            let requests = self.advice.describe(step, now.monotonic);
+            write!(line, "; policy permitted {}, {requests}", permitted.len())?;
         }
         if let Some(near) = &demand.near_rack {
             let candidates = &state.view.candidates;
--- a/crates/jobs/tests/coordinator/waiting.rs
+++ b/crates/jobs/tests/coordinator/waiting.rs
@@ -79,7 +79,11 @@
     let call = rig.core.next_advice_call(rig.now).expect("a question");
     let idle: Vec<Listed> = (0..3).map(|number| (number, Vec::new())).collect();
     let lines = watch(&mut rig, 4000, &idle);
-    let parts = ["excluded 0 by label, 3 by permits,", "policy rejected 0, asked 3", "free 24 acc"];
+    let parts = [
+        "excluded 0 by label, 3 by permits,",
+        "policy permitted 0, rejected 0, asked 3",
+        "free 24 acc",
+    ];
     assert_line(&lines[0], "a.0.0", "waits for permits", &parts);
     assert_eq!(rig.core.wait_counts(), WaitCounts { fitting: 1, overdue: 1 });
     let answer = AdviceAnswer { permits: [].into(), valid: Duration::from_secs(3) };
