--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -242,7 +242,7 @@
 
     /// Returns the workers with runs of suspect tasks of other jobs that have not survived their
     /// start.
-    fn workers_on_probation(&self, job: &str) -> BTreeSet<&str> {
+    pub(super) fn workers_on_probation(&self, job: &str) -> BTreeSet<&str> {
         let others = self.suspects.iter().filter(|task| task.job != job);
         others
             .filter_map(|task| {
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,4 +1,7 @@
 mod absences;
+mod audit;
+#[cfg(test)]
+mod audit_tests;
 mod commits;
 mod crashes;
 mod earliest_fit;
@@ -106,6 +109,7 @@
 #[derive(Debug)]
 pub struct Coordinator {
     advice: Advice,
+    audit_log: audit::AuditLog,
     changed_jobs: BTreeSet<String>,
     changed_workers: BTreeSet<String>,
     decisions: Vec<Decision>,
@@ -175,6 +179,7 @@
     pub fn new(limits: Limits, tables: JobTables, now: Timestamp) -> Self {
         Self {
             advice: Advice::new(),
+            audit_log: audit::AuditLog::default(),
             changed_jobs: BTreeSet::new(),
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -82,7 +82,7 @@
         self.plan_due
     }
 
-    fn pool_view(&self, pool: &str, now: Timestamp) -> PoolView {
+    pub(super) fn pool_view(&self, pool: &str, now: Timestamp) -> PoolView {
         let mut view = PoolView {
             candidates: Vec::new(),
             future_free: Vec::new(),
@@ -220,7 +220,7 @@
     /// Excludes the workers that are reserved for larger tasks, if the tasks are small and have
     /// slack. After [`MAX_HEADROOM_WAIT`] a job without runs may use any worker, so that it does
     /// not wait while workers are idle.
-    fn with_headroom(
+    pub(super) fn with_headroom(
         &self,
         now: Timestamp,
         unit: &Unit,
@@ -247,7 +247,7 @@
     }
 
     /// Returns the demand of the tasks and the candidates that may run them.
-    fn demand(
+    pub(super) fn demand(
         &self,
         unit: &Unit,
         keys: &[TaskKey],
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -29,6 +29,7 @@
 mod run_calls;
 mod tables;
 mod task;
+mod violation;
 mod worker;
 
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
@@ -53,6 +54,7 @@
 pub use row::{CrashRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
+pub use violation::Violation;
 pub use worker::{
     EndKind, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder,
     WorkerReport, WorkerStatus,
