Play random faults over the coordinator and the agents' cores until all work has ended

The new test liveness_under_faults plays pools of 4 to 24 workers in racks of 2 to 8, each with the real agent core, under random subsets of 14 kinds of faults and 11 kinds of jobs for 30 s, then without faults for up to 300 s. Every accepted job must end, no audit may find anything, and no task may run twice at the same time.

--- /dev/null
+++ b/crates/jobs/tests/coordinator/sim_site.rs
@@ -0,0 +1,381 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use skylarkpulley_jobs::{
+    AgentAction, AgentCore, AgentLimits, Listing, Orders, Resources, StartAnswer, StartOrder,
+    TaskId, WorkerReport, WorkerStatus,
+};
+
+use crate::rig::POOL;
+use crate::sim_worker::SimWorker;
+
+/// Resources of a worker.
+pub const FULL: Resources = Resources { accelerators: 8, cores: 64_000, memory: 256_000 };
+
+/// Label of every second worker.
+pub const LABEL: &str = "fast";
+
+/// Interval of reports without changes, in milliseconds.
+const REPORT_MS: u64 = 800;
+
+/// Interval of listings without changes, in milliseconds.
+const LISTING_MS: u64 = 600;
+
+/// Time after which a call counts as not answered, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 400;
+
+/// A report on its way to the leader.
+#[derive(Clone, Debug)]
+pub struct SentReport {
+    pub due_ms: u64,
+    pub left: bool,
+    pub report: WorkerReport,
+    pub sent: Instant,
+    pub session: u64,
+}
+
+/// Orders on their way to an agent.
+#[derive(Clone, Debug)]
+pub struct SentOrders {
+    pub due_ms: u64,
+    pub epoch: u64,
+    pub lease: Duration,
+    pub orders: Orders,
+    pub sent: Option<Instant>,
+}
+
+/// A call of an agent whose outcome it does not know yet.
+#[derive(Clone, Debug)]
+enum OpenCall {
+    Listing(u64, Option<Listing>),
+    Start(TaskId, u32, StartAnswer),
+    Stop(TaskId, u32, bool),
+}
+
+/// A start that its worker carries out after its call has ended.
+#[derive(Clone, Debug)]
+struct LateStart {
+    deadline: Option<u64>,
+    due_ms: u64,
+    epoch: u64,
+    id: String,
+    order: StartOrder,
+}
+
+/// Time of a step, as monotonic time and as milliseconds since the start.
+#[derive(Clone, Copy, Debug)]
+pub struct StepTime {
+    pub monotonic: Instant,
+    pub ms: u64,
+}
+
+/// A VM with a worker and its agent.
+pub struct Site {
+    pub agent: Option<AgentCore>,
+    /// When an agent starts, if there is none.
+    pub agent_at: u64,
+    calls: Vec<(u64, OpenCall)>,
+    /// Share of calls that fail, in 256ths.
+    pub call_faults: u8,
+    /// When a draining worker leaves.
+    pub leaves_at: Option<u64>,
+    pub id: String,
+    late_starts: Vec<LateStart>,
+    last_report: Option<WorkerReport>,
+    last_sent: u64,
+    /// When the agent and the leader reach each other.
+    pub linked_at: u64,
+    listing_at: u64,
+    listing_open: bool,
+    number: u32,
+    pub rack: String,
+    /// When the agent reaches its worker.
+    pub reached_at: u64,
+    pub reports: VecDeque<SentReport>,
+    /// When the worker starts again, and whether under a new id; `None` for one that never does.
+    pub restart: Option<(u64, bool)>,
+    pub session: u64,
+    pub updates: VecDeque<SentOrders>,
+    pub worker: Option<SimWorker>,
+}
+
+impl Site {
+    pub fn new(number: u32, rack_size: u32, now: StepTime) -> Self {
+        Self {
+            agent: Some(new_agent(now)),
+            agent_at: 0,
+            calls: Vec::new(),
+            call_faults: 0,
+            leaves_at: None,
+            id: format!("w{number:02}"),
+            late_starts: Vec::new(),
+            last_report: None,
+            last_sent: 0,
+            linked_at: 0,
+            listing_at: 0,
+            listing_open: false,
+            number,
+            rack: format!("r{}", number / rack_size),
+            reached_at: 0,
+            reports: VecDeque::new(),
+            restart: None,
+            session: 1,
+            updates: VecDeque::new(),
+            worker: Some(SimWorker::new(1_000, FULL)),
+        }
+    }
+
+    pub fn status(&self, worker: &SimWorker, now_ms: u64) -> WorkerStatus {
+        let labels = if self.number % 2 == 1 { vec![LABEL.to_owned()] } else { Vec::new() };
+        WorkerStatus {
+            address: format!("10.0.0.{}:1", self.number),
+            draining: self.leaves_at.is_some(),
+            id: self.id.clone(),
+            incarnation: worker.incarnation,
+            labels,
+            pool: POOL.to_owned(),
+            rack: self.rack.clone(),
+            remaining: self.leaves_at.map(|at| Duration::from_millis(at.saturating_sub(now_ms))),
+            resources: worker.resources,
+            ..WorkerStatus::default()
+        }
+    }
+
+    /// Ends the worker process. It starts again at `restart`.
+    pub fn crash(&mut self, restart: Option<(u64, bool)>) {
+        self.worker = None;
+        self.leaves_at = None;
+        self.restart = restart;
+    }
+
+    /// Ends the agent process. Another one starts at `at`.
+    pub fn end_agent(&mut self, at: u64) {
+        self.agent = None;
+        self.agent_at = at;
+        self.calls.clear();
+        self.listing_open = false;
+        self.updates.clear();
+        self.session += 1;
+        self.last_report = None;
+    }
+
+    /// Opens another session; reports of the earlier one may still arrive.
+    pub fn reconnect(&mut self) {
+        self.session += 1;
+        self.updates.clear();
+        self.last_report = None;
+    }
+
+    /// Starts worker and agent that are due.
+    pub fn restart(&mut self, now: StepTime) {
+        if let Some((at, new_id)) = self.restart
+            && now.ms >= at
+        {
+            self.restart = None;
+            self.worker = Some(SimWorker::new(1_000 + now.ms, FULL));
+            if new_id {
+                self.id = format!("w{:02}.{}", self.number, now.ms);
+                self.late_starts.clear();
+                self.end_agent(now.ms);
+            }
+        }
+        if self.agent.is_none() && now.ms >= self.agent_at {
+            self.agent = Some(new_agent(now));
+        }
+    }
+
+    /// Carries out the starts that are late. Returns the runs that began.
+    pub fn start_late(
+        &mut self,
+        now_ms: u64,
+        fits: impl Fn(&SimWorker, &TaskId) -> bool,
+    ) -> Vec<(TaskId, u32)> {
+        let mut started = Vec::new();
+        let due = self.late_starts.extract_if(.., |start| start.due_ms <= now_ms);
+        for start in due.collect::<Vec<_>>() {
+            let Some(worker) = self.worker.as_mut().filter(|_| self.id == start.id) else {
+                continue;
+            };
+            let key = (start.order.task.clone(), start.order.run);
+            let known = worker.runs.contains_key(&key);
+            let fits = fits(worker, &start.order.task);
+            let answer = worker.start(now_ms, start.epoch, &start.order, start.deadline, fits);
+            if answer == StartAnswer::Started && !known {
+                started.push(key);
+            }
+        }
+        started
+    }
+
+    /// Lets the agent handle what has arrived, make its calls and report. Returns the runs that its
+    /// worker began.
+    pub fn step_agent(
+        &mut self,
+        now: StepTime,
+        rng: &mut Rng,
+        fits: impl Fn(&SimWorker, &TaskId) -> bool,
+    ) -> Vec<(TaskId, u32)> {
+        let Some(mut agent) = self.agent.take() else { return Vec::new() };
+        if let Some(worker) = &self.worker
+            && now.ms >= self.reached_at
+        {
+            agent.announce(now.monotonic, &self.status(worker, now.ms));
+        }
+        while let Some(update) = self.updates.pop_front_if(|update| update.due_ms <= now.ms) {
+            agent.handle_orders(update.epoch, update.orders, update.sent, update.lease);
+        }
+        self.answer_calls(&mut agent, now);
+        if agent.status().is_some() && !self.listing_open && now.ms >= self.listing_at {
+            self.request_listing(&mut agent, now, rng);
+        }
+        let mut started = Vec::new();
+        for action in agent.actions(now.monotonic) {
+            started.extend(self.call(&mut agent, action, now, rng, &fits));
+        }
+        self.send_report(&mut agent, now, rng);
+        self.agent = Some(agent);
+        started
+    }
+
+    fn answer_calls(&mut self, agent: &mut AgentCore, now: StepTime) {
+        let due = self.calls.extract_if(.., |(due_ms, _)| *due_ms <= now.ms);
+        for (_, call) in due.collect::<Vec<_>>() {
+            match call {
+                OpenCall::Listing(number, listing) => {
+                    self.listing_open = false;
+                    self.listing_at = now.ms + LISTING_MS;
+                    match listing {
+                        Some(listing) => agent.handle_listing(now.monotonic, number, &listing),
+                        None if self.worker.is_none() => agent.record_down(),
+                        None => {}
+                    }
+                    if agent.awaits_listing() || agent.has_ends() {
+                        self.listing_at = now.ms;
+                    }
+                }
+                OpenCall::Start(task, run, answer) => {
+                    agent.handle_start_answer(now.monotonic, &task, run, answer);
+                }
+                OpenCall::Stop(task, run, answered) => {
+                    if !answered && self.worker.is_none() {
+                        agent.record_down();
+                    }
+                    agent.handle_stop_answer(now.monotonic, &task, run, answered);
+                    self.listing_at = now.ms;
+                }
+            }
+        }
+    }
+
+    fn request_listing(&mut self, agent: &mut AgentCore, now: StepTime, rng: &mut Rng) {
+        let call = agent.next_renewal(now.monotonic);
+        self.listing_open = true;
+        let (arrives, answered) = self.call_outcome(now, rng);
+        let listing = self
+            .worker
+            .as_mut()
+            .filter(|_| arrives)
+            .and_then(|worker| worker.renew(now.ms, call.epoch, call.acked, call.deadline_ms));
+        let delay = if answered { 0 } else { CALL_TIMEOUT_MS };
+        let listing = listing.filter(|_| answered);
+        self.calls.push((now.ms + delay, OpenCall::Listing(call.number, listing)));
+        if delay == 0 {
+            self.answer_calls(agent, now);
+        }
+    }
+
+    /// Returns whether a call reaches the worker, and whether its answer reaches the agent.
+    fn call_outcome(&self, now: StepTime, rng: &mut Rng) -> (bool, bool) {
+        if self.worker.is_none() {
+            return (false, true);
+        }
+        if now.ms < self.reached_at {
+            return (rng.u8(..) < 20, false);
+        }
+        if rng.u8(..) < self.call_faults { (rng.bool(), false) } else { (true, true) }
+    }
+
+    fn call(
+        &mut self,
+        agent: &mut AgentCore,
+        action: AgentAction,
+        now: StepTime,
+        rng: &mut Rng,
+        fits: impl Fn(&SimWorker, &TaskId) -> bool,
+    ) -> Option<(TaskId, u32)> {
+        let epoch = agent.epoch();
+        let (arrives, answered) = self.call_outcome(now, rng);
+        let delay = if answered { 200 } else { CALL_TIMEOUT_MS };
+        match action {
+            AgentAction::Pace(task, run, _) => {
+                agent.handle_pace_answer(&task, run, answered);
+                None
+            }
+            AgentAction::Start(order) => {
+                let deadline = agent.deadline(now.monotonic);
+                let (task, run) = (order.task.clone(), order.run);
+                let mut answer = StartAnswer::Down;
+                let mut started = None;
+                if let Some(worker) = &mut self.worker {
+                    answer = StartAnswer::Unanswered;
+                    if arrives {
+                        let known = worker.runs.contains_key(&(task.clone(), run));
+                        let fits = fits(worker, &task);
+                        let outcome = worker.start(now.ms, epoch, &order, deadline, fits);
+                        if outcome == StartAnswer::Started && !known {
+                            started = Some((task.clone(), run));
+                        }
+                        if answered {
+                            answer = outcome;
+                        }
+                    } else if rng.bool() {
+                        let due_ms = now.ms + rng.u64(1..60) * 200;
+                        let id = self.id.clone();
+                        self.late_starts.push(LateStart { deadline, due_ms, epoch, id, order });
+                    }
+                }
+                self.calls.push((now.ms + delay, OpenCall::Start(task, run, answer)));
+                started
+            }
+            AgentAction::Stop(task, run) => {
+                let stopped = arrives
+                    && self.worker.as_mut().is_some_and(|worker| worker.stop(epoch, &task, run));
+                self.calls.push((now.ms + delay, OpenCall::Stop(task, run, stopped && answered)));
+                None
+            }
+        }
+    }
+
+    fn send_report(&mut self, agent: &mut AgentCore, now: StepTime, rng: &mut Rng) {
+        let report = agent.report(now.monotonic);
+        if now.ms < self.linked_at {
+            // The connection is broken; the next report opens another session.
+            if rng.u8(..) < 20 {
+                self.reconnect();
+            }
+            return;
+        }
+        if self.last_report.as_ref() == Some(&report) && now.ms < self.last_sent + REPORT_MS {
+            return;
+        }
+        self.last_report = Some(report.clone());
+        self.last_sent = now.ms;
+        let mut due_ms = now.ms;
+        if rng.u8(..) < self.call_faults / 4 {
+            due_ms += rng.u64(1..10) * 200;
+        }
+        let left = agent.has_left(now.monotonic);
+        let (sent, session) = (now.monotonic, self.session);
+        if let Some(last) = self.reports.iter().rfind(|last| last.session == session) {
+            due_ms = due_ms.max(last.due_ms);
+        }
+        self.reports.push_back(SentReport { due_ms, left, report, sent, session });
+    }
+}
+
+fn new_agent(now: StepTime) -> AgentCore {
+    let limits =
+        AgentLimits { extension: Duration::from_secs(6), longest: Duration::from_secs(10) };
+    AgentCore::new("vm", limits, now.monotonic)
+}
