Avoid the worker of a failed run for 5 s at most if the tasks fit nowhere else

Callers saw: a task or gang that had failed once waited without end, with most of the pool idle.

Cause: the worker on which its last run failed was left out as long as any other worker was open, also if the others are too small, in use by lasting tasks, or too few for the gang.

The worker is left out while the tasks fit on the others now, and otherwise for 5 s, so that a free worker elsewhere still takes precedence and the wait is bounded.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -49,8 +49,8 @@
 /// State of one task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskEntry {
-    /// Worker on which the last run failed; another one is preferred.
-    pub avoided_worker: String,
+    /// Worker on which the last run failed, and when; another one is preferred.
+    pub avoided_worker: Option<(String, Instant)>,
     pub checkpoint: String,
     pub crash_record: CrashRecord,
     /// When a worker last crashed under the task.
@@ -321,6 +321,7 @@
         kind: Option<EndKind>,
         checkpoint: &str,
         worker: &str,
+        now: Instant,
     ) {
         let members = self.members(key);
         let lasting = self.job.steps.get(key.step as usize).is_some_and(|step| step.lasting);
@@ -339,7 +340,7 @@
         if kind == Some(EndKind::Failed)
             && let Some(task) = self.tasks.get_mut(key)
         {
-            task.avoided_worker = worker.to_owned();
+            task.avoided_worker = Some((worker.to_owned(), now));
         }
         if kind != Some(EndKind::Done) && !checkpoint.is_empty() {
             // The checkpoint of any member is valid for its gang, and all members must use the same
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -511,7 +511,7 @@
         let Some(placement) = entry.take_placement(&task.key) else { return };
         let Placement { worker, run, .. } = placement;
         let resources = entry.resources(task.key.step);
-        entry.apply_end(&task.key, run, kind, checkpoint, &worker);
+        entry.apply_end(&task.key, run, kind, checkpoint, &worker, now.monotonic);
         let failed = entry.failed;
         self.fleet.release(&worker, task, run, &resources);
         self.changed_workers.insert(worker.clone());
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -18,6 +18,11 @@
 /// larger tasks.
 const MAX_HEADROOM_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest time for which tasks wait for another worker than the one on which a run of them has
+/// failed. The others may be too small, or in use without end. As long as the first quarantine of a
+/// worker, by which time it is closed if other jobs fail there as well.
+const MAX_AVOIDED_WAIT: Duration = Duration::from_secs(5);
+
 /// Number of blocked units for which resources are reserved. More reservations would leave too much
 /// of the pool idle.
 const MAX_RESERVATIONS: usize = 2;
@@ -147,7 +152,7 @@
             return Outcome::Blocked;
         };
         let allowed = self.with_permits(now, unit, view, allowed);
-        let allowed = self.without_failed_worker(unit, keys, view, allowed);
+        let allowed = self.without_failed_worker(now, unit, keys, &demand, view, allowed);
         let allowed = self.without_interference(unit, &demand, view, allowed);
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
@@ -199,22 +204,31 @@
         with_permit
     }
 
-    /// Excludes the worker on which the last run failed, unless there is no other.
+    /// Excludes the worker on which the last run failed if the tasks fit on the others, and otherwise
+    /// for [`MAX_AVOIDED_WAIT`].
     fn without_failed_worker(
         &self,
+        now: Timestamp,
         unit: &Unit,
         keys: &[TaskKey],
+        demand: &Demand,
         view: &PoolView,
         allowed: Vec<usize>,
     ) -> Vec<usize> {
         let task = self.jobs.get(&unit.job).and_then(|entry| entry.tasks.get(keys.first()?));
-        let Some(task) = task else { return allowed };
+        let Some((avoided, failed_at)) = task.and_then(|task| task.avoided_worker.as_ref()) else {
+            return allowed;
+        };
         let others: Vec<usize> = allowed
             .iter()
             .copied()
-            .filter(|index| *view.candidates[*index].id != *task.avoided_worker)
+            .filter(|index| *view.candidates[*index].id != **avoided)
             .collect();
-        if others.is_empty() { allowed } else { others }
+        let candidates = select_candidates(view, &others, false);
+        let fits =
+            choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some();
+        let recent = now.monotonic.saturating_duration_since(*failed_at) < MAX_AVOIDED_WAIT;
+        if others.is_empty() || !(fits || recent) { allowed } else { others }
     }
 
     /// Excludes the workers that are reserved for larger tasks, if the tasks are small and have
--- a/crates/jobs/tests/coordinator/capacity.rs
+++ b/crates/jobs/tests/coordinator/capacity.rs
@@ -1,6 +1,6 @@
-use skylarkpulley_jobs::{RefusalKind, Resources, RunRefusal, WorkerReport, WorkerStatus};
+use skylarkpulley_jobs::{EndKind, RefusalKind, Resources, RunRefusal, WorkerReport, WorkerStatus};
 
-use crate::rig::{Rig, job, report, step, worker};
+use crate::rig::{Rig, ended, job, report, step, worker};
 
 fn with_accelerators(accelerators: i64) -> WorkerStatus {
     let status = worker(0, 1);
@@ -51,3 +51,23 @@
     rig.place_and_commit();
     assert!(rig.starts().is_empty(), "the worker is over its resources");
 }
+
+/// Guards against a task that waits without end for another worker than the one on which a run of
+/// it has failed, although it fits nowhere else.
+#[test]
+fn place_after_failure() {
+    let mut rig = Rig::new(2);
+    rig.core.report(rig.now, &report(&with_accelerators(4), &[]));
+    rig.submit(job("a", 1, step(1, 8)));
+    let (_, task, run) = rig.starts().remove(0);
+    rig.core.report(rig.now, &ended(&worker(1, 1), 1, &task, run, EndKind::Failed));
+    let mut waited_ms = 0;
+    while rig.starts().is_empty() && waited_ms < 60_000 {
+        rig.core.report(rig.now, &report(&with_accelerators(4), &[]));
+        rig.advance_reporting(100, &[1]);
+        rig.place_and_commit();
+        waited_ms += 100;
+    }
+    assert_eq!(rig.starts().len(), 1, "it starts on the same worker again");
+    assert!((4900..6000).contains(&waited_ms), "after {waited_ms} ms");
+}
