--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,4 +1,7 @@
 mod absences;
+mod audit;
+#[cfg(test)]
+mod audit_tests;
 mod commits;
 mod crashes;
 mod earliest_fit;
@@ -117,6 +120,7 @@
 #[derive(Debug)]
 pub struct Coordinator {
     advice: Advice,
+    audit_log: audit::AuditLog,
     changed_jobs: BTreeSet<String>,
     changed_workers: BTreeSet<String>,
     decisions: Vec<Decision>,
@@ -191,6 +195,7 @@
     pub fn new(limits: Limits, tables: JobTables, now: Timestamp) -> Self {
         Self {
             advice: Advice::new(),
+            audit_log: audit::AuditLog::default(),
             changed_jobs: BTreeSet::new(),
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
@@ -524,7 +529,7 @@
         let Some(placement) = entry.take_placement(&task.key) else { return };
         let Placement { worker, run, .. } = placement;
         let resources = entry.resources(task.key.step);
-        entry.apply_end(&task.key, run, kind, checkpoint, &worker);
+        entry.apply_end(&task.key, run, kind, checkpoint, &worker, now.monotonic);
         let failed = entry.failed;
         self.fleet.release(&worker, task, run, &resources);
         self.changed_workers.insert(worker.clone());
--- a/crates/jobs/src/coordinator/unit_rules.rs
+++ b/crates/jobs/src/coordinator/unit_rules.rs
@@ -119,7 +119,7 @@
             });
             remaining.push((Rule::Permits, allowed.clone()));
         }
-        allowed = self.without_failed_worker(unit, keys, view, allowed);
+        allowed = self.without_failed_worker(now, unit, keys, &demand, view, allowed);
         remaining.push((Rule::FailedWorker, allowed.clone()));
         allowed = self.without_interference(unit, &demand, view, allowed);
         remaining.push((Rule::Interference, allowed.clone()));
