Conclude the calls for a run whose end is listed, also if its stop had no answer

A job whose tasks fit only there never ended.

Cause: the next incarnation had carried out a late copy of a start. Its agent stopped the run, the worker did so, and the answer was lost. A run whose end is listed is not stopped again, and a call without an answered stop is not dropped, so that the earlier incarnation never counted as fenced; until then an agent reports no worker, and nothing acknowledges the end.

Evidence: agent::restart_stop_unanswered fails before this change (no worker after 10 s).

An end in the listing is certain, and the worker starts no run of that number again in this incarnation.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -365,6 +365,7 @@
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
         self.late_starts.expire(now);
         self.ends_truncated = listing.ends_truncated;
+        self.resolve_ended();
         if !self.ends_truncated {
             self.resolve_fenced(number);
         }
@@ -574,6 +575,15 @@
         actions
     }
 
+    /// Concludes the calls for runs whose end is listed, also if a stop had no answer: the worker
+    /// starts no run of this number again. They are not stopped again, and an earlier incarnation
+    /// counts as fenced only once there are no calls.
+    fn resolve_ended(&mut self) {
+        let ended: BTreeSet<RunKey> =
+            self.ended.values().map(|end| (end.task.clone(), end.run)).collect();
+        self.calls.retain(|run, calls| calls.starting || !ended.contains(run));
+    }
+
     /// Concludes the runs whose stop was answered before the renewal call `number` was made and
     /// that the worker does not list. A run that is still ordered and has not ended counts as
     /// refused. The listing must contain all ends, since an end that it leaves out looks like a run
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -565,6 +565,28 @@
     assert_eq!(rig.restart_worker(), vec![AgentAction::Stop(task(), 1)]);
 }
 
+/// Guards against a worker that is never reported again: its next incarnation carried out a copy of
+/// a start, and the answer to the stop was lost. The end was listed, so that the stop was not
+/// repeated, and without an answer the run never counted as fenced.
+#[test]
+fn restart_stop_unanswered() {
+    let mut rig = Rig::new();
+    rig.order_start(1);
+    rig.answer_start(StartAnswer::Unanswered);
+    rig.announce(INCARNATION + 1);
+    rig.list(INCARNATION + 1, &[1], &[]);
+    assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+    rig.core.handle_stop_answer(rig.now, &task(), 1, false);
+    for _ in 0..10 {
+        rig.advance(1000);
+        rig.list(INCARNATION + 1, &[], &[(1, 1, EndKind::Stopped)]);
+        rig.core.actions(rig.now);
+    }
+    let report = rig.core.report(rig.now);
+    assert!(report.worker.is_some());
+    assert_eq!(report.ended.len(), 1);
+}
+
 /// Guards against stops that are sent to each later incarnation without end.
 #[test]
 fn restart_forgets_old_starts() {
