Take a lease only from orders for the worker's present incarnation

No caller has seen it: two runs of one task could work at the same time, after an agent had started again and was cut off right after its first report.

Cause: an agent that has just started, or fences an earlier incarnation, reports no worker. The coordinator does not count such a report, so that its limit for a silent agent runs from the last report of the agent before; but the answer carried a lease from the new report, and the agent extended the leases of all runs at its worker by it.

Only orders for the incarnation that a report named show that the coordinator has counted it. A new agent extends leases one round trip later than before.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -143,7 +143,9 @@
     }
 
     /// Handles orders of the coordinator; returns `false` if their epoch is outdated. The orders
-    /// answer the report that was sent at `sent`, and extend the leases by `lease` from then.
+    /// answer the report that was sent at `sent`, and extend the leases by `lease` from then. Orders
+    /// for another incarnation answer a report that did not name this one: the coordinator counts it
+    /// as silent, so that they extend no lease.
     pub fn handle_orders(
         &mut self,
         epoch: u64,
@@ -155,17 +157,17 @@
             return false;
         }
         self.epoch = epoch;
+        if self.status.as_ref().is_none_or(|status| status.id != orders.worker)
+            || orders.incarnation != self.incarnation
+        {
+            return true;
+        }
         if let Some(sent) = sent
             && !lease.is_zero()
             && self.granted_lease.is_none_or(|(at, length)| sent + lease > at + length)
         {
             self.granted_lease = Some((sent, lease));
         }
-        if self.status.as_ref().is_none_or(|status| status.id != orders.worker)
-            || orders.incarnation != self.incarnation
-        {
-            return true;
-        }
         if !std::mem::replace(&mut self.has_orders, true) {
             self.adopt_starts(sent.unwrap_or(self.known_since), &orders.start);
         }
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -612,3 +612,15 @@
     rig.list(INCARNATION, &[], &[]);
     assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
 }
+
+/// Guards against leases from the answer to a report that did not name the worker. The coordinator
+/// does not count such a report, gave the runs up when the last one was old enough, and placed them
+/// elsewhere while the agent still extended their leases.
+#[test]
+fn orders_unnamed_no_lease() {
+    let mut rig = Rig::without_orders();
+    rig.core.handle_orders(1, Orders::default(), Some(rig.now), Duration::from_secs(8));
+    assert_eq!(rig.core.next_renewal(rig.now).deadline_ms, None);
+    rig.order(Orders::default());
+    assert!(rig.core.next_renewal(rig.now).deadline_ms.is_some());
+}
