--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -143,7 +143,9 @@
     }
 
     /// Handles orders of the coordinator; returns `false` if their epoch is outdated. The orders
-    /// answer the report that was sent at `sent`, and extend the leases by `lease` from then.
+    /// answer the report that was sent at `sent`, and extend the leases by `lease` from then. Orders
+    /// for another incarnation answer a report that did not name this one: the coordinator counts it
+    /// as silent, so that they extend no lease.
     pub fn handle_orders(
         &mut self,
         epoch: u64,
@@ -155,17 +157,17 @@
             return false;
         }
         self.epoch = epoch;
+        if self.status.as_ref().is_none_or(|status| status.id != orders.worker)
+            || orders.incarnation != self.incarnation
+        {
+            return true;
+        }
         if let Some(sent) = sent
             && !lease.is_zero()
             && self.granted_lease.is_none_or(|(at, length)| sent + lease > at + length)
         {
             self.granted_lease = Some((sent, lease));
         }
-        if self.status.as_ref().is_none_or(|status| status.id != orders.worker)
-            || orders.incarnation != self.incarnation
-        {
-            return true;
-        }
         if !std::mem::replace(&mut self.has_orders, true) {
             self.adopt_starts(sent.unwrap_or(self.known_since), &orders.start);
         }
@@ -365,6 +367,7 @@
         self.ended = listing.ended.iter().filter(|(number, _)| *number > acked).cloned().collect();
         self.late_starts.expire(now);
         self.ends_truncated = listing.ends_truncated;
+        self.resolve_ended();
         if !self.ends_truncated {
             self.resolve_fenced(number);
         }
@@ -574,6 +577,15 @@
         actions
     }
 
+    /// Concludes the calls for runs whose end is listed, also if a stop had no answer: the worker
+    /// starts no run of this number again. They are not stopped again, and an earlier incarnation
+    /// counts as fenced only once there are no calls.
+    fn resolve_ended(&mut self) {
+        let ended: BTreeSet<RunKey> =
+            self.ended.values().map(|end| (end.task.clone(), end.run)).collect();
+        self.calls.retain(|run, calls| calls.starting || !ended.contains(run));
+    }
+
     /// Concludes the runs whose stop was answered before the renewal call `number` was made and
     /// that the worker does not list. A run that is still ordered and has not ended counts as
     /// refused. The listing must contain all ends, since an end that it leaves out looks like a run
