Count the actual slot time in the usage of a class

While a queue stands, admission takes what the classes have used lately as the capacity. That usage was charged with the service time expected at dispatch and never corrected. When service times rise at once, as on a machine that is busy with other work, the expected wait of a new request is computed from the later, longer times and divided by a usage that still holds the shorter ones, so that requests are refused whose wait would be a fifth of what is expected.

stall_admits_requests replays such stalls with a manual clock. It failed before (stalls of 500 ms, 20 ms apart) and passes.

Tried and left out: the running attempts as the lower bound of the usage.

--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -197,10 +197,17 @@
         !self.is_urgent(class) && self.classes[class].len() > 0 && nonempty_for > limit
     }
 
-    /// Replaces the slot time that was charged for an attempt by the actual one.
-    pub fn correct_charge(&mut self, request: &Pending, actual: Duration) {
-        let queue = &mut self.classes[usize::from(request.class)];
-        queue.correct_charge(&request.team, request.expected_service, actual);
+    /// Replaces the slot time that was charged for an attempt by the actual one, for its team and for
+    /// the usage of its class. Otherwise a rise of the service time, as on an overloaded machine,
+    /// would make the usage too low, and with it the capacity on which admission counts.
+    pub fn correct_charge(&mut self, request: &Pending, actual: Duration, now: Instant) {
+        let class = usize::from(request.class);
+        self.classes[class].correct_charge(&request.team, request.expected_service, actual);
+        self.decay_slot_usage(now);
+        let charged = request.expected_service.max(MIN_DISPATCH_COST);
+        let difference = actual.as_secs_f64() - charged.as_secs_f64();
+        let usage = &mut self.slot_usage[class];
+        *usage = (*usage + difference / USAGE_WINDOW.as_secs_f64()).max(0.0);
     }
 
     /// Returns the id of a request whose expiry is at or before `now`.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -355,7 +355,7 @@
                 }
                 _ => elapsed,
             };
-            pool.correct_charge(request, slot_time);
+            pool.correct_charge(request, slot_time, now);
             record_service_time(&mut pool.service_time, result, elapsed);
             if let Some(mean) = pool.service_time.mean() {
                 pool.members.set_mean_service_time(mean);
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -7,3 +7,4 @@
 mod properties;
 mod retries;
 mod rig;
+mod stalls;
