Add gangs, crashes, capacity and outages to the soak, and judge them

The soak knew single tasks in at most two steps, and no worker ever went away.

- Stand-in workers start a gang together, end it together, crash and come back at their address, in turn under their id and under a new one, and shrink and grow.
The store can be away, refusing or silent.
- Callers submit gangs and steps with `after`, repeat accepted submissions, and repeat a cancel until it is answered.
- The judge checks gangs (GANG), room (ROOM), cancels (CANCEL) and that jobs that crash workers are given up, and says for each job that did not end what it saw of each open task.
The observations are kept with the logs.
- The play also waits for the end of all runs, up to the same limit.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -3,7 +3,9 @@
 
 use derive_more::Display;
 
-use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation};
+use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation, StepSpec};
+
+use crate::OpenTask;
 
 /// A promise to the users that a play has broken.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -58,19 +60,89 @@
         /// Name of the task.
         task: String,
     },
-    /// An accepted job that was not cancelled is not shown as completed at the end.
-    #[display("LOST: job {job} is shown as {state:?}")]
+    /// Members of one gang in runs of different numbers at the same time.
+    #[display("GANG: {task} run {run} started at {at:?}, {other} was still in run {earlier}")]
+    Split {
+        /// When the run began.
+        at: Duration,
+        /// Name of the task.
+        task: String,
+        /// Number of its run.
+        run: u32,
+        /// Name of the other member.
+        other: String,
+        /// Number of the run of the other member.
+        earlier: u32,
+    },
+    /// A gang was done in a run that not all of its members have started.
+    #[display("GANG: {task} run {run} was done at {at:?} without {missing}")]
+    Partial {
+        /// When the run ended.
+        at: Duration,
+        /// Name of the task.
+        task: String,
+        /// Number of the run.
+        run: u32,
+        /// Name of the member that did not start.
+        missing: String,
+    },
+    /// More runs on a worker than it has accelerators for.
+    #[display("ROOM: {task} started at {at:?} on {worker}, which then had {runs} runs")]
+    Overfull {
+        /// When the run began.
+        at: Duration,
+        /// Number of runs, each of which occupies an accelerator.
+        runs: usize,
+        /// Name of the task.
+        task: String,
+        /// Id of the worker.
+        worker: String,
+    },
+    /// A run of a job goes on although the job has ended or its cancel was answered long ago.
+    #[display("CANCEL: {task} run {run} on {worker} goes on at {at:?}")]
+    Left {
+        /// When the run should have been gone.
+        at: Duration,
+        /// Name of the task.
+        task: String,
+        /// Number of the run.
+        run: u32,
+        /// Id of the worker.
+        worker: String,
+    },
+    /// A job whose cancel was answered is not shown as ended at the end.
+    #[display("CANCEL: job {job} is shown as {state:?}")]
+    NotCancelled {
+        /// Id of the job.
+        job: String,
+        /// State at the end; empty if no entry has answered.
+        state: String,
+    },
+    /// An accepted job that was not cancelled is not shown as completed at the end, or as failed if
+    /// it crashes workers.
+    #[display("LOST: job {job} is shown as {state:?}{}", describe(tasks))]
     Unfinished {
         /// Id of the job.
         job: String,
         /// State at the end; empty if no entry has answered.
         state: String,
+        /// Its tasks that are not done.
+        tasks: Vec<OpenTask>,
     },
 }
 
+fn describe(tasks: &[OpenTask]) -> String {
+    if tasks.is_empty() {
+        return ", all its tasks are done".to_owned();
+    }
+    tasks.iter().map(|task| format!("\n    {task}")).collect()
+}
+
 /// One run of a task.
 #[derive(Clone, Debug)]
 struct Run {
+    /// Whether its end was taken note of.
+    acked: bool,
     began: Duration,
     ended: Option<(Duration, EndKind)>,
     /// Whether its end was taken note of, and the lease had not lapsed in between.
@@ -82,16 +154,27 @@
 /// What was observed of one job.
 #[derive(Clone, Debug, Default)]
 struct JobHistory {
+    /// When its cancel was answered.
+    cancel_ended: Option<Duration>,
     cancelled: bool,
     outcomes: Vec<CallOutcome>,
     spec: Option<JobSpec>,
     state: Option<String>,
 }
 
-/// Returns the promises that the observations, ordered by time, show to be broken.
-pub fn judge(observations: &[(Duration, Observation)]) -> Vec<Violation> {
+/// Runs of all tasks by name.
+type Tasks = BTreeMap<String, Vec<Run>>;
+
+/// Returns the promises that the observations, ordered by time, show to be broken. Runs of a
+/// cancelled job have to be gone `cancel_limit` after the answer to the cancel, and without a limit
+/// at the end.
+pub fn judge(
+    observations: &[(Duration, Observation)],
+    cancel_limit: Option<Duration>,
+) -> Vec<Violation> {
     let (tasks, jobs) = collect(observations);
-    let mut violations = Vec::new();
+    let end = observations.last().map_or(Duration::ZERO, |(at, _)| *at);
+    let mut violations = check_room(observations, &tasks);
     for (task, runs) in &tasks {
         violations.extend(check_overlaps(task, runs));
         violations.extend(check_repeats(task, runs));
@@ -99,27 +182,41 @@
         violations.extend(check_submission(task, runs, jobs.get(job)));
         if let Some(spec) = jobs.get(job).and_then(|job| job.spec.as_ref()) {
             violations.extend(check_order(task, runs, spec, &tasks));
+            violations.extend(check_gang(task, runs, spec, &tasks));
+        }
+        if let Some(job) = jobs.get(job) {
+            violations.extend(check_gone(task, runs, job, cancel_limit, end));
         }
     }
     for (id, job) in &jobs {
         let accepted = job.outcomes.contains(&CallOutcome::Accepted);
         let state = job.state.clone().unwrap_or_default();
-        if accepted && !job.cancelled && state != "completed" {
-            violations.push(Violation::Unfinished { job: id.clone(), state });
+        let expected = match &job.spec {
+            Some(spec) if spec.crashes => "failed",
+            _ => "completed",
+        };
+        if job.cancel_ended.is_some() && !is_final(&state) {
+            violations.push(Violation::NotCancelled { job: id.clone(), state });
+        } else if accepted && !job.cancelled && state != expected {
+            let tasks = job.spec.iter().flat_map(|spec| open_tasks(spec, &tasks)).collect();
+            violations.push(Violation::Unfinished { job: id.clone(), state, tasks });
         }
     }
     violations
 }
 
-fn collect(
-    observations: &[(Duration, Observation)],
-) -> (BTreeMap<String, Vec<Run>>, BTreeMap<String, JobHistory>) {
-    let mut tasks: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+fn is_final(state: &str) -> bool {
+    ["cancelled", "completed", "failed"].contains(&state)
+}
+
+fn collect(observations: &[(Duration, Observation)]) -> (Tasks, BTreeMap<String, JobHistory>) {
+    let mut tasks = Tasks::new();
     let mut jobs: BTreeMap<String, JobHistory> = BTreeMap::new();
     for (time, observation) in observations {
         match observation {
             Observation::Started { task, run, worker, .. } => {
                 tasks.entry(task.clone()).or_default().push(Run {
+                    acked: false,
                     began: *time,
                     ended: None,
                     noted: false,
@@ -128,20 +225,17 @@
                 });
             }
             Observation::Ended { kind, task, run, worker } => {
-                let runs = tasks.get_mut(task);
-                let ended = runs.and_then(|runs| {
-                    runs.iter_mut().find(|known| known.number == *run && known.worker == *worker)
-                });
-                if let Some(ended) = ended {
-                    ended.ended = Some((*time, *kind));
+                if let Some(known) = last_run(&mut tasks, task, *run, worker) {
+                    known.ended = Some((*time, *kind));
                 }
             }
-            Observation::EndNoted { task, run, lapsed } => {
-                for known in tasks.get_mut(task).into_iter().flatten() {
-                    known.noted |= known.number == *run && !lapsed;
+            Observation::EndNoted { task, run, lapsed, worker } => {
+                if let Some(known) = last_run(&mut tasks, task, *run, worker) {
+                    known.acked = true;
+                    known.noted |= !lapsed;
                 }
             }
-            Observation::EpochRaised { .. } => {}
+            Observation::EpochRaised { .. } | Observation::Joined { .. } => {}
             Observation::Submitted(spec) => {
                 jobs.entry(spec.id.clone()).or_default().spec = Some(spec.clone());
             }
@@ -151,6 +245,9 @@
             Observation::CancelSent { job } => {
                 jobs.entry(job.clone()).or_default().cancelled = true;
             }
+            Observation::CancelEnded { job } => {
+                jobs.entry(job.clone()).or_default().cancel_ended = Some(*time);
+            }
             Observation::FinalState { job, state } => {
                 jobs.entry(job.clone()).or_default().state = Some(state.clone());
             }
@@ -159,6 +256,13 @@
     (tasks, jobs)
 }
 
+/// Returns the last run with this number at a worker. A worker that has crashed may be ordered to
+/// start the same run again.
+fn last_run<'a>(tasks: &'a mut Tasks, task: &str, run: u32, worker: &str) -> Option<&'a mut Run> {
+    let runs = tasks.get_mut(task)?;
+    runs.iter_mut().rfind(|known| known.number == run && known.worker == worker)
+}
+
 fn check_overlaps(task: &str, runs: &[Run]) -> Option<Violation> {
     for (index, later) in runs.iter().enumerate() {
         let earlier = runs[..index]
@@ -202,23 +306,165 @@
     refused.then_some(Violation::Refused { at, task })
 }
 
-/// Checks that all tasks of the previous step had ended as done before a run began.
-fn check_order(
+/// Checks that the steps that a task follows had been done before a run of it began.
+fn check_order(task: &str, runs: &[Run], spec: &JobSpec, tasks: &Tasks) -> Option<Violation> {
+    let began = runs.first()?.began;
+    let step = spec.steps.get(step_number(task)?)?;
+    let is_done = |done: &Run| {
+        done.ended.is_some_and(|(ended, kind)| kind == EndKind::Done && ended <= began)
+    };
+    let open = step.after.iter().find(|step| !is_step_done(spec, **step, tasks, is_done))?;
+    Some(Violation::Order { at: began, task: task.to_owned(), step: *open })
+}
+
+/// Checks that the members of a gang share the number of the run, and that one end as done, which
+/// represents all, is the end of the gang.
+fn check_gang(task: &str, runs: &[Run], spec: &JobSpec, tasks: &Tasks) -> Option<Violation> {
+    let number = step_number(task)?;
+    let step = spec.steps.get(number).filter(|step| step.gang)?;
+    let name = task.to_owned();
+    let others: Vec<(String, &[Run])> = task_names(spec, number, step)
+        .filter(|other| other != task)
+        .map(|other| {
+            let runs = tasks.get(&other).map_or(&[][..], Vec::as_slice);
+            (other, runs)
+        })
+        .collect();
+    for run in runs {
+        for (other, earlier) in
+            others.iter().flat_map(|(name, runs)| runs.iter().map(move |run| (name, run)))
+        {
+            let (at, task, other) = (run.began, name.clone(), other.clone());
+            let before = earlier.began <= at && earlier.number != run.number;
+            if before && earlier.ended.is_none_or(|(ended, _)| ended > at) {
+                let (run, earlier) = (run.number, earlier.number);
+                return Some(Violation::Split { at, task, run, other, earlier });
+            }
+            let done =
+                earlier.ended.is_some_and(|(ended, kind)| kind == EndKind::Done && ended < at);
+            if done && earlier.noted && run.number > earlier.number {
+                let (done, run) = (earlier.number, run.number);
+                return Some(Violation::StartAfterDone { at, task, done, run });
+            }
+        }
+        let Some((at, EndKind::Done)) = run.ended else { continue };
+        let missing = others.iter().find(|(_, others)| {
+            !others.iter().any(|other| other.number == run.number && other.began <= at)
+        });
+        if let Some((missing, _)) = missing {
+            let (run, missing) = (run.number, missing.clone());
+            return Some(Violation::Partial { at, task: name, run, missing });
+        }
+    }
+    None
+}
+
+/// Checks that no run goes on at the end of its job or, with a limit, longer than that after the
+/// answer to a cancel.
+fn check_gone(
     task: &str,
     runs: &[Run],
-    spec: &JobSpec,
-    tasks: &BTreeMap<String, Vec<Run>>,
+    job: &JobHistory,
+    cancel_limit: Option<Duration>,
+    end: Duration,
 ) -> Option<Violation> {
-    let step: usize = task.split('.').nth(2)?.parse().ok()?;
-    if step == 0 || !spec.steps.get(step)?.after_previous {
-        return None;
+    let ended = job.state.as_deref().is_some_and(is_final) || job.cancel_ended.is_some();
+    let limit = job.cancel_ended.zip(cancel_limit).map(|(at, limit)| at + limit);
+    let at = limit.unwrap_or(end);
+    let left = runs.iter().find(|run| match run.ended {
+        None => ended && at <= end,
+        Some((gone, _)) => limit.is_some_and(|limit| gone > limit),
+    })?;
+    let (run, worker) = (left.number, left.worker.clone());
+    Some(Violation::Left { at, task: task.to_owned(), run, worker })
+}
+
+/// Checks that no worker has more runs than accelerators.
+fn check_room(observations: &[(Duration, Observation)], tasks: &Tasks) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (at, observation) in observations {
+        let Observation::Joined { accelerators, worker } = observation else { continue };
+        if violations.iter().any(
+            |known| matches!(known, Violation::Overfull { worker: known, .. } if known == worker),
+        ) {
+            continue;
+        }
+        let here = || {
+            let runs =
+                tasks.iter().flat_map(|(task, runs)| runs.iter().map(move |run| (task, run)));
+            runs.filter(|(_, run)| run.worker == *worker)
+        };
+        for (task, run) in here().filter(|(_, run)| run.began >= *at) {
+            let is_open = |other: &Run| {
+                other.began <= run.began && other.ended.is_none_or(|(ended, _)| ended > run.began)
+            };
+            let runs = here().filter(|(_, other)| is_open(other)).count();
+            if u64::try_from(runs).is_ok_and(|runs| runs > *accelerators) {
+                let (at, task, worker) = (run.began, task.clone(), worker.clone());
+                violations.push(Violation::Overfull { at, runs, task, worker });
+                break;
+            }
+        }
     }
-    let began = runs.first()?.began;
-    let is_done = |index: u32| {
-        let name = format!("{}.0.{}.{index}", spec.id, step - 1);
-        let ends = tasks.get(&name).into_iter().flatten().filter_map(|run| run.ended);
-        ends.into_iter().any(|(ended, kind)| kind == EndKind::Done && ended <= began)
-    };
-    let all_done = (0..spec.steps[step - 1].count).all(is_done);
-    (!all_done).then(|| Violation::Order { at: began, task: task.to_owned(), step: step - 1 })
+    violations
+}
+
+/// Returns what was seen of the tasks of a job that are not done.
+fn open_tasks(spec: &JobSpec, tasks: &Tasks) -> Vec<OpenTask> {
+    let is_done = |run: &Run| run.noted && run.ended.is_some_and(|(_, kind)| kind == EndKind::Done);
+    let mut open = Vec::new();
+    for (number, step) in spec.steps.iter().enumerate() {
+        let earlier =
+            step.after.iter().find(|earlier| !is_step_done(spec, **earlier, tasks, is_done));
+        if step.gang && is_step_done(spec, number, tasks, is_done) {
+            continue;
+        }
+        for task in task_names(spec, number, step) {
+            let runs = tasks.get(&task).map_or(&[][..], Vec::as_slice);
+            if runs.iter().any(is_done) {
+                continue;
+            }
+            open.push(match (runs.last(), earlier) {
+                (None, Some(step)) => OpenTask::Follows { step: *step, task },
+                (None, None) => OpenTask::NotStarted { task },
+                (Some(run), _) => open_run(task, run),
+            });
+        }
+    }
+    open
+}
+
+fn open_run(task: String, last: &Run) -> OpenTask {
+    let (run, worker) = (last.number, last.worker.clone());
+    match last.ended {
+        None => OpenTask::NotEnded { at: last.began, run, task, worker },
+        Some((at, kind)) if last.acked => OpenTask::NotRestarted { at, kind, run, task, worker },
+        Some((at, kind)) => OpenTask::NotNoted { at, kind, run, task, worker },
+    }
+}
+
+/// Reports whether a step is done: all its tasks, or one member of a gang.
+fn is_step_done(
+    spec: &JobSpec,
+    number: usize,
+    tasks: &Tasks,
+    is_done: impl Fn(&Run) -> bool,
+) -> bool {
+    let Some(step) = spec.steps.get(number) else { return false };
+    let mut names = task_names(spec, number, step);
+    let is_task_done = |name: String| tasks.get(&name).into_iter().flatten().any(&is_done);
+    if step.gang { names.any(is_task_done) } else { names.all(is_task_done) }
+}
+
+fn task_names(
+    spec: &JobSpec,
+    number: usize,
+    step: &StepSpec,
+) -> impl Iterator<Item = String> + use<> {
+    let id = spec.id.clone();
+    (0..step.count).map(move |index| format!("{id}.0.{number}.{index}"))
+}
+
+fn step_number(task: &str) -> Option<usize> {
+    task.split('.').nth(2)?.parse().ok()
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 mod hold_rule;
 mod judge;
 mod links;
+mod open_task;
 mod party;
 mod play;
 mod processes;
@@ -15,6 +16,7 @@
 
 pub use hold_rule::HoldRule;
 pub use judge::{Violation, judge};
+pub use open_task::OpenTask;
 pub use party::Party;
 pub use play::{CutReport, PlayReport, PlaySettings, play, program_folder};
 pub use scenario::{Connections, Cut, CutTarget, Direction, Kind, PlannedStep, Scenario, Step};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,6 +17,10 @@
 /// Exit code when a play could not run.
 const EXIT_NOT_RUN: u8 = 2;
 
+/// Time after the answer to a cancel within which the runs of the job have to be gone: a takeover,
+/// a lease and a margin for the machine.
+const CANCEL_LIMIT: Duration = Duration::from_secs(30);
+
 /// Number of broken promises that are printed for a play.
 const PRINTED_VIOLATIONS: usize = 3;
 
@@ -100,9 +104,10 @@
     let mut broken = 0;
     for seed in args.seed..args.seed + args.plays {
         for (name, kind) in &kinds {
-            let scenario = Scenario::new(&day, *kind, args.entries, seed)?;
+            let scenario = Scenario::new(&day, *kind, (args.entries, args.workers), seed)?;
             let folder = play_folder(args.logs.as_deref(), name, seed)?;
             let settings = PlaySettings {
+                cancel_limit: Some(CANCEL_LIMIT),
                 entries: args.entries,
                 finish_limit: Duration::from_secs(60),
                 folder: folder.clone(),
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -5,8 +5,8 @@
 
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use skylarkpulley_platform_standins::{
-    Callers, EndKind, LostAnswers, Observation, Observations, POOL, Store, WorkerLimits,
-    WorkerServer, listen, tables_document,
+    Callers, EndKind, Gangs, LostAnswers, Observation, Observations, POOL, Store, WorkerHost,
+    WorkerLimits, WorkerSettings, listen, tables_document,
 };
 use tokio::net::TcpListener;
 
@@ -21,6 +21,9 @@
 /// Time limit for the entries to become ready, also on a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(120);
 
+/// Time for which a member of a gang waits for the others, as on the users' sites.
+const GANG_WAIT: Duration = Duration::from_secs(3);
+
 /// Number of times that the deployment is started. Another process may take a port between its choice
 /// and its use.
 const START_ATTEMPTS: u32 = 3;
@@ -37,9 +40,12 @@
 /// Settings of a play.
 #[derive(Clone, Debug)]
 pub struct PlaySettings {
+    /// Time after the answer to a cancel within which the runs of the job have to be gone; `None`
+    /// for until the end of the play.
+    pub cancel_limit: Option<Duration>,
     /// Number of entries.
     pub entries: usize,
-    /// Time after the traffic within which accepted jobs have to end.
+    /// Time after traffic and faults within which accepted jobs and all runs have to end.
     pub finish_limit: Duration,
     /// Folder for settings and logs of the processes.
     pub folder: PathBuf,
@@ -95,6 +101,7 @@
     links: Links,
     observations: Observations,
     store: Store,
+    workers: Vec<Arc<WorkerHost>>,
 }
 
 /// Beginning and end of the cut of a leader, after the start of the traffic.
@@ -128,11 +135,17 @@
     let cuts: CutTimes = Arc::default();
     let epochs: EpochChanges = Arc::default();
     let watch = tokio::spawn(watch_leader(deployment.store.clone(), traffic_start, epochs.clone()));
-    let traffic = deployment.callers.run(scenario.length, settings.seed);
+    let traffic = deployment.callers.run(&scenario.traffic, settings.seed);
     tokio::join!(traffic, deployment.inject(scenario, traffic_start, &cuts));
+    let deadline = Instant::now() + settings.finish_limit;
     deployment.callers.await_ends(settings.finish_limit).await;
+    // Stops of cancelled runs may take longer than the answer to their cancel.
+    while observations.open_runs() > 0 && Instant::now() < deadline {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
     watch.abort();
     let observed = deployment.observations.snapshot();
+    write_observed(&settings.folder.join("observed.txt"), &observed)?;
     let epochs = lock(&epochs).clone();
     let cuts = lock(&cuts).clone();
     let report_cut =
@@ -146,10 +159,16 @@
         epochs: epochs.len().saturating_sub(1),
         lapsed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Lapsed, .. })),
         starts: count(|seen| matches!(seen, Observation::Started { .. })),
-        violations: judge(&observed),
+        violations: judge(&observed, settings.cancel_limit),
     })
 }
 
+/// Writes what was observed beside the logs of the processes.
+fn write_observed(path: &Path, observed: &[(Duration, Observation)]) -> Result<(), SoakError> {
+    let lines: String = observed.iter().map(|(at, seen)| format!("{at:.3?} {seen:?}\n")).collect();
+    std::fs::write(path, lines).map_err(SoakError::io("file of the observations"))
+}
+
 /// Raises the limit of open files to what the system allows. Each connection takes three descriptors
 /// in this process, and stays open while its bytes are held.
 fn raise_descriptor_limit() {
@@ -166,7 +185,7 @@
         observations: Observations,
     ) -> Result<Self, SoakError> {
         let links = Links::new();
-        let store = Store::new(&tables_document(POOL), settings.seed);
+        let store = Store::new(&tables_document(POOL, scenario.enforced), settings.seed);
         let store_address = links.serve(listen().await?, Party::Store, store.start().await?)?;
         let lease_ms = u64::try_from(scenario.lease.as_millis()).unwrap_or(u64::MAX);
         let (mut entries, mut callers, mut readiness) = (Vec::new(), Vec::new(), Vec::new());
@@ -188,7 +207,7 @@
             callers.push(values.callers);
             readiness.push(values.readiness);
         }
-        let mut agents = Vec::new();
+        let (mut agents, mut workers, gangs) = (Vec::new(), Vec::new(), Gangs::default());
         for index in 0..settings.workers {
             let party = Party::Agent(index);
             let announcements = free_address().await?;
@@ -198,18 +217,27 @@
             let limits = WorkerLimits {
                 accelerators: 8,
                 clock_rate: if index % 2 == 0 { 1.0 } else { 0.98 },
+                enforced: scenario.enforced,
+                gang_wait: GANG_WAIT,
                 longest_lease: scenario.lease,
                 stop: Duration::from_millis(200),
             };
-            let worker = WorkerServer::new(&worker_id(index), limits, observations.clone());
-            worker.start(announcements, &format!("domain-{}", index % DOMAINS)).await?;
+            let host = WorkerHost::start(WorkerSettings {
+                agent: announcements,
+                domain: format!("domain-{}", index % DOMAINS),
+                gangs: gangs.clone(),
+                limits,
+                name: worker_id(index),
+                observations: observations.clone(),
+            });
+            workers.push(Arc::new(host.await?));
         }
         await_ready(&readiness, &entries).await?;
         for agent in &mut agents {
             agent.check_running()?;
         }
         let callers = Callers::new(&callers, observations.clone());
-        Ok(Self { _agents: agents, callers, entries, links, observations, store })
+        Ok(Self { _agents: agents, callers, entries, links, observations, store, workers })
     }
 
     /// Carries out the steps of a scenario, and ends all its faults.
@@ -267,6 +295,30 @@
                 Step::PauseEntry(index, length) => {
                     ends.spawn(pause(self.entries[*index].clone(), *length));
                 }
+                Step::CrashWorkers(indexes, down) => {
+                    for index in indexes {
+                        self.workers[*index].crash(*down);
+                    }
+                    ends.spawn(tokio::time::sleep(*down));
+                }
+                Step::ShrinkWorkers(indexes, left, length) => {
+                    for index in indexes {
+                        let (host, left, length) = (self.workers[*index].clone(), *left, *length);
+                        ends.spawn(async move {
+                            host.set_capacity(left);
+                            tokio::time::sleep(length).await;
+                            host.set_capacity(1.0);
+                        });
+                    }
+                }
+                Step::StoreAway(outage, length) => {
+                    self.store.set_outage(Some(*outage));
+                    let (store, length) = (self.store.clone(), *length);
+                    ends.spawn(async move {
+                        tokio::time::sleep(length).await;
+                        store.set_outage(None);
+                    });
+                }
             }
         }
         while ends.join_next().await.is_some() {}
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use skylarkpulley_platform_standins::{Day, DayFault, Disruption, LostAnswers};
+use skylarkpulley_platform_standins::{Day, Disruption, LostAnswers, Outage, Span, Traffic};
 
 use crate::SoakError;
 
@@ -73,6 +73,8 @@
 pub enum Step {
     /// Cuts the leader off.
     Cut(Cut),
+    /// Crashes workers, which start again after this time.
+    CrashWorkers(Vec<usize>, Duration),
     /// Kills the entry that leads, and starts it again after this time.
     KillLeader(Duration),
     /// Loses answers of the store for this time.
@@ -81,6 +83,10 @@
     PauseEntry(usize, Duration),
     /// Pauses the entry that leads for this time.
     PauseLeader(Duration),
+    /// Leaves workers this share of their capacity for this time.
+    ShrinkWorkers(Vec<usize>, f64, Duration),
+    /// Takes the store away for this time.
+    StoreAway(Outage, Duration),
 }
 
 /// An action with its time after the start of the traffic.
@@ -135,11 +141,13 @@
     LongLease,
     /// Each cut is of a random variant.
     Mixed,
+    /// Workers start what does not fit.
+    Unenforced,
 }
 
 impl Kind {
     /// All kinds, by their names.
-    pub const NAMED: [(&'static str, Self); 20] = [
+    pub const NAMED: [(&'static str, Self); 21] = [
         ("day", Self::Day),
         ("kill", Self::Kill),
         ("late", Self::Late),
@@ -160,6 +168,7 @@
         ("short-lease", Self::ShortLease),
         ("long-lease", Self::LongLease),
         ("mixed", Self::Mixed),
+        ("unenforced", Self::Unenforced),
     ];
 
     /// Returns the kind with this name.
@@ -178,12 +187,14 @@
 /// The plan of one play.
 #[derive(Clone, Debug)]
 pub struct Scenario {
+    /// Whether workers refuse what does not fit.
+    pub enforced: bool,
     /// Longest lease that workers accept.
     pub lease: Duration,
-    /// Length of the traffic.
-    pub length: Duration,
     /// Actions, ordered by time.
     pub steps: Vec<PlannedStep>,
+    /// What callers submit.
+    pub traffic: Traffic,
 }
 
 impl Scenario {
@@ -192,12 +203,45 @@
     ///
     /// # Errors
     /// [`SoakError::Standin`] when the day has a fault that the soak cannot inject.
-    pub fn new(day: &Day, kind: Kind, entries: usize, seed: u64) -> Result<Self, SoakError> {
+    pub fn new(
+        day: &Day,
+        kind: Kind,
+        (entries, workers): (usize, usize),
+        seed: u64,
+    ) -> Result<Self, SoakError> {
         let mut rng = fastrand::Rng::with_seed(seed);
         let length = Duration::from_secs_f64(day.length_s);
+        let mut traffic = Traffic { length, ..Traffic::default() };
         let mut steps = Vec::new();
         for fault in &day.faults {
-            steps.push(decode_fault(fault)?);
+            let at = Duration::from_secs_f64(fault.at);
+            let span = |value, length| Span { at, until: at + length, value };
+            let mut draw = |share: f64| {
+                let count = (share * workers as f64).round().clamp(1.0, workers as f64) as usize;
+                rng.choose_multiple(0..workers, count)
+            };
+            let step = match fault.disruption()? {
+                Disruption::Burst(factor, length) => {
+                    traffic.bursts.push(span(factor, length));
+                    continue;
+                }
+                Disruption::CrashingTasks(share, length) => {
+                    traffic.crashing.push(span(share, length));
+                    continue;
+                }
+                Disruption::LeaderCut(length) => Step::Cut(Cut::new(length)),
+                Disruption::LeaderKilled(down) => Step::KillLeader(down),
+                Disruption::LostWrites { late, length, share } => {
+                    let delay_s = late.then_some(LATE_DELAY_S);
+                    Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
+                }
+                Disruption::StoreAway(outage, length) => Step::StoreAway(outage, length),
+                Disruption::WorkersCrashed { down, share } => Step::CrashWorkers(draw(share), down),
+                Disruption::WorkersShrunk { left, length, share } => {
+                    Step::ShrinkWorkers(draw(share), left, length)
+                }
+            };
+            steps.push(PlannedStep { at, step });
         }
         match kind {
             Kind::Rolling | Kind::RollingKill => {
@@ -216,21 +260,10 @@
             Kind::LongLease => Duration::from_secs(10),
             _ => SITE_LEASE,
         };
-        Ok(Self { lease, length, steps })
+        Ok(Self { enforced: kind != Kind::Unenforced, lease, steps, traffic })
     }
 }
 
-fn decode_fault(fault: &DayFault) -> Result<PlannedStep, SoakError> {
-    let step = match fault.disruption()? {
-        Disruption::LeaderCut(length) => Step::Cut(Cut::new(length)),
-        Disruption::LostWrites { late, length, share } => {
-            let delay_s = late.then_some(LATE_DELAY_S);
-            Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
-        }
-    };
-    Ok(PlannedStep { at: Duration::from_secs_f64(fault.at), step })
-}
-
 /// Returns the steps that take the place of one step of the day.
 fn vary(rng: &mut fastrand::Rng, kind: Kind, planned: PlannedStep) -> Vec<PlannedStep> {
     let kind = match kind {
