Play random waves of crashes in the soak, and report ends after them

The kind `waves` draws crashes and capacity of workers, kills and cuts of the leader and outages of the store, which overlap.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -139,11 +139,12 @@
 }
 
 fn print_report(kind: &str, seed: u64, report: &PlayReport) {
-    let PlayReport { done, epochs, lapsed, starts, violations, .. } = report;
+    let PlayReport { alone, crashed, done, epochs, lapsed, starts, violations, .. } = report;
     println!(
-        "{kind} seed {seed}: {} broken, {starts} starts, {done} done, {lapsed} lapsed, {epochs} \
-         changes of the leader",
-        violations.len()
+        "{kind} seed {seed}: {} broken, {starts} starts, {done} done, {crashed} crashed, {alone} \
+         alone, {lapsed} lapsed, {epochs} changes of the leader, last run ended after {:.1} s",
+        violations.len(),
+        report.finished.as_secs_f64()
     );
     for cut in &report.cuts {
         println!("  {}", describe_cut(cut));
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -78,12 +78,18 @@
 /// Outcome of a play.
 #[derive(Clone, Debug)]
 pub struct PlayReport {
+    /// Runs of gangs that ended because a member did not come.
+    pub alone: usize,
+    /// Runs that ended with a crash of their worker.
+    pub crashed: usize,
     /// Cuts and pauses of a leader, in order.
     pub cuts: Vec<CutReport>,
     /// Runs that ended as done.
     pub done: usize,
     /// Changes of the leader during the traffic.
     pub epochs: usize,
+    /// Time from the end of traffic and faults to the end of the last run.
+    pub finished: Duration,
     /// Runs whose lease lapsed.
     pub lapsed: usize,
     /// Runs that were started.
@@ -137,6 +143,7 @@
     let watch = tokio::spawn(watch_leader(deployment.store.clone(), traffic_start, epochs.clone()));
     let traffic = deployment.callers.run(&scenario.traffic, settings.seed);
     tokio::join!(traffic, deployment.inject(scenario, traffic_start, &cuts));
+    let calm = started.elapsed();
     let deadline = Instant::now() + settings.finish_limit;
     deployment.callers.await_ends(settings.finish_limit).await;
     // Stops of cancelled runs may take longer than the answer to their cancel.
@@ -153,10 +160,15 @@
     let count = |matches: fn(&Observation) -> bool| {
         observed.iter().filter(|(_, observation)| matches(observation)).count()
     };
+    let last_end =
+        observed.iter().rfind(|(_, observation)| matches!(observation, Observation::Ended { .. }));
     Ok(PlayReport {
+        alone: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Alone, .. })),
+        crashed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Crashed, .. })),
         cuts: cuts.into_iter().map(report_cut).collect(),
         done: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Done, .. })),
         epochs: epochs.len().saturating_sub(1),
+        finished: last_end.map_or(Duration::ZERO, |(at, _)| at.saturating_sub(calm)),
         lapsed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Lapsed, .. })),
         starts: count(|seen| matches!(seen, Observation::Started { .. })),
         violations: judge(&observed, settings.cancel_limit),
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -143,11 +143,14 @@
     Mixed,
     /// Workers start what does not fit.
     Unenforced,
+    /// Random crashes and capacity of workers, kills and cuts of the leader and outages of the
+    /// store instead of the day's faults, with jobs that crash workers.
+    Waves,
 }
 
 impl Kind {
     /// All kinds, by their names.
-    pub const NAMED: [(&'static str, Self); 21] = [
+    pub const NAMED: [(&'static str, Self); 22] = [
         ("day", Self::Day),
         ("kill", Self::Kill),
         ("late", Self::Late),
@@ -169,6 +172,7 @@
         ("long-lease", Self::LongLease),
         ("mixed", Self::Mixed),
         ("unenforced", Self::Unenforced),
+        ("waves", Self::Waves),
     ];
 
     /// Returns the kind with this name.
@@ -216,10 +220,7 @@
         for fault in &day.faults {
             let at = Duration::from_secs_f64(fault.at);
             let span = |value, length| Span { at, until: at + length, value };
-            let mut draw = |share: f64| {
-                let count = (share * workers as f64).round().clamp(1.0, workers as f64) as usize;
-                rng.choose_multiple(0..workers, count)
-            };
+            let mut draw = |share| draw_workers(&mut rng, workers, share);
             let step = match fault.disruption()? {
                 Disruption::Burst(factor, length) => {
                     traffic.bursts.push(span(factor, length));
@@ -247,6 +248,11 @@
             Kind::Rolling | Kind::RollingKill => {
                 steps = rolling_cuts(&mut rng, length, kind == Kind::RollingKill);
             }
+            Kind::Waves => {
+                steps = waves(&mut rng, length, workers);
+                let crashing = Span { at: Duration::ZERO, until: length / 2, value: 0.1 };
+                traffic = Traffic { crashing: vec![crashing], length, ..Traffic::default() };
+            }
             _ => {
                 steps = steps.into_iter().flat_map(|step| vary(&mut rng, kind, step)).collect();
             }
@@ -359,6 +365,42 @@
     steps
 }
 
+/// Random faults of workers, leaders and store, which overlap.
+fn waves(rng: &mut fastrand::Rng, length: Duration, workers: usize) -> Vec<PlannedStep> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(3);
+    while at + Duration::from_secs(10) < length {
+        let share = 0.1 + 0.5 * rng.f64();
+        let step = match rng.u32(..10) {
+            0..=3 => Step::CrashWorkers(draw_workers(rng, workers, share), between(rng, 0.3, 4.0)),
+            4..=5 => {
+                let left = rng.f64() * 0.75;
+                Step::ShrinkWorkers(draw_workers(rng, workers, share), left, between(rng, 2.0, 8.0))
+            }
+            6 => Step::KillLeader(between(rng, 0.2, 2.0)),
+            7 => Step::Cut(Cut::new(between(rng, 2.0, 8.0))),
+            8 => {
+                let outage = if rng.bool() { Outage::Silent } else { Outage::Refusing };
+                Step::StoreAway(outage, between(rng, 1.0, 8.0))
+            }
+            _ => {
+                let delay_s = rng.bool().then_some(LATE_DELAY_S);
+                let lost = LostAnswers { writes: 0.35, reads: 0.0, delay_s };
+                Step::LoseAnswers(lost, between(rng, 0.5, 4.0))
+            }
+        };
+        steps.push(PlannedStep { at, step });
+        at += between(rng, 0.5, 4.0);
+    }
+    steps
+}
+
+/// Draws a share of the workers, at least one.
+fn draw_workers(rng: &mut fastrand::Rng, workers: usize, share: f64) -> Vec<usize> {
+    let count = (share * workers as f64).round().clamp(1.0, workers as f64) as usize;
+    rng.choose_multiple(0..workers, count)
+}
+
 fn stalls(rng: &mut fastrand::Rng, length: Duration, entries: usize) -> Vec<PlannedStep> {
     let mut steps = Vec::new();
     let mut at = Duration::from_secs(2);
--- a/crates/soak/tests/scenario.rs
+++ b/crates/soak/tests/scenario.rs
@@ -74,6 +74,22 @@
     assert_eq!(both.traffic.crashing.len(), 2);
 }
 
+/// Guards against random faults that leave out a kind of them, or reach beyond the traffic.
+#[test]
+fn scenario_waves() {
+    let scenario = |seed| Scenario::new(&day(), Kind::Waves, SIZE, seed).expect("a plan");
+    let steps: Vec<_> = (1..=5).flat_map(|seed| scenario(seed).steps).collect();
+    let has = |matches: fn(&Step) -> bool| steps.iter().any(|planned| matches(&planned.step));
+    assert!(has(|step| matches!(step, Step::CrashWorkers(..))));
+    assert!(has(|step| matches!(step, Step::ShrinkWorkers(..))));
+    assert!(has(|step| matches!(step, Step::KillLeader(_))));
+    assert!(has(|step| matches!(step, Step::Cut(_))));
+    assert!(has(|step| matches!(step, Step::StoreAway(..))));
+    assert!(has(|step| matches!(step, Step::LoseAnswers(..))));
+    assert!(steps.iter().all(|planned| planned.at < Duration::from_secs(92)));
+    assert_eq!(scenario(1).traffic.crashing.len(), 1);
+}
+
 /// Guards against cuts of the wrong parties.
 #[test]
 fn scenario_targets() {
