Judge tasks that wait in the soak while most of the room is free

A bound on the end of all jobs is coarse: a task that could run and does not is noticed only if it never starts. After the last fault, a task of an accepted job may now wait 15 s in all, after its submission and the steps that it follows, while less than half of the accelerators are in use (IDLE). The observations have the end of the last fault for it.

Measured: `judge_idle` shows it to fire, and not to fire for a task that waits for its submission, an earlier step or the end of a fault.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -6,6 +6,7 @@
 use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation, StepSpec};
 
 use crate::OpenTask;
+use crate::idle::check_idle;
 
 /// A promise to the users that a play has broken.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -110,6 +111,17 @@
         /// Id of the worker.
         worker: String,
     },
+    /// A task waited although all that it follows was done, no fault was in effect and most of the
+    /// room was free.
+    #[display("IDLE: {task} waited from {at:?}, {waited:?} of it with most of the room free")]
+    Idle {
+        /// Since when it could have started.
+        at: Duration,
+        /// Name of the task.
+        task: String,
+        /// Time with most of the room free.
+        waited: Duration,
+    },
     /// A job whose cancel was answered is not shown as ended at the end.
     #[display("CANCEL: job {job} is shown as {state:?}")]
     NotCancelled {
@@ -140,41 +152,67 @@
 
 /// One run of a task.
 #[derive(Clone, Debug)]
-struct Run {
+pub struct Run {
     /// Whether its end was taken note of.
-    acked: bool,
-    began: Duration,
-    ended: Option<(Duration, EndKind)>,
+    pub acked: bool,
+    /// When it began.
+    pub began: Duration,
+    /// When and how it ended.
+    pub ended: Option<(Duration, EndKind)>,
     /// Whether its end was taken note of, and the lease had not lapsed in between.
-    noted: bool,
-    number: u32,
-    worker: String,
+    pub noted: bool,
+    /// Number of the run.
+    pub number: u32,
+    /// Id of the worker.
+    pub worker: String,
 }
 
 /// What was observed of one job.
 #[derive(Clone, Debug, Default)]
-struct JobHistory {
+pub struct JobHistory {
+    /// When a submission was first answered as accepted.
+    pub accepted: Option<Duration>,
     /// When its cancel was answered.
-    cancel_ended: Option<Duration>,
-    cancelled: bool,
-    outcomes: Vec<CallOutcome>,
-    spec: Option<JobSpec>,
-    state: Option<String>,
+    pub cancel_ended: Option<Duration>,
+    /// Whether a caller has sent a cancel.
+    pub cancelled: bool,
+    /// Outcomes of its submissions.
+    pub outcomes: Vec<CallOutcome>,
+    /// The job as submitted.
+    pub spec: Option<JobSpec>,
+    /// State at the end.
+    pub state: Option<String>,
+}
+
+impl JobHistory {
+    /// Reports whether the job was accepted and has to be done.
+    pub fn is_due(&self) -> bool {
+        self.accepted.is_some() && !self.cancelled
+    }
+}
+
+/// Limits of the times that are judged. Without them the verdict does not depend on how fast the
+/// machine is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct JudgeLimits {
+    /// Time after the answer to a cancel within which the runs of the job have to be gone; `None`
+    /// for until the end of the play.
+    pub cancel: Option<Duration>,
+    /// Time for which a task may wait after the last fault while most of the room is free.
+    pub idle: Option<Duration>,
 }
 
 /// Runs of all tasks by name.
-type Tasks = BTreeMap<String, Vec<Run>>;
+pub type Tasks = BTreeMap<String, Vec<Run>>;
 
-/// Returns the promises that the observations, ordered by time, show to be broken. Runs of a
-/// cancelled job have to be gone `cancel_limit` after the answer to the cancel, and without a limit
-/// at the end.
-pub fn judge(
-    observations: &[(Duration, Observation)],
-    cancel_limit: Option<Duration>,
-) -> Vec<Violation> {
+/// Returns the promises that the observations, ordered by time, show to be broken.
+pub fn judge(observations: &[(Duration, Observation)], limits: JudgeLimits) -> Vec<Violation> {
     let (tasks, jobs) = collect(observations);
     let end = observations.last().map_or(Duration::ZERO, |(at, _)| *at);
     let mut violations = check_room(observations, &tasks);
+    if let Some(limit) = limits.idle {
+        violations.extend(check_idle(observations, &tasks, &jobs, limit));
+    }
     for (task, runs) in &tasks {
         violations.extend(check_overlaps(task, runs));
         violations.extend(check_repeats(task, runs));
@@ -185,11 +223,10 @@
             violations.extend(check_gang(task, runs, spec, &tasks));
         }
         if let Some(job) = jobs.get(job) {
-            violations.extend(check_gone(task, runs, job, cancel_limit, end));
+            violations.extend(check_gone(task, runs, job, limits.cancel, end));
         }
     }
     for (id, job) in &jobs {
-        let accepted = job.outcomes.contains(&CallOutcome::Accepted);
         let state = job.state.clone().unwrap_or_default();
         let expected = match &job.spec {
             Some(spec) if spec.crashes => "failed",
@@ -197,7 +234,7 @@
         };
         if job.cancel_ended.is_some() && !is_final(&state) {
             violations.push(Violation::NotCancelled { job: id.clone(), state });
-        } else if accepted && !job.cancelled && state != expected {
+        } else if job.is_due() && state != expected {
             let tasks = job.spec.iter().flat_map(|spec| open_tasks(spec, &tasks)).collect();
             violations.push(Violation::Unfinished { job: id.clone(), state, tasks });
         }
@@ -235,12 +272,18 @@
                     known.noted |= !lapsed;
                 }
             }
-            Observation::EpochRaised { .. } | Observation::Joined { .. } => {}
+            Observation::EpochRaised { .. }
+            | Observation::FaultsEnded
+            | Observation::Joined { .. } => {}
             Observation::Submitted(spec) => {
                 jobs.entry(spec.id.clone()).or_default().spec = Some(spec.clone());
             }
             Observation::SubmitEnded { job, outcome } => {
-                jobs.entry(job.clone()).or_default().outcomes.push(*outcome);
+                let job = jobs.entry(job.clone()).or_default();
+                job.outcomes.push(*outcome);
+                if *outcome == CallOutcome::Accepted {
+                    job.accepted.get_or_insert(*time);
+                }
             }
             Observation::CancelSent { job } => {
                 jobs.entry(job.clone()).or_default().cancelled = true;
@@ -456,7 +499,8 @@
     if step.gang { names.any(is_task_done) } else { names.all(is_task_done) }
 }
 
-fn task_names(
+/// Returns the names of the tasks of a step.
+pub fn task_names(
     spec: &JobSpec,
     number: usize,
     step: &StepSpec,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! observe on their sockets is judged by [`judge`].
 
 mod hold_rule;
+mod idle;
 mod judge;
 mod links;
 mod open_task;
@@ -15,7 +16,7 @@
 mod socket_owner;
 
 pub use hold_rule::HoldRule;
-pub use judge::{Violation, judge};
+pub use judge::{JudgeLimits, Violation, judge};
 pub use open_task::OpenTask;
 pub use party::Party;
 pub use play::{CutReport, PlayReport, PlaySettings, play, program_folder};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,8 @@
 use argh::FromArgs;
 use skylarkpulley_platform_standins::Day;
 use skylarkpulley_soak::{
-    CutReport, Kind, PlayReport, PlaySettings, Scenario, SoakError, play, program_folder,
+    CutReport, JudgeLimits, Kind, PlayReport, PlaySettings, Scenario, SoakError, play,
+    program_folder,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -21,6 +22,10 @@
 /// a lease and a margin for the machine.
 const CANCEL_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time for which a task may wait after the last fault while most of the room is free: a takeover,
+/// and the lease of a run that was lost.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+
 /// Number of broken promises that are printed for a play.
 const PRINTED_VIOLATIONS: usize = 3;
 
@@ -107,10 +112,10 @@
             let scenario = Scenario::new(&day, *kind, (args.entries, args.workers), seed)?;
             let folder = play_folder(args.logs.as_deref(), name, seed)?;
             let settings = PlaySettings {
-                cancel_limit: Some(CANCEL_LIMIT),
                 entries: args.entries,
                 finish_limit: Duration::from_secs(60),
                 folder: folder.clone(),
+                limits: JudgeLimits { cancel: Some(CANCEL_LIMIT), idle: Some(IDLE_LIMIT) },
                 programs: args.programs.clone().unwrap_or_else(program_folder),
                 seed,
                 workers: args.workers,
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -13,7 +13,7 @@
 use crate::links::Links;
 use crate::processes::{EntryValues, Process, agent_settings, entry_settings};
 use crate::scenario::{Connections, Cut, CutTarget, Direction};
-use crate::{HoldRule, Party, Scenario, SoakError, Step, Violation, judge};
+use crate::{HoldRule, JudgeLimits, Party, Scenario, SoakError, Step, Violation, judge};
 
 /// Number of failure domains.
 const DOMAINS: usize = 3;
@@ -40,15 +40,14 @@
 /// Settings of a play.
 #[derive(Clone, Debug)]
 pub struct PlaySettings {
-    /// Time after the answer to a cancel within which the runs of the job have to be gone; `None`
-    /// for until the end of the play.
-    pub cancel_limit: Option<Duration>,
     /// Number of entries.
     pub entries: usize,
     /// Time after traffic and faults within which accepted jobs and all runs have to end.
     pub finish_limit: Duration,
     /// Folder for settings and logs of the processes.
     pub folder: PathBuf,
+    /// Limits of the times that are judged.
+    pub limits: JudgeLimits,
     /// Folder of the programs.
     pub programs: PathBuf,
     /// Seed of jobs and lost answers.
@@ -171,7 +170,7 @@
         finished: last_end.map_or(Duration::ZERO, |(at, _)| at.saturating_sub(calm)),
         lapsed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Lapsed, .. })),
         starts: count(|seen| matches!(seen, Observation::Started { .. })),
-        violations: judge(&observed, settings.cancel_limit),
+        violations: judge(&observed, settings.limits),
     })
 }
 
@@ -334,6 +333,7 @@
             }
         }
         while ends.join_next().await.is_some() {}
+        self.observations.record(Instant::now(), Observation::FaultsEnded);
     }
 
     /// Returns the index of the entry that the leader's record names.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use skylarkpulley_platform_standins::{CallOutcome, EndKind, JobSpec, Observation, StepSpec};
-use skylarkpulley_soak::{OpenTask, Violation, judge};
+use skylarkpulley_soak::{JudgeLimits, OpenTask, Violation, judge};
 
 const TASK: &str = "a.0.0.0";
 
@@ -58,14 +58,14 @@
 }
 
 fn judge_all(observations: Vec<Observation>) -> Vec<Violation> {
-    judge_limited(observations, None)
+    judge_limited(observations, JudgeLimits::default())
 }
 
-fn judge_limited(observations: Vec<Observation>, cancel_limit: Option<Duration>) -> Vec<Violation> {
+fn judge_limited(observations: Vec<Observation>, limits: JudgeLimits) -> Vec<Violation> {
     let timed = observations.into_iter().enumerate().map(|(second, observation)| {
         (Duration::from_secs(u64::try_from(second).expect("a small number")), observation)
     });
-    judge(&timed.collect::<Vec<_>>(), cancel_limit)
+    judge(&timed.collect::<Vec<_>>(), limits)
 }
 
 /// Guards against a judge that complains about a job that ran once, or again after its lease had
@@ -344,7 +344,8 @@
         ];
         all.extend(rest);
         all.push(final_state(state));
-        judge_limited(all, limit.map(Duration::from_secs))
+        let cancel = limit.map(Duration::from_secs);
+        judge_limited(all, JudgeLimits { cancel, idle: None })
     };
     let stopped = || vec![ended(TASK, 1, "w", EndKind::Stopped)];
     assert_eq!(cancelled(stopped(), "cancelled", Some(1)), []);
@@ -358,3 +359,40 @@
     let completed = judge_accepted(1, vec![started(TASK, 1, "w")], "completed");
     assert!(matches!(completed.as_slice(), [Violation::Left { .. }]), "{completed:?}");
 }
+
+/// Guards against overlooking a task that waits while most of the room is free, and against blaming
+/// one that waits for its submission, an earlier step or the end
+/// of a fault.
+#[test]
+fn judge_idle() {
+    let joined = Observation::Joined { accelerators: 3, worker: "w".to_owned() };
+    let limits = JudgeLimits { cancel: None, idle: Some(Duration::from_secs(2)) };
+    let calm = Observation::FaultsEnded;
+    let judged = |observations: Vec<Observation>| {
+        let mut all = vec![joined.clone(), submitted(2), submit_ended(CallOutcome::Accepted)];
+        all.extend(observations);
+        all.push(final_state("completed"));
+        judge_limited(all, limits)
+    };
+    let filler = |seconds| vec![submit_ended(CallOutcome::Unknown); seconds];
+    let first = vec![started(TASK, 1, "w"), ended(TASK, 1, "w", EndKind::Done)];
+    let second = vec![started("a.0.1.0", 1, "w"), ended("a.0.1.0", 1, "w", EndKind::Done)];
+    let prompt = [vec![calm.clone()], first.clone(), second.clone()].concat();
+    assert_eq!(judged(prompt), []);
+    let mut later = vec![joined.clone(), calm.clone()];
+    later.extend([filler(5), vec![submitted(2), submit_ended(CallOutcome::Accepted)]].concat());
+    later.extend([first.clone(), second.clone(), vec![final_state("completed")]].concat());
+    assert_eq!(judge_limited(later, limits), []);
+    let fault = [filler(5), vec![calm.clone()], first.clone(), second.clone()].concat();
+    assert_eq!(judged(fault), []);
+    let long_step = [vec![calm.clone(), started(TASK, 1, "w")], filler(5), first[1..].to_vec()];
+    assert_eq!(judged([long_step.concat(), second.clone()].concat()), []);
+    let late = [vec![calm.clone()], first.clone(), filler(5), second].concat();
+    let violations = judged(late);
+    let [Violation::Idle { task, waited, .. }] = violations.as_slice() else {
+        panic!("{violations:?}")
+    };
+    assert_eq!((task.as_str(), *waited), ("a.0.1.0", Duration::from_secs(6)));
+    let violations = judged([vec![calm], first, filler(5)].concat());
+    assert!(matches!(violations.as_slice(), [Violation::Idle { .. }]), "{violations:?}");
+}
--- a/crates/soak/tests/wrong_standins.rs
+++ b/crates/soak/tests/wrong_standins.rs
@@ -6,7 +6,7 @@
     CallOutcome, Gangs, JobSpec, Observation, Observations, StartAnswer, StartOrder, StepSpec,
     Worker, WorkerLimits,
 };
-use skylarkpulley_soak::{OpenTask, Violation, judge};
+use skylarkpulley_soak::{JudgeLimits, OpenTask, Violation, judge};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -64,7 +64,7 @@
         }
         let (job, state) = ("a".to_owned(), state.to_owned());
         self.observations.record(self.start + SECOND * 5, Observation::FinalState { job, state });
-        judge(&self.observations.snapshot(), None)
+        judge(&self.observations.snapshot(), JudgeLimits::default())
     }
 }
 
