--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,8 @@
 use argh::FromArgs;
 use skylarkpulley_platform_standins::Day;
 use skylarkpulley_soak::{
-    CutReport, Kind, PlayReport, PlaySettings, Scenario, SoakError, play, program_folder,
+    CutReport, JudgeLimits, Kind, PlayReport, PlaySettings, Scenario, SoakError, play,
+    program_folder,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -17,6 +18,14 @@
 /// Exit code when a play could not run.
 const EXIT_NOT_RUN: u8 = 2;
 
+/// Time after the answer to a cancel within which the runs of the job have to be gone: a takeover,
+/// a lease and a margin for the machine.
+const CANCEL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time for which a task may wait after the last fault while most of the room is free: a takeover,
+/// and the lease of a run that was lost.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+
 /// Number of broken promises that are printed for a play.
 const PRINTED_VIOLATIONS: usize = 3;
 
@@ -100,12 +109,13 @@
     let mut broken = 0;
     for seed in args.seed..args.seed + args.plays {
         for (name, kind) in &kinds {
-            let scenario = Scenario::new(&day, *kind, args.entries, seed)?;
+            let scenario = Scenario::new(&day, *kind, (args.entries, args.workers), seed)?;
             let folder = play_folder(args.logs.as_deref(), name, seed)?;
             let settings = PlaySettings {
                 entries: args.entries,
                 finish_limit: Duration::from_secs(60),
                 folder: folder.clone(),
+                limits: JudgeLimits { cancel: Some(CANCEL_LIMIT), idle: Some(IDLE_LIMIT) },
                 programs: args.programs.clone().unwrap_or_else(program_folder),
                 seed,
                 workers: args.workers,
@@ -134,11 +144,12 @@
 }
 
 fn print_report(kind: &str, seed: u64, report: &PlayReport) {
-    let PlayReport { done, epochs, lapsed, starts, violations, .. } = report;
+    let PlayReport { alone, crashed, done, epochs, lapsed, starts, violations, .. } = report;
     println!(
-        "{kind} seed {seed}: {} broken, {starts} starts, {done} done, {lapsed} lapsed, {epochs} \
-         changes of the leader",
-        violations.len()
+        "{kind} seed {seed}: {} broken, {starts} starts, {done} done, {crashed} crashed, {alone} \
+         alone, {lapsed} lapsed, {epochs} changes of the leader, last run ended after {:.1} s",
+        violations.len(),
+        report.finished.as_secs_f64()
     );
     for cut in &report.cuts {
         println!("  {}", describe_cut(cut));
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use skylarkpulley_platform_standins::{Day, DayFault, Disruption, LostAnswers};
+use skylarkpulley_platform_standins::{Day, Disruption, LostAnswers, Outage, Span, Traffic};
 
 use crate::SoakError;
 
@@ -73,6 +73,8 @@
 pub enum Step {
     /// Cuts the leader off.
     Cut(Cut),
+    /// Crashes workers, which start again after this time.
+    CrashWorkers(Vec<usize>, Duration),
     /// Kills the entry that leads, and starts it again after this time.
     KillLeader(Duration),
     /// Loses answers of the store for this time.
@@ -81,6 +83,10 @@
     PauseEntry(usize, Duration),
     /// Pauses the entry that leads for this time.
     PauseLeader(Duration),
+    /// Leaves workers this share of their capacity for this time.
+    ShrinkWorkers(Vec<usize>, f64, Duration),
+    /// Takes the store away for this time.
+    StoreAway(Outage, Duration),
 }
 
 /// An action with its time after the start of the traffic.
@@ -135,11 +141,16 @@
     LongLease,
     /// Each cut is of a random variant.
     Mixed,
+    /// Workers start what does not fit.
+    Unenforced,
+    /// Random crashes and capacity of workers, kills and cuts of the leader and outages of the
+    /// store instead of the day's faults, with jobs that crash workers.
+    Waves,
 }
 
 impl Kind {
     /// All kinds, by their names.
-    pub const NAMED: [(&'static str, Self); 20] = [
+    pub const NAMED: [(&'static str, Self); 22] = [
         ("day", Self::Day),
         ("kill", Self::Kill),
         ("late", Self::Late),
@@ -160,6 +171,8 @@
         ("short-lease", Self::ShortLease),
         ("long-lease", Self::LongLease),
         ("mixed", Self::Mixed),
+        ("unenforced", Self::Unenforced),
+        ("waves", Self::Waves),
     ];
 
     /// Returns the kind with this name.
@@ -178,12 +191,14 @@
 /// The plan of one play.
 #[derive(Clone, Debug)]
 pub struct Scenario {
+    /// Whether workers refuse what does not fit.
+    pub enforced: bool,
     /// Longest lease that workers accept.
     pub lease: Duration,
-    /// Length of the traffic.
-    pub length: Duration,
     /// Actions, ordered by time.
     pub steps: Vec<PlannedStep>,
+    /// What callers submit.
+    pub traffic: Traffic,
 }
 
 impl Scenario {
@@ -192,17 +207,52 @@
     ///
     /// # Errors
     /// [`SoakError::Standin`] when the day has a fault that the soak cannot inject.
-    pub fn new(day: &Day, kind: Kind, entries: usize, seed: u64) -> Result<Self, SoakError> {
+    pub fn new(
+        day: &Day,
+        kind: Kind,
+        (entries, workers): (usize, usize),
+        seed: u64,
+    ) -> Result<Self, SoakError> {
         let mut rng = fastrand::Rng::with_seed(seed);
         let length = Duration::from_secs_f64(day.length_s);
+        let mut traffic = Traffic { length, ..Traffic::default() };
         let mut steps = Vec::new();
         for fault in &day.faults {
-            steps.push(decode_fault(fault)?);
+            let at = Duration::from_secs_f64(fault.at);
+            let span = |value, length| Span { at, until: at + length, value };
+            let mut draw = |share| draw_workers(&mut rng, workers, share);
+            let step = match fault.disruption()? {
+                Disruption::Burst(factor, length) => {
+                    traffic.bursts.push(span(factor, length));
+                    continue;
+                }
+                Disruption::CrashingTasks(share, length) => {
+                    traffic.crashing.push(span(share, length));
+                    continue;
+                }
+                Disruption::LeaderCut(length) => Step::Cut(Cut::new(length)),
+                Disruption::LeaderKilled(down) => Step::KillLeader(down),
+                Disruption::LostWrites { late, length, share } => {
+                    let delay_s = late.then_some(LATE_DELAY_S);
+                    Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
+                }
+                Disruption::StoreAway(outage, length) => Step::StoreAway(outage, length),
+                Disruption::WorkersCrashed { down, share } => Step::CrashWorkers(draw(share), down),
+                Disruption::WorkersShrunk { left, length, share } => {
+                    Step::ShrinkWorkers(draw(share), left, length)
+                }
+            };
+            steps.push(PlannedStep { at, step });
         }
         match kind {
             Kind::Rolling | Kind::RollingKill => {
                 steps = rolling_cuts(&mut rng, length, kind == Kind::RollingKill);
             }
+            Kind::Waves => {
+                steps = waves(&mut rng, length, workers);
+                let crashing = Span { at: Duration::ZERO, until: length / 2, value: 0.1 };
+                traffic = Traffic { crashing: vec![crashing], length, ..Traffic::default() };
+            }
             _ => {
                 steps = steps.into_iter().flat_map(|step| vary(&mut rng, kind, step)).collect();
             }
@@ -216,21 +266,10 @@
             Kind::LongLease => Duration::from_secs(10),
             _ => SITE_LEASE,
         };
-        Ok(Self { lease, length, steps })
+        Ok(Self { enforced: kind != Kind::Unenforced, lease, steps, traffic })
     }
 }
 
-fn decode_fault(fault: &DayFault) -> Result<PlannedStep, SoakError> {
-    let step = match fault.disruption()? {
-        Disruption::LeaderCut(length) => Step::Cut(Cut::new(length)),
-        Disruption::LostWrites { late, length, share } => {
-            let delay_s = late.then_some(LATE_DELAY_S);
-            Step::LoseAnswers(LostAnswers { writes: share, reads: 0.0, delay_s }, length)
-        }
-    };
-    Ok(PlannedStep { at: Duration::from_secs_f64(fault.at), step })
-}
-
 /// Returns the steps that take the place of one step of the day.
 fn vary(rng: &mut fastrand::Rng, kind: Kind, planned: PlannedStep) -> Vec<PlannedStep> {
     let kind = match kind {
@@ -326,6 +365,42 @@
     steps
 }
 
+/// Random faults of workers, leaders and store, which overlap.
+fn waves(rng: &mut fastrand::Rng, length: Duration, workers: usize) -> Vec<PlannedStep> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(3);
+    while at + Duration::from_secs(10) < length {
+        let share = 0.1 + 0.5 * rng.f64();
+        let step = match rng.u32(..10) {
+            0..=3 => Step::CrashWorkers(draw_workers(rng, workers, share), between(rng, 0.3, 4.0)),
+            4..=5 => {
+                let left = rng.f64() * 0.75;
+                Step::ShrinkWorkers(draw_workers(rng, workers, share), left, between(rng, 2.0, 8.0))
+            }
+            6 => Step::KillLeader(between(rng, 0.2, 2.0)),
+            7 => Step::Cut(Cut::new(between(rng, 2.0, 8.0))),
+            8 => {
+                let outage = if rng.bool() { Outage::Silent } else { Outage::Refusing };
+                Step::StoreAway(outage, between(rng, 1.0, 8.0))
+            }
+            _ => {
+                let delay_s = rng.bool().then_some(LATE_DELAY_S);
+                let lost = LostAnswers { writes: 0.35, reads: 0.0, delay_s };
+                Step::LoseAnswers(lost, between(rng, 0.5, 4.0))
+            }
+        };
+        steps.push(PlannedStep { at, step });
+        at += between(rng, 0.5, 4.0);
+    }
+    steps
+}
+
+/// Draws a share of the workers, at least one.
+fn draw_workers(rng: &mut fastrand::Rng, workers: usize, share: f64) -> Vec<usize> {
+    let count = (share * workers as f64).round().clamp(1.0, workers as f64) as usize;
+    rng.choose_multiple(0..workers, count)
+}
+
 fn stalls(rng: &mut fastrand::Rng, length: Duration, entries: usize) -> Vec<PlannedStep> {
     let mut steps = Vec::new();
     let mut at = Duration::from_secs(2);
