Bound the wait of a gang for one rack by 6 s beside free resources

Callers would see: a gang with a long estimate waits for twice as long for a rack whose workers small runs come and go on, although the resources of the pool are free twice over; 30 s for an estimate of 15 s.

Cause: the limit that was added with the rack rule grew with the estimate.

Evidence: the review read it; preferences::rack_workers_in_use fails with an estimate of 60 s before this change.

The limit is the one for workers near the data. It only applies where the resources are free twice over, so that nothing is taken from other work.

--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -11,7 +11,8 @@
     is_small,
 };
 
-/// Longest wait for a worker near the data, because tasks on others are several times slower.
+/// Longest wait for a worker near the data or on one rack beside free resources, because tasks on
+/// others are several times slower.
 pub(super) const MAX_NEAR_WAIT: Duration = Duration::from_secs(6);
 
 /// Time after which a small task of a job without runs may use the workers that are reserved for
@@ -341,7 +342,7 @@
         let candidates =
             self.count_same_step(unit, demand, select_candidates(view, allowed, false));
         let chosen = choose_workers(demand, &candidates)
-            .or_else(|| self.choose_racks(unit, demand, &candidates))?;
+            .or_else(|| Self::choose_racks(unit, demand, &candidates))?;
         let near = demand.near_rack.as_deref();
         let far =
             near.is_some_and(|near| chosen.iter().any(|index| &*candidates[*index].rack != near));
--- a/crates/jobs/src/coordinator/racks.rs
+++ b/crates/jobs/src/coordinator/racks.rs
@@ -1,14 +1,8 @@
-use std::time::Duration;
-
 use super::planning::MAX_NEAR_WAIT;
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::{Candidate, Demand, FleetWorker, Resources, StepId, choose_workers};
 
-/// How many times the estimate a gang waits for one rack while the pool has resources for it. Its
-/// tasks take about three times as long on several racks, so that a longer wait gains nothing.
-const RACK_WAIT_FACTOR: u64 = 2;
-
 /// How many times the resources of a gang must be free before it is spread over several racks. The
 /// slower tasks then take nothing away from other work.
 const SPREAD_FACTOR: u32 = 2;
@@ -65,15 +59,11 @@
     /// Load pattern: workers are gone and small runs come and go on those that remain, so that no
     /// rack is ever free as a whole while most of the pool is idle.
     pub(super) fn choose_racks(
-        &self,
         unit: &Unit,
         demand: &Demand,
         candidates: &[Candidate],
     ) -> Option<Vec<usize>> {
-        let first = unit.keys.first().filter(|_| demand.same_rack)?;
-        let step = self.jobs.get(&unit.job)?.job.steps.get(first.step as usize)?;
-        let limit = Duration::from_millis(step.estimate_ms.saturating_mul(RACK_WAIT_FACTOR));
-        if unit.waited < limit.max(MAX_NEAR_WAIT) {
+        if !demand.same_rack || unit.waited < MAX_NEAR_WAIT {
             return None;
         }
         let anywhere = Demand { same_rack: false, ..demand.clone() };
--- a/crates/jobs/tests/coordinator/preferences.rs
+++ b/crates/jobs/tests/coordinator/preferences.rs
@@ -59,6 +59,32 @@
     assert_eq!(await_starts(&mut rig, &gone, MAX_WAIT_MS), 3);
 }
 
+/// Guards against a gang that waits for as long as small work comes and goes on each rack, while the
+/// resources of the pool are free twice over.
+#[test]
+fn rack_workers_in_use() {
+    let mut rig = Rig::new(WORKERS);
+    let racks = (0..4).map(|rack| Step { near_rack: Some(format!("r{rack}")), ..step(1, 1) });
+    rig.submit(Job { steps: racks.collect(), ..job("small", 1, step(1, 1)) });
+    let small = rig.starts();
+    assert_eq!(small.len(), 4, "one on each rack");
+    let gang = Step { estimate_ms: 60_000, ..rack_gang() };
+    rig.submit(job("gang", 1, gang));
+    for _ in 0..70 {
+        for number in 0..WORKERS {
+            let status = worker(number, 1);
+            let runs = small.iter().filter(|start| start.0 == status.id);
+            let runs: Vec<_> = runs.map(|start| (start.1.clone(), start.2)).collect();
+            let mut report = report(&status, &runs);
+            report.running.iter_mut().for_each(|run| run.percent = 50);
+            rig.core.report(rig.now, &report);
+        }
+        rig.advance(100);
+        rig.place_and_commit();
+    }
+    assert_eq!(rig.starts().len(), 3);
+}
+
 /// Guards against a gang that waits for ever for a rack of which the placement policy permits only
 /// a part.
 #[test]
