Fence the ended runs of an earlier incarnation as well

Callers saw: the room of a worker that had crashed was never used again, although the worker was back, until its agent or the worker started again.

Cause: after a restart of its worker the agent reports nothing until each start that the earlier incarnation had left unanswered is fenced in the present one. If the present one carried out such a start and the run ended there before a stop was answered, the agent took the run for settled and sent no further stop, so that it was never fenced. The end could not be acknowledged either, because acknowledgements answer reports.

Evidence: restart_fences_ended_start in tests/agent.rs fails before this change, with the first stop lost and without: 100 listings later the worker is still not reported.

While the agent fences, it now stops ended runs too. A stop of an ended run has no effect but to confirm that the run does not start again.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -560,7 +560,9 @@
             .collect();
         let mut actions = Vec::new();
         for run in runs {
-            if self.refused.contains_key(&run) || self.has_ended(&run) {
+            // Ends are acknowledged only once they are reported, which waits for the fences.
+            let settled = self.has_ended(&run) && !self.fencing_earlier;
+            if self.refused.contains_key(&run) || settled {
                 continue;
             }
             let calls = self.calls.entry(run.clone()).or_default();
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -565,6 +565,37 @@
     assert_eq!(rig.restart_worker(), vec![AgentAction::Stop(task(), 1)]);
 }
 
+/// Guards against a worker that is never reported again after a restart: the new incarnation carried
+/// out a late start, and the run ended there before a stop of it was answered.
+#[test]
+fn restart_fences_ended_start() {
+    for stop_lost in [false, true] {
+        let mut rig = Rig::new();
+        rig.order_start(1);
+        rig.answer_start(StartAnswer::Unanswered);
+        rig.advance(100);
+        rig.announce(INCARNATION + 1);
+        if stop_lost {
+            rig.list(INCARNATION + 1, &[1], &[]);
+            assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
+            rig.core.handle_stop_answer(rig.now, &task(), 1, false);
+            rig.advance(400);
+        }
+        rig.list(INCARNATION + 1, &[], &[(1, 1, EndKind::Failed)]);
+        for _ in 0..100 {
+            for action in rig.core.actions(rig.now) {
+                assert_eq!(action, AgentAction::Stop(task(), 1));
+                rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+            }
+            rig.advance(400);
+            rig.list(INCARNATION + 1, &[], &[(1, 1, EndKind::Failed)]);
+        }
+        let report = rig.core.report(rig.now);
+        assert!(report.worker.is_some(), "stop lost {stop_lost}");
+        assert_eq!(report.ended.len(), 1);
+    }
+}
+
 /// Guards against stops that are sent to each later incarnation without end.
 #[test]
 fn restart_forgets_old_starts() {
