Count the waits of a job anew if the leader's clock is set back

Callers saw: after the clock of the leading entry was set back, tasks waited longer by the length of the step, with free workers: the waits for a near worker and for one rack, and those that end the reservation for larger tasks, are counted from the time of acceptance.

Cause: acceptances that lie in the future were moved to the present only when a job was submitted or restored, but a step of the clock during the leadership puts them there as well.

Evidence: losses::tick_clock_set_back (60 s) fails before this change: nothing is placed after 7 s.

The tick checks it for all jobs, so that a wait lasts at most its limit longer.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -313,6 +313,13 @@
         Submission::Accepted { version }
     }
 
+    /// Moves acceptances that lie in the future to the present: the clock of this entry was set back.
+    fn limit_acceptances(&mut self, now: Timestamp) {
+        for entry in self.jobs.values_mut() {
+            limit_acceptance(&mut entry.job, now);
+        }
+    }
+
     /// Withdraws a submission that was never part of a write; returns `false` when it was.
     pub fn withdraw(&mut self, id: &str) -> bool {
         if self.jobs.get(id).is_none_or(|entry| entry.submission_written) {
@@ -558,7 +565,8 @@
 }
 
 /// Moves an acceptance that lies in the future to the present: the entry that accepted the job has
-/// a clock that is ahead. Otherwise all waits of the job would last longer by the difference.
+/// a clock that is ahead, or the clock of this one was set back. Otherwise all waits of the job would
+/// last longer by the difference.
 fn limit_acceptance(job: &mut Job, now: Timestamp) {
     job.accepted_ms = job.accepted_ms.min(now.wall_ms);
 }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -50,6 +50,7 @@
     /// Handles everything that depends on time: silent and lapsed workers, runs without progress,
     /// draining workers, ended jobs and placement.
     pub fn tick(&mut self, now: Timestamp) {
+        self.limit_acceptances(now);
         self.close_silent(now);
         self.expire_workers(now);
         self.track_closed(now);
--- a/crates/jobs/tests/coordinator/losses.rs
+++ b/crates/jobs/tests/coordinator/losses.rs
@@ -72,16 +72,17 @@
     assert_eq!(rig.stops(), vec![(other.clone(), *run)]);
 }
 
-/// Guards against waits that last longer by the difference of two leaders' clocks. A job that was
-/// accepted in the successor's future waited for a near worker for up to a minute.
-#[test]
-fn restore_clock_behind() {
+/// Sets the clock back by a minute while a task waits for a worker near its data, all of which
+/// others hold, and checks that it is placed elsewhere within 7 s.
+fn assert_placed_after_step(take_over: bool) {
     let mut rig = Rig::new(4);
     rig.submit(job("others", 1, Step { lasting: true, ..step(3, 8) }));
     let others = rig.starts();
     rig.submit(job("near", 1, Step { near_rack: Some("r0".to_owned()), ..step(1, 8) }));
     rig.now.wall_ms -= 60_000;
-    rig.take_over();
+    if take_over {
+        rig.take_over();
+    }
     for _ in 0..70 {
         for number in 0..4 {
             let status = worker(number, 1);
@@ -96,3 +97,16 @@
     assert_eq!(starts.len(), 1, "{starts:?}");
     assert_eq!((starts[0].0.as_str(), starts[0].1.job.as_str()), ("w3", "near"));
 }
+
+/// Guards against waits that last longer by the difference of two leaders' clocks. A job that was
+/// accepted in the successor's future waited for a near worker for up to a minute.
+#[test]
+fn restore_clock_behind() {
+    assert_placed_after_step(true);
+}
+
+/// Guards against waits that last longer by the time by which the leader's clock is set back.
+#[test]
+fn tick_clock_set_back() {
+    assert_placed_after_step(false);
+}
