Reserve for larger tasks only among workers that can run the small ones

Callers saw: a small task waited beside idle workers for as long as its job had slack (20 s and more) while another task of the job ran.

Cause: small tasks with slack leave the emptiest third of the workers that they may use. Workers that can never run them counted as well: those that have shrunk below the need of the task, and those that lasting tasks hold. If they make up two thirds, no other worker is left. The limit of 2 s does not apply while a task of the job runs.

Evidence: preferences::small_tasks_workers_shrunk (9 of 12 workers shrunk) and preferences::small_tasks_workers_held (lasting tasks on 2 of 3 workers) fail before this change.

A third of the workers remains reserved, but of those that have the resources once the runs that end by themselves have ended, so that the wait ends with these runs.

--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -44,6 +44,8 @@
     /// `None` until a claim needs them, and after runs were ordered to stop.
     pub(super) run_ends: Option<Vec<RunEndTime>>,
     reservations: usize,
+    /// Resources that lasting tasks did not hold at the start of the round.
+    temporary: Vec<Resources>,
 }
 
 impl Coordinator {
@@ -95,14 +97,19 @@
             holds: Vec::new(),
             run_ends: None,
             reservations: 0,
+            temporary: Vec::new(),
         };
         for (id, worker) in &self.fleet.workers {
             if worker.status.pool != pool || !worker.is_open(now.monotonic) {
                 continue;
             }
             let mut future_free = worker.free();
+            let mut temporary = worker.status.resources;
             for task in worker.runs.keys() {
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
+                if entry.job.steps.get(task.key.step as usize).is_some_and(|step| step.lasting) {
+                    temporary.subtract(&entry.resources(task.key.step));
+                }
                 if entry.placement(&task.key).is_some_and(|placement| placement.stopping) {
                     future_free.add(&entry.resources(task.key.step));
                 }
@@ -115,6 +122,7 @@
                 same_step: 0,
             });
             view.future_free.push(future_free);
+            view.temporary.push(temporary);
         }
         view
     }
@@ -204,7 +212,7 @@
         unit: &Unit,
         demand: &Demand,
         view: &PoolView,
-        allowed: Vec<usize>,
+        mut allowed: Vec<usize>,
     ) -> Vec<usize> {
         let running = self.jobs.get(&unit.job).is_some_and(|job| job.placements().next().is_some());
         let has_slack = unit.rank.class > 0 && unit.rank.start_ms > now.wall_ms;
@@ -220,6 +228,9 @@
         if largest.is_none_or(|largest| !is_small(&demand.resources, &largest)) {
             return allowed;
         }
+        // Workers that never have the resources, because they have shrunk or lasting tasks hold them,
+        // are not left for small tasks.
+        allowed.retain(|index| view.temporary[*index].fits(&demand.resources));
         let free: Vec<Resources> = view.candidates.iter().map(|candidate| candidate.free).collect();
         exclude_emptiest(&free, allowed)
     }
--- a/crates/jobs/tests/coordinator/preferences.rs
+++ b/crates/jobs/tests/coordinator/preferences.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use skylarkpulley_jobs::{AdviceAnswer, Job, Step, WorkerReport};
+use skylarkpulley_jobs::{AdviceAnswer, Job, Resources, Step, WorkerReport, WorkerStatus};
 
 use crate::rig::{Rig, job, report, step, worker};
 
@@ -106,3 +106,30 @@
     rig.place_and_commit();
     assert_eq!(await_starts(&mut rig, &gone, MAX_WAIT_MS), 1);
 }
+
+/// Guards against small tasks that wait beside idle workers, because only workers that cannot run
+/// them are left after the reservation for larger tasks.
+#[test]
+fn small_tasks_workers_shrunk() {
+    let mut rig = Rig::new(WORKERS);
+    let shrunk = Resources { accelerators: 0, ..worker(0, 1).resources };
+    for number in 3..WORKERS {
+        let status = WorkerStatus { resources: shrunk, ..worker(number, 1) };
+        rig.core.report(rig.now, &report(&status, &[]));
+    }
+    let small = Step { estimate_ms: 20_000, ..step(2, 1) };
+    rig.submit(Job { slack: 20.0, ..job("small", 2, small) });
+    assert_eq!(rig.starts().len(), 2);
+}
+
+/// Guards against small tasks that wait beside an idle worker, because lasting tasks hold the others
+/// that the reservation for larger tasks leaves.
+#[test]
+fn small_tasks_workers_held() {
+    let mut rig = Rig::new(3);
+    rig.submit(job("lasting", 1, Step { lasting: true, ..step(2, 8) }));
+    let small = Step { estimate_ms: 20_000, ..step(2, 1) };
+    rig.submit(Job { slack: 20.0, ..job("small", 2, small) });
+    let starts = rig.starts();
+    assert_eq!(starts.iter().filter(|start| start.1.job == "small").count(), 2, "{starts:?}");
+}
