Play agents and leaders that stand still, and faults that last, in the liveness driver

Agents stand still for up to 30 s and leaders for up to 4 s. In the calm, calls keep failing in half of the cases, and all runs on one worker may hang on larger pools.

--- a/crates/jobs/tests/coordinator/liveness.rs
+++ b/crates/jobs/tests/coordinator/liveness.rs
@@ -35,7 +35,7 @@
 const JOB_KINDS: u32 = 11;
 
 /// Number of kinds of faults.
-const FAULT_KINDS: u32 = 15;
+const FAULT_KINDS: u32 = 17;
 
 /// A random case.
 struct Case {
@@ -194,22 +194,31 @@
             12 => self.pool.store_at = later,
             13 => site.reconnect(),
             14 => self.pool.rejects_write = true,
+            15 => site.frozen_until = later,
+            16 => self.pool.leader_frozen_until = soon,
             _ => {}
         }
     }
 
     fn end_faults(&mut self) {
         self.pool.log(|| "the faults end".to_owned());
+        self.pool.leader_frozen_until = 0;
         self.pool.policy_at = 0;
         self.pool.rejects_write = false;
         self.pool.store_at = 0;
-        for site in &mut self.pool.sites {
-            site.call_faults = 0;
+        // Some calls may fail all the time, and on larger pools all runs on one worker may hang.
+        let (lossy, hanging) = (self.rng.bool(), self.rng.bool());
+        let hanging = hanging && self.workers >= 8 && self.rack_size >= 4;
+        for (number, site) in self.pool.sites.iter_mut().enumerate() {
+            if !lossy {
+                site.call_faults = 0;
+            }
+            site.frozen_until = 0;
             site.linked_at = 0;
             site.reached_at = 0;
             if let Some(worker) = &mut site.worker {
                 worker.resources = FULL;
-                worker.fault = None;
+                worker.fault = Some(RunFault::Hangs).filter(|_| hanging && number == 2);
             }
         }
     }
--- a/crates/jobs/tests/coordinator/sim_pool.rs
+++ b/crates/jobs/tests/coordinator/sim_pool.rs
@@ -49,6 +49,8 @@
 pub struct SimPool {
     pub jobs: BTreeMap<String, Job>,
     leader: Option<Leader>,
+    /// Until when the leader stands still.
+    pub leader_frozen_until: u64,
     pub now: StepTime,
     /// When the next leader takes over, if there is none.
     pub next_leader: u64,
@@ -74,6 +76,7 @@
         let mut pool = Self {
             jobs: BTreeMap::new(),
             leader: None,
+            leader_frozen_until: 0,
             now,
             next_leader: 0,
             policy: None,
@@ -202,6 +205,9 @@
         for index in 0..self.sites.len() {
             self.step_site(index);
         }
+        if self.now.ms < self.leader_frozen_until {
+            return;
+        }
         let Some(mut leader) = self.leader.take() else { return };
         self.step_leader(&mut leader);
         self.leader = Some(leader);
@@ -354,10 +360,9 @@
             self.log(|| format!("{:?} {}: {}", decision.kind, decision.id, decision.detail));
         }
         let changed = leader.core.take_changed_workers();
-        for (index, session) in leader.sessions.values().copied().collect::<BTreeSet<_>>() {
-            let site = &self.sites[index];
-            if changed.contains(&site.id) && site.session == session {
-                self.send_orders(leader, index, None);
+        for (id, (index, session)) in &leader.sessions {
+            if changed.contains(id) && self.sites[*index].session == *session {
+                self.send_orders(leader, *index, id, None);
             }
         }
     }
@@ -386,8 +391,9 @@
             };
             let Some(sent) = site.reports.remove(position) else { return };
             let Some(status) = &sent.report.worker else {
-                // The answer tells the agent the epoch, which its worker may know already.
-                self.send_orders(leader, index, Some(sent.sent));
+                // The answer tells the agent the epoch, which its worker may know already. The
+                // session names no worker yet, so that there are no orders.
+                self.send_orders(leader, index, "", Some(sent.sent));
                 continue;
             };
             let latest = leader.sessions.get(&status.id);
@@ -401,12 +407,12 @@
                 leader.core.report(now, &sent.report);
             }
             if sent.session == site.session {
-                self.send_orders(leader, index, Some(sent.sent));
+                self.send_orders(leader, index, &status.id, Some(sent.sent));
             }
         }
     }
 
-    fn send_orders(&mut self, leader: &Leader, index: usize, sent: Option<Instant>) {
+    fn send_orders(&mut self, leader: &Leader, index: usize, id: &str, sent: Option<Instant>) {
         let site = &mut self.sites[index];
         if self.now.ms < site.linked_at {
             return;
@@ -418,7 +424,7 @@
         if let Some(last) = site.updates.back() {
             due_ms = due_ms.max(last.due_ms);
         }
-        let orders = leader.core.orders(&site.id);
+        let orders = leader.core.orders(id);
         let lease = if sent.is_some() { LEASE } else { Duration::ZERO };
         site.updates.push_back(SentOrders { due_ms, epoch: leader.epoch, lease, orders, sent });
     }
--- a/crates/jobs/tests/coordinator/sim_site.rs
+++ b/crates/jobs/tests/coordinator/sim_site.rs
@@ -78,6 +78,8 @@
     calls: Vec<(u64, OpenCall)>,
     /// Share of calls that fail, in 256ths.
     pub call_faults: u8,
+    /// Until when the agent stands still.
+    pub frozen_until: u64,
     /// When a draining worker leaves.
     pub leaves_at: Option<u64>,
     pub id: String,
@@ -107,6 +109,7 @@
             agent_at: 0,
             calls: Vec::new(),
             call_faults: 0,
+            frozen_until: 0,
             leaves_at: None,
             id: format!("w{number:02}"),
             late_starts: Vec::new(),
@@ -220,6 +223,9 @@
         rng: &mut Rng,
         fits: impl Fn(&SimWorker, &TaskId) -> bool,
     ) -> Vec<(TaskId, u32)> {
+        if now.ms < self.frozen_until {
+            return Vec::new();
+        }
         let Some(mut agent) = self.agent.take() else { return Vec::new() };
         if let Some(worker) = &self.worker
             && now.ms >= self.reached_at
