Break the circle between the modules of jobs in entry

The commands of the task, the changes recorded elsewhere, the store rows of jobs and the conversion of reports are now modules below all three: job_command, recorded_changes, job_row and worker_report. Command is named JobCommand, as its file. Nothing else changes.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -3,76 +3,24 @@
 
 use poem::http::StatusCode;
 use skylarkpulley_admin::{Durability, JobView, SubmitReply, SubmitRequest};
-use skylarkpulley_placement::{HoldResult, Status};
+use skylarkpulley_placement::Status;
 use skylarkpulley_proto::v1;
-use skylarkpulley_store::{Row, Store};
-use skylarkpulley_types::{AgentId, Digest};
+use skylarkpulley_store::Store;
+use skylarkpulley_types::Digest;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::caller_reply::CallerReply;
 use crate::caller_request::CallerRequest;
 use crate::hub::{Hub, MemberEvent};
+use crate::job_command::{JobCommand, SubmitAnswer};
+use crate::job_row::{job_row_key, row_to_copy};
 use crate::placement_task::PlacementTask;
+use crate::recorded_changes::RecordedChanges;
 
 /// Time within which a submitted job must be recorded outside this process, and time limit for
 /// reading a job from the store.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Command to the task that owns jobs and placers.
-#[derive(Debug)]
-pub(crate) enum Command {
-    Cancel(String, oneshot::Sender<Option<JobView>>),
-    Copies(u64, oneshot::Sender<(Vec<v1::JobCopy>, u64)>),
-    Drain(String, oneshot::Sender<Option<u32>>),
-    Get(String, oneshot::Sender<Option<JobView>>),
-    List(oneshot::Sender<Vec<JobView>>),
-    HoldAnswered {
-        pool: String,
-        job: String,
-        epoch: u64,
-        worker: AgentId,
-        result: HoldResult,
-    },
-    /// All job rows of the store have been read.
-    Loaded,
-    Merge(Vec<v1::JobCopy>),
-    /// Job rows read from the store, with their versions.
-    Rows(Vec<(v1::JobCopy, u64)>),
-    Saved {
-        id: String,
-        revision: u64,
-        version: Option<u64>,
-    },
-    Status(oneshot::Sender<Vec<(String, Status)>>),
-    Submit {
-        id: String,
-        request: SubmitRequest,
-        reply: oneshot::Sender<SubmitAnswer>,
-    },
-}
-
-/// Answer of the task to a submission.
-#[derive(Debug)]
-pub(crate) enum SubmitAnswer {
-    /// The job is queued; `change` is the number of its change.
-    Queued { change: u64 },
-    /// A job with this id already exists.
-    Repeated,
-    /// The job can never run on its pool.
-    Refused { reason: String, needed: String },
-    /// The request names a route, pool or team that does not exist.
-    Invalid(String),
-}
-
-/// Which job changes of this entry are recorded outside this process.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RecordedChanges {
-    /// Number of the last change that another entry has confirmed.
-    pub copied: u64,
-    /// Ids of the jobs stored most recently, in order of their writes; the length is limited.
-    pub stored: Vec<String>,
-}
-
 /// Result of a submission.
 #[derive(Debug)]
 pub enum SubmitOutcome {
@@ -88,7 +36,7 @@
 #[derive(Clone)]
 pub struct Jobs {
     changed: Arc<Notify>,
-    commands: mpsc::UnboundedSender<Command>,
+    commands: mpsc::UnboundedSender<JobCommand>,
     recorded: watch::Sender<RecordedChanges>,
     store: Arc<dyn Store>,
 }
@@ -154,7 +102,7 @@
     /// Submits a job under `id` and waits until it is recorded outside this process.
     pub async fn submit(&self, id: &str, request: SubmitRequest) -> SubmitOutcome {
         let (reply, answer) = oneshot::channel();
-        let command = Command::Submit { id: id.to_owned(), request, reply };
+        let command = JobCommand::Submit { id: id.to_owned(), request, reply };
         if self.commands.send(command).is_err() {
             return SubmitOutcome::NotRecorded;
         }
@@ -192,25 +140,25 @@
 
     /// Cancels a job and returns it, or `None` if it does not exist.
     pub async fn cancel(&self, id: &str) -> Option<JobView> {
-        if let Some(view) = self.request(|reply| Command::Cancel(id.to_owned(), reply)).await? {
+        if let Some(view) = self.request(|reply| JobCommand::Cancel(id.to_owned(), reply)).await? {
             return Some(view);
         }
         self.read_row(id).await?;
-        self.request(|reply| Command::Cancel(id.to_owned(), reply)).await?
+        self.request(|reply| JobCommand::Cancel(id.to_owned(), reply)).await?
     }
 
     /// Returns a job, or `None` if it does not exist.
     pub async fn get(&self, id: &str) -> Option<JobView> {
-        if let Some(view) = self.request(|reply| Command::Get(id.to_owned(), reply)).await? {
+        if let Some(view) = self.request(|reply| JobCommand::Get(id.to_owned(), reply)).await? {
             return Some(view);
         }
         self.read_row(id).await?;
-        self.request(|reply| Command::Get(id.to_owned(), reply)).await?
+        self.request(|reply| JobCommand::Get(id.to_owned(), reply)).await?
     }
 
     /// Returns the jobs that have not ended.
     pub async fn list(&self) -> Vec<JobView> {
-        self.request(Command::List).await.unwrap_or_default()
+        self.request(JobCommand::List).await.unwrap_or_default()
     }
 
     /// Reads the row of a job from the store: another entry may have stored the job but not copied
@@ -219,29 +167,31 @@
         let key = job_row_key(id);
         let read = tokio::time::timeout(RECORD_TIMEOUT, self.store.get(&key)).await;
         let row = read.ok()?.ok()??;
-        self.commands.send(Command::Rows(vec![row_to_copy(&row)])).ok()
+        self.commands.send(JobCommand::Rows(vec![row_to_copy(&row)])).ok()
     }
 
     /// Returns the state of the pools that this entry places for.
     pub async fn status(&self) -> Vec<(String, Status)> {
-        self.request(Command::Status).await.unwrap_or_default()
+        self.request(JobCommand::Status).await.unwrap_or_default()
     }
 
     /// Drains a worker and returns the number of its grants, or `None` if no worker has this name.
     pub async fn drain(&self, worker: &str) -> Option<u32> {
-        self.request(|reply| Command::Drain(worker.to_owned(), reply)).await?
+        self.request(|reply| JobCommand::Drain(worker.to_owned(), reply)).await?
     }
 
     /// Returns copies of jobs that changed after `change`, for another entry, and the number of the
     /// last change among them.
     pub async fn copies_after(&self, change: u64) -> (Vec<v1::JobCopy>, u64) {
-        self.request(|reply| Command::Copies(change, reply)).await.unwrap_or((Vec::new(), change))
+        self.request(|reply| JobCommand::Copies(change, reply))
+            .await
+            .unwrap_or((Vec::new(), change))
     }
 
     /// Merges copies of jobs from another entry.
     pub fn merge(&self, copies: Vec<v1::JobCopy>) {
         if !copies.is_empty() {
-            let _ = self.commands.send(Command::Merge(copies));
+            let _ = self.commands.send(JobCommand::Merge(copies));
         }
     }
 
@@ -259,24 +209,16 @@
         self.changed.notified().await;
     }
 
-    async fn request<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
+    async fn request<T>(
+        &self,
+        command: impl FnOnce(oneshot::Sender<T>) -> JobCommand,
+    ) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.commands.send(command(reply)).ok()?;
         answer.await.ok()
     }
 }
 
-/// Returns the key of the store row of a job.
-pub(crate) fn job_row_key(id: &str) -> String {
-    format!("jobs/{id}")
-}
-
-/// Returns the job record in a store row, and the version of the row.
-pub(crate) fn row_to_copy(row: &Row) -> (v1::JobCopy, u64) {
-    let copy = v1::JobCopy { value: row.value.to_vec(), ..v1::JobCopy::default() };
-    (copy, row.version)
-}
-
 fn to_caller_reply(reply: &SubmitReply) -> CallerReply {
     let body = serde_json::to_vec(reply).unwrap_or_default();
     match reply {
--- a/crates/entry/src/placement_task.rs
+++ b/crates/entry/src/placement_task.rs
@@ -3,9 +3,7 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_admin::{JobState, SubmitRequest};
-use skylarkpulley_placement::{
-    Action, Event as PlacementEvent, Placer, ReportedGrant, ReportedReservation, WorkerReport,
-};
+use skylarkpulley_placement::{Action, Event as PlacementEvent, Placer};
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::{Store, StoreError, WriteClass};
 use skylarkpulley_tables::{Pool, PoolKind, Tables};
@@ -14,10 +12,12 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::hub::{Hub, MemberEvent, agent_id};
+use crate::job_command::{JobCommand, SubmitAnswer};
 use crate::job_record::JobRecord;
 use crate::job_registry::{JobRegistry, TrackedJob};
-use crate::jobs::{Command, RecordedChanges, SubmitAnswer, job_row_key, row_to_copy};
+use crate::job_row::{job_row_key, row_to_copy};
 use crate::pool_placer::PoolPlacer;
+use crate::recorded_changes::RecordedChanges;
 
 /// Longest interval between two decisions of the placers.
 const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,7 +42,7 @@
 /// Owns the job registry and the placers of the pools for which this entry is the preferred one.
 pub(crate) struct PlacementTask {
     changed: Arc<Notify>,
-    commands: mpsc::UnboundedSender<Command>,
+    commands: mpsc::UnboundedSender<JobCommand>,
     /// Control addresses of the workers' agents.
     controls: BTreeMap<AgentId, String>,
     /// Names of the workers that operators drain.
@@ -66,7 +66,7 @@
     pub fn new(
         hub: Arc<Hub>,
         store: Arc<dyn Store>,
-        commands: mpsc::UnboundedSender<Command>,
+        commands: mpsc::UnboundedSender<JobCommand>,
         recorded: watch::Sender<RecordedChanges>,
         changed: Arc<Notify>,
         seed: u64,
@@ -91,7 +91,7 @@
 
     pub async fn run(
         mut self,
-        mut inbox: mpsc::UnboundedReceiver<Command>,
+        mut inbox: mpsc::UnboundedReceiver<JobCommand>,
         mut members: mpsc::UnboundedReceiver<MemberEvent>,
     ) {
         let mut tick = tokio::time::interval(MAX_DECISION_INTERVAL);
@@ -126,8 +126,8 @@
             loop {
                 if let Ok(rows) = store.list("jobs/").await {
                     let rows = rows.iter().map(|(_, row)| row_to_copy(row)).collect();
-                    let _ = commands.send(Command::Rows(rows));
-                    let _ = commands.send(Command::Loaded);
+                    let _ = commands.send(JobCommand::Rows(rows));
+                    let _ = commands.send(JobCommand::Loaded);
                     return;
                 }
                 tokio::time::sleep(Duration::from_secs(2)).await;
@@ -135,19 +135,19 @@
         });
     }
 
-    fn handle(&mut self, command: Command) {
+    fn handle(&mut self, command: JobCommand) {
         let now = self.hub.clock.now();
         match command {
-            Command::Cancel(id, reply) => {
+            JobCommand::Cancel(id, reply) => {
                 self.cancel(&id, now);
                 let _ = reply.send(self.view(&id, now));
             }
-            Command::Copies(change, reply) => {
+            JobCommand::Copies(change, reply) => {
                 let _ = reply.send(self.registry.copies_after(change, now));
             }
-            Command::Drain(worker, reply) => drop(reply.send(self.drain(&worker, now))),
-            Command::Get(id, reply) => drop(reply.send(self.view(&id, now))),
-            Command::List(reply) => {
+            JobCommand::Drain(worker, reply) => drop(reply.send(self.drain(&worker, now))),
+            JobCommand::Get(id, reply) => drop(reply.send(self.view(&id, now))),
+            JobCommand::List(reply) => {
                 let open =
                     self.registry.changed_after(0).filter(|tracked| !tracked.record.is_ended());
                 let to_view = |tracked: &TrackedJob| {
@@ -155,31 +155,31 @@
                 };
                 let _ = reply.send(open.map(to_view).collect());
             }
-            Command::HoldAnswered { pool, job, epoch, worker, result } => {
+            JobCommand::HoldAnswered { pool, job, epoch, worker, result } => {
                 if let Some(placer) = self.pools.get_mut(&pool) {
                     placer.handle_hold_result(&job, epoch, &worker, result, now);
                 }
             }
-            Command::Loaded => self.loading = false,
-            Command::Merge(copies) => {
+            JobCommand::Loaded => self.loading = false,
+            JobCommand::Merge(copies) => {
                 for record in copies.iter().filter_map(JobRecord::from_copy) {
                     self.registry.merge(record, now);
                 }
             }
-            Command::Rows(rows) => {
+            JobCommand::Rows(rows) => {
                 for (copy, version) in &rows {
                     if let Some(record) = JobRecord::from_copy(copy) {
                         self.registry.merge_row(record, *version, now);
                     }
                 }
             }
-            Command::Saved { id, revision, version } => self.saved(&id, revision, version),
-            Command::Status(reply) => {
+            JobCommand::Saved { id, revision, version } => self.saved(&id, revision, version),
+            JobCommand::Status(reply) => {
                 let status =
                     |(name, placer): (&String, &PoolPlacer)| (name.clone(), placer.status());
                 let _ = reply.send(self.pools.iter().map(status).collect());
             }
-            Command::Submit { id, request, reply } => {
+            JobCommand::Submit { id, request, reply } => {
                 let _ = reply.send(self.submit(&id, request, now));
             }
         }
@@ -439,7 +439,7 @@
                     Err(StoreError::Conflict { .. }) => match store.get(&key).await {
                         Ok(Some(row)) => {
                             // The record that another entry wrote may supersede this one.
-                            let _ = commands.send(Command::Rows(vec![row_to_copy(&row)]));
+                            let _ = commands.send(JobCommand::Rows(vec![row_to_copy(&row)]));
                             (None, 0)
                         }
                         Ok(None) => (Some(0), 0),
@@ -447,7 +447,7 @@
                     },
                     Err(_) => (None, 0),
                 };
-                let _ = commands.send(Command::Saved { id, revision, version });
+                let _ = commands.send(JobCommand::Saved { id, revision, version });
             });
         }
     }
@@ -479,29 +479,6 @@
     }
 }
 
-/// Converts the state in a worker's report for the placer.
-pub(crate) fn to_report(state: &v1::WorkerState) -> WorkerReport {
-    let to_grant = |grant: &v1::Grant| ReportedGrant {
-        job: grant.gang.clone(),
-        epoch: grant.epoch,
-        accelerators: grant.accelerators,
-        instance: (!grant.instance.is_empty()).then(|| grant.instance.clone()),
-        preemptible: grant.preemptible,
-        running: grant.running,
-        run_time: Duration::from_millis(grant.running_ms),
-        memory_mib: grant.memory_used_mib,
-    };
-    let to_reservation = |reservation: &v1::Reservation| ReportedReservation {
-        instance: reservation.instance.clone(),
-        epoch: reservation.epoch,
-        accelerators: reservation.accelerators,
-    };
-    WorkerReport {
-        grants: state.grants.iter().map(to_grant).collect(),
-        reservations: state.reservations.iter().map(to_reservation).collect(),
-    }
-}
-
 /// Checks the route, pool and team of a submission and returns the record of its job with the pool.
 fn check_job<'a>(
     id: &str,
--- a/crates/entry/src/pool_placer.rs
+++ b/crates/entry/src/pool_placer.rs
@@ -16,10 +16,10 @@
     PlacementSpec, change_reservations, commit_gang, hold_member, pending_delay, stop_gang,
 };
 use crate::hub::Hub;
+use crate::job_command::JobCommand;
 use crate::job_record::JobRecord;
 use crate::job_registry::{JobRegistry, TrackedJob};
-use crate::jobs::Command;
-use crate::placement_task::to_report;
+use crate::worker_report::to_report;
 
 /// Delay after a takeover before jobs that another entry may have started are submitted to the
 /// placer. By then their gangs appear in reports: a silent session lasts at most 2.5 s, and the
@@ -45,7 +45,7 @@
 
 /// Runs the placer of one pool and carries out its decisions through calls to agents.
 pub(crate) struct PoolPlacer {
-    commands: mpsc::UnboundedSender<Command>,
+    commands: mpsc::UnboundedSender<JobCommand>,
     /// Number of the last job change that was applied.
     cursor: u64,
     /// Jobs that another entry may have started and whose gangs reports may not show yet.
@@ -83,7 +83,7 @@
     pub fn new(
         pool: &Pool,
         hub: Arc<Hub>,
-        commands: mpsc::UnboundedSender<Command>,
+        commands: mpsc::UnboundedSender<JobCommand>,
         seed: u64,
         now: Instant,
     ) -> Self {
@@ -397,7 +397,7 @@
             loop {
                 let result = hold_member(&hub, &control, &spec, &member).await;
                 let pending = result == HoldResult::Pending;
-                let answer = Command::HoldAnswered {
+                let answer = JobCommand::HoldAnswered {
                     pool: pool.clone(),
                     job: spec.job.clone(),
                     epoch: spec.epoch,
