Keep sound tasks that waves of crashing workers meet repeatedly

A task was given up after four crashes of its workers even if each of them had another explanation. Waves of crashes come about as fast as workers restart, and a gang starts again when the workers are back, so that the next wave meets it before it has made progress: such a crash counts, since the run has not survived its start.

A task with three recorded crashes now starts again only after 5 s without a crash in its pool, 30 s after its last crash at the latest. Four crashes end it only if one of them has no other explanation, five in any case: a task that crashes its workers crashes the fourth in a calm pool, alone, and is given up then. To keep the limit of five starts, the loss of a worker that a new leader has not heard counts for all tasks that may have been starting there, also while other workers crash.

crash_waves_long_jobs_kept plays waves on 11 workers, and on 61 in racks of 8 with gangs of 16.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -34,6 +34,13 @@
 /// starting.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_secs(3);
 
+/// Time without a crash in a pool after which its workers count as calm. Longer than a worker takes
+/// to restart, because waves of crashes were seen to come about as fast.
+const CALM_AFTER: Duration = Duration::from_secs(5);
+
+/// Longest time after its last crash for which a task waits until the pool is calm.
+const MAX_CALM_WAIT: Duration = Duration::from_secs(30);
+
 impl Placement {
     /// Records that a worker that answers its agent lists the run.
     pub(super) fn prove(&mut self, now: Instant) {
@@ -59,6 +66,9 @@
             LossCause::Lapsed => return self.keep_lapsed_starts(id),
             LossCause::Left | LossCause::Silent => return,
         }
+        if let Some(worker) = self.fleet.workers.get(id) {
+            self.last_crashes.insert(worker.status.pool.clone(), now.monotonic);
+        }
         let (suspects, unshared) = self.crash_suspects(now, id);
         for task in &suspects {
             self.record_crash_under(now, id, task, unshared, suspects.len());
@@ -90,7 +100,7 @@
             self.unexplained_crashes.push_back(UnexplainedCrash { at: now.monotonic, pool });
         }
         if !agent_survived {
-            if !unheard || other_cause {
+            if !unheard {
                 starting.retain(|task| self.suspects.contains(task));
             }
             return (starting, false);
@@ -225,6 +235,9 @@
         let closed = self.workers_on_probation(&unit.job);
         allowed.retain(|index| !closed.contains(&*view.candidates[*index].id));
         let Some(crashed_at) = self.last_crash(unit, keys) else { return allowed };
+        if self.waits_for_calm(now, unit, keys, crashed_at) {
+            return Vec::new();
+        }
         if now.monotonic.saturating_duration_since(crashed_at) < MAX_ISOLATION_WAIT {
             allowed.retain(|index| self.is_settled(&view.candidates[*index].id, &unit.job));
         }
@@ -240,6 +253,31 @@
         if fits { idle } else { allowed }
     }
 
+    /// Reports whether tasks under which several workers have crashed should wait until the workers of
+    /// the pool stop crashing, so that another coincidence does not end their job.
+    fn waits_for_calm(
+        &self,
+        now: Timestamp,
+        unit: &Unit,
+        keys: &[TaskKey],
+        crashed_at: Instant,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&unit.job) else { return false };
+        let mut states = keys.iter().filter_map(|key| entry.tasks.get(key));
+        if !states.any(|state| state.crash_record.needs_calm()) {
+            return false;
+        }
+        let last_crash = self.last_crashes.get(&entry.job.pool).copied();
+        let last_crash = last_crash.map_or(crashed_at, |at| at.max(crashed_at));
+        now.monotonic.saturating_duration_since(last_crash) < CALM_AFTER
+            && now.monotonic.saturating_duration_since(crashed_at) < MAX_CALM_WAIT
+    }
+
+    /// Records that a worker of the pool has crashed or is down.
+    pub(super) fn note_crash(&mut self, now: Timestamp, pool: &str) {
+        self.last_crashes.insert(pool.to_owned(), now.monotonic);
+    }
+
     /// Returns the workers with runs of suspect tasks of other jobs that have not survived their
     /// start.
     fn workers_on_probation(&self, job: &str) -> BTreeSet<&str> {
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -114,6 +114,8 @@
     /// Number of stored rows beyond the first, of each job whose state takes more than one row.
     further_rows: BTreeMap<String, usize>,
     jobs: BTreeMap<String, JobEntry>,
+    /// When a worker of each pool last crashed or was found down.
+    last_crashes: BTreeMap<String, Instant>,
     limits: Limits,
     open_write: Option<Vec<commits::WrittenJob>>,
     plan_due: bool,
@@ -182,6 +184,7 @@
             fleet: Fleet::new(),
             further_rows: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            last_crashes: BTreeMap::new(),
             limits,
             open_write: None,
             plan_due: true,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -32,6 +32,7 @@
         {
             self.plan_due = true;
         }
+        let is_down = report.unreached && worker.is_reached;
         worker.has_reported = true;
         worker.is_reached = !report.unreached;
         if worker.is_reached {
@@ -41,6 +42,9 @@
         worker.ends_truncated = report.ends_truncated;
         worker.last_report = now.monotonic;
         worker.status = status.clone();
+        if is_down {
+            self.note_crash(now, &status.pool);
+        }
         for end in &report.ended {
             self.handle_end(now, status, end);
         }
--- a/crates/jobs/src/crash_record.rs
+++ b/crates/jobs/src/crash_record.rs
@@ -5,9 +5,13 @@
 /// coincidence.
 const MIN_UNSHARED: u32 = 2;
 
-/// Crashes after which a task is given up in any case. Five starts are the most that a task may
-/// have, and one crash can go unnoticed while the leader changes.
-const MAX_SHARED_CRASHES: u32 = 4;
+/// Crashes after which a task is given up if one of them has no other explanation.
+const MAX_MIXED_CRASHES: u32 = 4;
+
+/// Crashes after which a task is given up in any case, because five starts are the most that a task
+/// may have. Sound tasks met four crashes when waves of crashing workers came as fast as the workers
+/// restarted.
+const MAX_SHARED_CRASHES: u32 = 5;
 
 /// Crashes of workers under the runs of one task.
 ///
@@ -34,9 +38,16 @@
         self.crashes > 0
     }
 
+    /// Reports whether one more crash may end the task, so that its next run should start while no
+    /// worker crashes for another cause.
+    pub fn needs_calm(&self) -> bool {
+        self.crashes >= MAX_CRASHES
+    }
+
     /// Reports whether the task must not be started again.
     pub fn is_exhausted(&self) -> bool {
         self.crashes >= MAX_SHARED_CRASHES
+            || (self.crashes >= MAX_MIXED_CRASHES && self.unshared > 0)
             || (self.crashes >= MAX_CRASHES && self.unshared >= MIN_UNSHARED)
     }
 }
--- a/crates/jobs/tests/coordinator/crashes.rs
+++ b/crates/jobs/tests/coordinator/crashes.rs
@@ -1,6 +1,6 @@
 use skylarkpulley_jobs::{JobState, RowKind, Step, WorkerReport};
 
-use crate::crashing_pool::{CRASHING, CrashingPool};
+use crate::crashing_pool::{CRASHING, CrashingPool, LONG};
 use crate::rig::{Rig, job, report, step, worker};
 
 /// Starts that a task may have after three workers have crashed under it.
@@ -112,6 +112,63 @@
     }
 }
 
+/// Plays ten waves of crashing workers, three to four seconds apart, on a pool with short tasks,
+/// long tasks and gangs of `width`. Returns the jobs that are not completed 100 s later.
+fn open_after_waves(seed: u64, workers: u32, rack: u32, width: u32) -> Vec<String> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut pool = CrashingPool::with_racks(workers, rack);
+    let mut jobs = Vec::new();
+    let mut next_wave = 2000;
+    let mut waves = 0;
+    while waves < 10 {
+        let number = jobs.len();
+        let (id, step) = match number % 4 {
+            0 => (format!("{LONG}-{number}"), step(1 + random.u32(..3), 1)),
+            1 if number % 8 == 1 => {
+                (format!("{LONG}-gang-{number}"), Step { gang: true, ..step(width, 4) })
+            }
+            _ => (format!("small-{number}"), step(1 + random.u32(..4), 1)),
+        };
+        if step.gang {
+            pool.gangs.insert(id.clone(), step.count);
+        }
+        pool.rig.submit(job(&id, 2, step));
+        jobs.push(id);
+        pool.play(400);
+        if pool.time_ms < next_wave {
+            continue;
+        }
+        waves += 1;
+        next_wave += 3000 + random.u64(..10) * 100;
+        if random.u8(..4) == 0 {
+            pool.crash_racks(|| random.f64() < 0.3);
+        } else {
+            pool.crash_some(|| random.f64() < 0.3);
+        }
+    }
+    // Shorter than the retention of ended jobs.
+    for _ in 0..20 {
+        jobs.retain(|id| pool.state(id) != Some(JobState::Completed));
+        if jobs.is_empty() {
+            break;
+        }
+        pool.play(5000);
+    }
+    jobs
+}
+
+/// Guards against giving up sound jobs whose runs have no progress yet when waves of crashing
+/// workers meet them again and again: long tasks, and gangs that wait for a member.
+#[test]
+fn crash_waves_long_jobs_kept() {
+    for seed in 6..14 {
+        let open = open_after_waves(seed, 11, 3, 4);
+        assert!(open.is_empty(), "seed {seed}: {open:?}");
+    }
+    let open = open_after_waves(0, 61, 8, 16);
+    assert!(open.is_empty(), "61 workers: {open:?}");
+}
+
 /// Starts a job on the only worker, lets `reports` follow with its start listed, and replaces the
 /// worker by a later incarnation; returns the row of the job.
 fn row_after_crash(reports: &[fn(WorkerReport) -> WorkerReport]) -> String {
