--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -131,6 +131,8 @@
     /// Resources that the last round of planning has reserved.
     holds: Vec<Hold>,
     jobs: BTreeMap<String, JobEntry>,
+    /// When a worker of each pool last crashed or was found down.
+    last_crashes: BTreeMap<String, Instant>,
     limits: Limits,
     open_write: Option<Vec<commits::WrittenJob>>,
     plan_due: bool,
@@ -204,6 +206,7 @@
             further_rows: BTreeMap::new(),
             holds: Vec::new(),
             jobs: BTreeMap::new(),
+            last_crashes: BTreeMap::new(),
             limits,
             open_write: None,
             plan_due: true,
