Ask for further permits if they let a gang be spread over racks

Callers saw: a gang that the placement policy decides on waited for one rack until the runs there ended, with most workers idle.

Cause: a gang that has waited long enough is spread over several racks if twice its resources are free. With permits for as many workers as it has tasks, but not for twice as many, it neither was spread nor asked about further workers, because the question whether others would help looked at single racks only.

Evidence: preferences::rack_few_permitted (48 workers, one of three on each rack held for a minute, four of the first thirty permitted) fails before this change: nothing is placed within 15 s.

The question now uses the same rule as the placement.

--- a/crates/jobs/src/coordinator/permits.rs
+++ b/crates/jobs/src/coordinator/permits.rs
@@ -30,9 +30,10 @@
             allowed.into_iter().partition(|index| permits(index));
         others.retain(|index| !self.advice.is_rejected(&step, &view.candidates[*index].id));
         let chosen = self.choose_unpermitted(unit, demand, view, &with_permit, &others);
-        if with_permit.len() >= unit.keys.len() && chosen.is_empty() {
+        if with_permit.len() >= unit.keys.len() && chosen.is_none() {
             return with_permit;
         }
+        let chosen = chosen.unwrap_or_default();
         others.sort_by_key(|index| {
             let accelerators = view.candidates[*index].free.accelerators;
             (!chosen.contains(index), std::cmp::Reverse(accelerators))
@@ -43,8 +44,9 @@
         with_permit
     }
 
-    /// Returns the workers without a permit on which tasks would be placed now if they had one;
-    /// none if the demand fits on those with a permit.
+    /// Returns the workers without a permit on which tasks would be placed now if all had one; `None`
+    /// if the demand fits on those with a permit, or on no workers. There may be no such worker: a
+    /// gang is spread over several racks only if twice its resources are free.
     fn choose_unpermitted(
         &self,
         unit: &Unit,
@@ -52,17 +54,18 @@
         view: &PoolView,
         with_permit: &[usize],
         others: &[usize],
-    ) -> Vec<usize> {
+    ) -> Option<Vec<usize>> {
         let choose = |allowed: &[usize]| {
             let candidates = select_candidates(view, allowed, false);
-            choose_workers(demand, &self.count_same_step(unit, demand, candidates))
+            let candidates = self.count_same_step(unit, demand, candidates);
+            choose_workers(demand, &candidates)
+                .or_else(|| self.choose_racks(unit, demand, &candidates))
         };
         if others.is_empty() || choose(with_permit).is_some() {
-            return Vec::new();
+            return None;
         }
         let all = [with_permit, others].concat();
-        let chosen = choose(&all).unwrap_or_default();
-        let chosen = chosen.into_iter().map(|position| all[position]);
-        chosen.filter(|index| others.contains(index)).collect()
+        let chosen = choose(&all)?.into_iter().map(|position| all[position]);
+        Some(chosen.filter(|index| others.contains(index)).collect())
     }
 }
--- a/crates/jobs/tests/coordinator/preferences.rs
+++ b/crates/jobs/tests/coordinator/preferences.rs
@@ -133,3 +133,35 @@
     let starts = rig.starts();
     assert_eq!(starts.iter().filter(|start| start.1.job == "small").count(), 2, "{starts:?}");
 }
+
+/// Guards against a gang that waits for a whole rack without asking about further workers, because
+/// it has permits for as many workers as it has tasks, but not for twice as many.
+#[test]
+fn rack_few_permitted() {
+    // More workers than one question names; on each rack one is held for a minute.
+    let mut rig = Rig::new(48);
+    for rack in 0..16 {
+        let near_rack = Some(format!("r{rack}"));
+        let held = Step { estimate_ms: 60_000, near_rack, ..step(1, 4) };
+        rig.submit(job(&format!("held-{rack}"), 0, held));
+    }
+    let held = rig.starts();
+    assert_eq!(held.len(), 16);
+    rig.submit(Job { advised: true, ..job("gang", 1, rack_gang()) });
+    let permitted = [1, 4, 7, 10, 46, 47];
+    for _ in 0..MAX_WAIT_MS / 100 {
+        for number in 0..48 {
+            let status = worker(number, 1);
+            let runs = held.iter().filter(|(id, ..)| *id == status.id);
+            let runs: Vec<_> = runs.map(|(_, task, run)| (task.clone(), *run)).collect();
+            rig.core.report(rig.now, &report(&status, &runs));
+        }
+        rig.advance(100);
+        answer_policy(&mut rig, |number| permitted.contains(&number));
+        rig.place_and_commit();
+        if !rig.starts().is_empty() {
+            break;
+        }
+    }
+    assert_eq!(rig.starts().len(), 3);
+}
