Store which runs of gangs were counted as failed

Callers saw: after a change of the leader, a job with a gang failed earlier than its route allows.

Cause: a gang counts one failure per run, whatever number of its members fail. The number of the run that was counted was kept in memory only, so that a successor counted the failures of further members once more.

Evidence: losses::restore_failed_gang fails before this change: one failed run of a gang of two, with a takeover in between, ends a job that may fail twice.

The row now names such runs until all of their members have ended. Earlier builds ignore the field, and rows without it are read as before.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -147,6 +147,14 @@
                 worker: worker.id.clone(),
             });
         }
+        for (occurrence, step, run) in &row.failed_runs {
+            let first = TaskKey { occurrence: *occurrence, step: *step, index: 0 };
+            for member in entry.members(&first) {
+                if let Some(task) = entry.tasks.get_mut(&member) {
+                    task.failed_run = *run;
+                }
+            }
+        }
         entry.stop_incomplete_gangs();
         for crash_row in &row.crashes {
             let Some(task) = entry.tasks.get_mut(&crash_row.key) else { continue };
@@ -191,11 +199,21 @@
         });
         let suspects = self.tasks.iter().filter(|(_, task)| task.crash_record.is_suspect());
         let crashes = suspects.map(|(key, task)| CrashRow { key: *key, record: task.crash_record });
+        let failed_runs: BTreeSet<(u32, u32, u32)> = self
+            .tasks
+            .iter()
+            .filter(|(key, task)| {
+                let open = task.placement.as_ref();
+                self.is_gang(key.step) && open.is_some_and(|open| open.run == task.failed_run)
+            })
+            .map(|(key, task)| (key.occurrence, key.step, task.failed_run))
+            .collect();
         ProgressRow {
             cancelled: self.cancelled,
             crashes: crashes.collect(),
             ended_ms: self.ended_ms,
             failed: self.failed,
+            failed_runs: failed_runs.into_iter().collect(),
             further: 0,
             started: self.started,
             tasks: tasks.collect(),
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -125,6 +125,10 @@
     /// Whether a task has failed as often as its route allows.
     #[serde(default, skip_serializing_if = "is_false")]
     pub failed: bool,
+    /// Runs of gangs that were counted as failed and of which members have not ended: occurrence,
+    /// step and number of the run. A gang counts one failure per run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<(u32, u32, u32)>,
     /// Number of further rows with the state that does not fit into this one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub further: usize,
--- a/crates/jobs/tests/coordinator/losses.rs
+++ b/crates/jobs/tests/coordinator/losses.rs
@@ -111,6 +111,22 @@
     assert_placed_after_step(false);
 }
 
+/// Guards against a job that fails too early, because the failure of a gang is counted once more
+/// after a takeover.
+#[test]
+fn restore_failed_gang() {
+    let mut rig = Rig::new(2);
+    rig.submit(job("gang", 1, Step { gang: true, ..step(2, 8) }));
+    for (id, task, run) in rig.starts() {
+        let number = id[1..].parse().expect("a number");
+        rig.core.report(rig.now, &ended(&worker(number, 1), 1, &task, run, EndKind::Failed));
+        rig.place_and_commit();
+        rig.take_over();
+    }
+    let state = rig.core.view("gang").map(|view| view.state);
+    assert_eq!(state, Some(JobState::Running));
+}
+
 /// Guards against a worker whose reports are ignored for ever, because it came back under another id
 /// after its clock was set back.
 #[test]
