Conclude a fence with the first listing after the first answered stop

Callers saw: a task that was lost with its worker or ordered to stop waited until its lease had lapsed, where the worker answered listings slowly.

Cause: a run is fenced once a listing that was requested after an answered stop does not contain it. The agent repeats an answered stop every 1.5 s, and each answer demanded a further listing, so that listings which take longer than that never concluded the fence.

Evidence: listing_after_repeated_stop in tests/agent.rs (listings of 1.6 s) fails before this change: not concluded after ten listings.

The first answer already binds the incarnation.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -296,7 +296,8 @@
         calls.stopping = false;
         calls.stop_after = Some(now + if answered { STOP_REPEAT_DELAY } else { CALL_RETRY_DELAY });
         if answered {
-            calls.fenced_at = Some(last_call);
+            // The first answer suffices; a later one must not demand a further listing.
+            calls.fenced_at.get_or_insert(last_call);
         }
     }
 
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -613,6 +613,23 @@
     assert_eq!((incarnation, report.unreached), (Some(INCARNATION - 1), false));
 }
 
+/// Guards against a run that never counts as fenced, because a repeated stop is answered before each
+/// listing of a slow worker.
+#[test]
+fn listing_after_repeated_stop() {
+    let mut rig = Rig::new();
+    rig.order(Orders { stop: vec![(task(), 1)], ..Orders::default() });
+    for _ in 0..10 {
+        let call = rig.core.next_renewal(rig.now);
+        rig.advance(1600);
+        if !rig.core.actions(rig.now).is_empty() {
+            rig.core.handle_stop_answer(rig.now, &task(), 1, true);
+        }
+        rig.answer(call.number, INCARNATION, &[], &[]);
+    }
+    assert_eq!(rig.refused(), vec![RefusalKind::Fenced]);
+}
+
 /// Guards against stops that are sent to each later incarnation without end.
 #[test]
 fn restart_forgets_old_starts() {
