Keep the count of lost workers when another entry takes a pool over

Jobs of the product's interface are stopped when four workers in a row are lost soon after their start. The count was known only to the placer of one entry, so that each takeover began it anew. It is now part of the job's record, which entries copy to each other and to the store, and of the job that an entry hands to its placer. A gang that is known from reports first adds what its placer has counted. Records of earlier builds count as zero.

lost_starts_kept_over_takeover and to_spec_lost_starts failed with the new fields in place and unused (4 losses instead of 1; 0 instead of 3), and pass.

--- a/crates/entry/src/job_record.rs
+++ b/crates/entry/src/job_record.rs
@@ -31,6 +31,10 @@
     pub age_ms: u64,
     /// Run time that the latest checkpoint preserves, in milliseconds.
     pub progress_ms: u64,
+    /// Workers in a row that were lost soon after the job had started on them. Records of builds
+    /// before this one have no such field.
+    #[serde(default)]
+    pub lost_starts: u32,
 }
 
 impl JobRecord {
@@ -54,6 +58,7 @@
             members: Vec::new(),
             age_ms: 0,
             progress_ms: 0,
+            lost_starts: 0,
         }
     }
 
@@ -91,6 +96,7 @@
             waited: Duration::from_millis(self.age_ms) + since_received,
             progress: Duration::from_millis(self.progress_ms),
             epoch: self.epoch,
+            lost_starts: self.lost_starts,
         }
     }
 
--- a/crates/entry/src/pool_placer.rs
+++ b/crates/entry/src/pool_placer.rs
@@ -592,6 +592,10 @@
         } else {
             self.in_progress.insert(id.to_owned());
         }
+        let recorded_losses = registry.get(id).map(|tracked| tracked.record.lost_starts);
+        if recorded_losses != Some(status.lost_starts) {
+            registry.edit(id, now, |record| record.lost_starts = status.lost_starts);
+        }
         if state == recorded_state {
             return;
         }
--- a/crates/entry/tests/job_registry.rs
+++ b/crates/entry/tests/job_registry.rs
@@ -1,6 +1,6 @@
 //! Merging of job records that entries change independently of each other.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use job_record::JobRecord;
 use job_registry::JobRegistry;
@@ -53,6 +53,18 @@
     }
 }
 
+/// Guards against losing the count of lost workers between the record of a job and the placer of an
+/// entry that takes the pool over, and against records of earlier builds that cannot be read.
+#[test]
+fn to_spec_lost_starts() {
+    let record = JobRecord { lost_starts: 3, ..record(2, JobState::Queued) };
+    assert_eq!(record.to_spec(Duration::ZERO).lost_starts, 3);
+    let mut row = serde_json::to_value(&record).expect("a value");
+    row.as_object_mut().expect("an object").remove("lost_starts");
+    let earlier: JobRecord = serde_json::from_value(row).expect("a record of an earlier build");
+    assert_eq!(earlier.lost_starts, 0);
+}
+
 /// Guards against a store row that is overwritten by an older record, and against a row that is not
 /// rewritten although the entry has a newer record.
 #[test]
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -47,6 +47,9 @@
     pub progress: Duration,
     /// Highest epoch used for the job so far.
     pub epoch: u64,
+    /// Workers in a row that were lost soon after the job had started on them. Not zero when the job
+    /// was read back after a takeover.
+    pub lost_starts: u32,
 }
 
 impl JobSpec {
@@ -67,6 +70,7 @@
             waited: Duration::ZERO,
             progress: Duration::ZERO,
             epoch: 0,
+            lost_starts: 0,
         }
     }
 
@@ -167,7 +171,7 @@
             progress: spec.progress,
             preempted_at: Vec::new(),
             failed_on: Vec::new(),
-            lost_starts: 0,
+            lost_starts: spec.lost_starts,
             consecutive_failures: 0,
             memory: spec.memory_mib,
             reported_memory: 0,
--- a/crates/placement/src/placer/admission.rs
+++ b/crates/placement/src/placer/admission.rs
@@ -53,6 +53,7 @@
         (job.team, job.estimate) = (team, estimate);
         job.placeholder = false;
         job.progress = spec.progress;
+        job.lost_starts += spec.lost_starts;
         job.submitted_at = now.checked_sub(spec.waited).unwrap_or(now);
         job.memory = spec.memory_mib;
         job.spec = spec;
--- a/crates/placement/src/placer/snapshot.rs
+++ b/crates/placement/src/placer/snapshot.rs
@@ -91,6 +91,7 @@
             instance: job.instance.map(|instance| self.instances[instance].name.clone()),
             non_preemptible: job.non_preemptible,
             preemptions: self.preemptions(ix),
+            lost_starts: job.lost_starts,
             elapsed: elapsed(if job.is_waiting() { job.queued_at } else { job.started_at }),
             wait_reason: job.wait_reason.clone(),
         })
--- a/crates/placement/src/status.rs
+++ b/crates/placement/src/status.rs
@@ -52,6 +52,8 @@
     pub non_preemptible: bool,
     /// Number of preemptions within the last hour.
     pub preemptions: usize,
+    /// Workers in a row that were lost soon after the job had started on them.
+    pub lost_starts: u32,
     /// Time since the job was queued, placed or started, whichever came last.
     pub elapsed: Duration,
     /// What the job waits for.
--- a/crates/placement/tests/lost_starts.rs
+++ b/crates/placement/tests/lost_starts.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use skylarkpulley_placement::{Action, GangEnd};
+use skylarkpulley_placement::{Action, Event, GangEnd, JobSpec, ReportedGrant, WorkerReport};
 use world::{World, job, pool};
 
 /// Losses of workers after which a job must have been stopped.
@@ -44,6 +44,46 @@
     losses_until_stopped(&mut world, "crashing");
 }
 
+/// Guards against losing the count of lost workers when another entry takes the pool over, whether
+/// the job waits then or its gang is known from reports first.
+#[test]
+fn lost_starts_kept_over_takeover() {
+    for reported in [false, true] {
+        let mut world = World::new(pool(4, &[&[3]]));
+        world.submit(job("crashing", "a", 4, 1));
+        for _ in 0..3 {
+            world.run_after_backoff("crashing");
+            let ix = worker_of(&world, "crashing");
+            world.lose_worker(ix);
+            world.join_worker(ix);
+        }
+        let status = world.status("crashing");
+        let lost_starts = status.lost_starts;
+        let spec = JobSpec { epoch: status.epoch, lost_starts, ..job("crashing", "a", 4, 1) };
+        let mut successor = World::new(pool(4, &[&[3]]));
+        if !reported {
+            successor.submit(spec);
+            assert_eq!(losses_until_stopped(&mut successor, "crashing"), 1);
+            continue;
+        }
+        let grant = ReportedGrant {
+            job: "crashing".to_owned(),
+            epoch: spec.epoch + 1,
+            accelerators: 4,
+            preemptible: true,
+            running: true,
+            ..ReportedGrant::default()
+        };
+        let agent = successor.agents[0].0.clone();
+        let report = WorkerReport { grants: vec![grant], reservations: Vec::new() };
+        successor.send(Event::WorkerReport { agent, report });
+        successor.submit(spec);
+        let actions = successor.lose_worker(0);
+        let stopped = |action: &Action| matches!(action, Action::StopJob { .. });
+        assert!(actions.iter().any(stopped), "{actions:?}");
+    }
+}
+
 /// Guards against stopping jobs that ran on the lost workers before the crashing job started.
 #[test]
 fn lost_starts_others_kept() {
