--- a/crates/jobs/src/coordinator/permits.rs
+++ b/crates/jobs/src/coordinator/permits.rs
@@ -59,7 +59,7 @@
             let candidates = select_candidates(view, allowed, false);
             let candidates = self.count_same_step(unit, demand, candidates);
             choose_workers(demand, &candidates)
-                .or_else(|| self.choose_racks(unit, demand, &candidates))
+                .or_else(|| Self::choose_racks(unit, demand, &candidates))
         };
         if others.is_empty() || choose(with_permit).is_some() {
             return None;
