--- a/crates/jobs/tests/coordinator/liveness.rs
+++ b/crates/jobs/tests/coordinator/liveness.rs
@@ -30,11 +30,6 @@
 /// Step without faults at which lasting jobs are cancelled.
 const CANCEL_STEP: u64 = 100;
 
-/// Whether gangs may need a whole rack, also when a worker of it is gone for good. They then wait
-/// for it without end (13 of the seeds 0 to 2999, the first one is 330); to be set once that is
-/// corrected.
-const CLOSED_RACKS_PLAYED: bool = false;
-
 /// Number of kinds of jobs.
 const JOB_KINDS: u32 = 11;
 
@@ -117,9 +112,9 @@
         match kind {
             1 => job.steps = vec![gang(self.random_step(half, 8))],
             2 => {
-                let rack = self.rack_size.min(self.workers);
-                let members = if CLOSED_RACKS_PLAYED { rack } else { (rack / 2).max(2) };
-                let step = gang(self.random_step(members, 8));
+                // Workers that are gone for good leave no room for more on a pool of one rack.
+                let rack = self.rack_size.min(half);
+                let step = gang(self.random_step(rack, 8));
                 job.steps = vec![Step { same_rack: true, ..step }];
             }
             3 => {
