--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -17,7 +17,8 @@
     let calm = observations.iter().find(|(_, seen)| *seen == Observation::FaultsEnded);
     let (Some((calm, _)), Some((end, _))) = (calm, observations.last()) else { return Vec::new() };
     let spans = free_spans(observations, *end);
-    let due = jobs.values().filter(|job| job.is_due());
+    // Nothing starts of a job that was given up, which is judged by its state.
+    let due = jobs.values().filter(|job| job.is_due() && !job.is_given_up());
     let due = due.filter_map(|job| Some((job.spec.as_ref()?, job.accepted?)));
     let mut violations = Vec::new();
     // A task that crashes workers is kept apart from others.
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -185,6 +185,11 @@
 }
 
 impl JobHistory {
+    /// Reports whether the job is shown as ended otherwise than as completed.
+    pub fn is_given_up(&self) -> bool {
+        self.state.as_deref().is_some_and(|state| is_final(state) && state != "completed")
+    }
+
     /// Reports whether the job was accepted and has to be done.
     pub fn is_due(&self) -> bool {
         self.accepted.is_some() && !self.cancelled
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -362,18 +362,19 @@
 
 /// Guards against overlooking a task that waits while most of the room is free, and against blaming
 /// one that waits for its submission, an earlier step or the end
-/// of a fault.
+/// of a fault, or whose job was given up.
 #[test]
 fn judge_idle() {
     let joined = Observation::Joined { accelerators: 3, worker: "w".to_owned() };
     let limits = JudgeLimits { cancel: None, idle: Some(Duration::from_secs(2)) };
     let calm = Observation::FaultsEnded;
-    let judged = |observations: Vec<Observation>| {
+    let judged_as = |observations: Vec<Observation>, state| {
         let mut all = vec![joined.clone(), submitted(2), submit_ended(CallOutcome::Accepted)];
         all.extend(observations);
-        all.push(final_state("completed"));
+        all.push(final_state(state));
         judge_limited(all, limits)
     };
+    let judged = |observations| judged_as(observations, "completed");
     let filler = |seconds| vec![submit_ended(CallOutcome::Unknown); seconds];
     let first = vec![started(TASK, 1, "w"), ended(TASK, 1, "w", EndKind::Done)];
     let second = vec![started("a.0.1.0", 1, "w"), ended("a.0.1.0", 1, "w", EndKind::Done)];
@@ -393,6 +394,12 @@
         panic!("{violations:?}")
     };
     assert_eq!((task.as_str(), *waited), ("a.0.1.0", Duration::from_secs(6)));
-    let violations = judged([vec![calm], first, filler(5)].concat());
-    assert!(matches!(violations.as_slice(), [Violation::Idle { .. }]), "{violations:?}");
+    let never = [vec![calm], first, filler(5)].concat();
+    let violations = judged_as(never.clone(), "running");
+    assert!(
+        matches!(violations.as_slice(), [Violation::Idle { .. }, Violation::Unfinished { .. }]),
+        "{violations:?}"
+    );
+    let violations = judged_as(never, "failed");
+    assert!(matches!(violations.as_slice(), [Violation::Unfinished { .. }]), "{violations:?}");
 }
