--- a/crates/soak/src/open_task.rs
+++ b/crates/soak/src/open_task.rs
@@ -32,8 +32,8 @@
         /// Id of the worker.
         worker: String,
     },
-    /// Its last run has ended, and the end was not taken note of.
-    #[display("{task} run {run} ended as {kind} on {worker} at {at:?}, not taken note of")]
+    /// Its last run has ended, and its worker has not received the acknowledgement.
+    #[display("{task} run {run} ended as {kind} on {worker} at {at:?}, not acknowledged there")]
     NotNoted {
         /// When the run ended.
         at: Duration,
@@ -46,7 +46,7 @@
         /// Id of the worker.
         worker: String,
     },
-    /// The end of its last run was taken note of, and it did not start again.
+    /// The end of its last run was acknowledged, and it did not start again.
     #[display("{task} run {run} ended as {kind} on {worker} at {at:?} and did not start again")]
     NotRestarted {
         /// When the run ended.
