--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -161,6 +161,10 @@
     };
     let last_end =
         observed.iter().rfind(|(_, observation)| matches!(observation, Observation::Ended { .. }));
+    let violations = judge(&observed, settings.limits);
+    let lines: String = violations.iter().map(|violation| format!("{violation}\n")).collect();
+    let path = settings.folder.join("violations.txt");
+    std::fs::write(path, lines).map_err(SoakError::io("file of the violations"))?;
     Ok(PlayReport {
         alone: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Alone, .. })),
         crashed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Crashed, .. })),
@@ -170,7 +174,7 @@
         finished: last_end.map_or(Duration::ZERO, |(at, _)| at.saturating_sub(calm)),
         lapsed: count(|seen| matches!(seen, Observation::Ended { kind: EndKind::Lapsed, .. })),
         starts: count(|seen| matches!(seen, Observation::Started { .. })),
-        violations: judge(&observed, settings.limits),
+        violations,
     })
 }
 
