Write JSON replies of the programs once

A body that cannot be encoded gives status 500 and a log line everywhere; no reply of these types can reach that case.

--- a/crates/coordination/src/operators_server.rs
+++ b/crates/coordination/src/operators_server.rs
@@ -3,8 +3,8 @@
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::{Endpoint, Request, Response, Server};
-use serde::Serialize;
 use skylarkpulley_admin::ErrorReply;
+use skylarkpulley_process::json_reply;
 use skylarkpulley_telemetry::MetricsPage;
 use tokio::net::TcpListener;
 
@@ -41,7 +41,7 @@
             if explanation.lines.is_empty() {
                 return Ok(error(StatusCode::NOT_FOUND, &format!("no record of {id:?}")));
             }
-            return Ok(json(StatusCode::OK, &explanation));
+            return Ok(json_reply(StatusCode::OK, &explanation));
         }
         Ok(match path {
             "/livez" => Response::builder().body("live"),
@@ -49,7 +49,7 @@
             "/readyz" => error(StatusCode::SERVICE_UNAVAILABLE, "no leader or no tables"),
             "/metrics" => Response::builder().content_type("text/plain").body(self.page.render()),
             "/v1/status" => match operators.status().await {
-                Some(status) => json(StatusCode::OK, &status),
+                Some(status) => json_reply(StatusCode::OK, &status),
                 None => error(StatusCode::SERVICE_UNAVAILABLE, "no leader answers"),
             },
             _ => error(StatusCode::NOT_FOUND, &format!("no page {path:?}")),
@@ -57,16 +57,6 @@
     }
 }
 
-fn json(status: StatusCode, body: &impl Serialize) -> Response {
-    match serde_json::to_vec(body) {
-        Ok(body) => Response::builder().status(status).content_type("application/json").body(body),
-        Err(cause) => {
-            tracing::error!(error = %cause, "reply cannot be encoded; answering with status 500");
-            Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).finish()
-        }
-    }
-}
-
 fn error(status: StatusCode, text: &str) -> Response {
-    json(status, &ErrorReply { error: text.to_owned() })
+    json_reply(status, &ErrorReply { error: text.to_owned() })
 }
--- a/crates/entry/src/admin_server.rs
+++ b/crates/entry/src/admin_server.rs
@@ -6,11 +6,11 @@
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json, Path};
 use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
-use serde::Serialize;
 use skylarkpulley_admin::{
     ApplyReply, ApplyRequest, DrainReply, ErrorReply, ExplainLine, Explanation, SubmitReply,
     SubmitRequest,
 };
+use skylarkpulley_process::json_reply;
 use skylarkpulley_proto::v1;
 use skylarkpulley_tables::PoolKind;
 use tokio::net::TcpListener;
@@ -56,15 +56,8 @@
     }
 }
 
-fn reply(code: StatusCode, body: &impl Serialize) -> Response {
-    match serde_json::to_vec(body) {
-        Ok(json) => Response::builder().status(code).content_type("application/json").body(json),
-        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-    }
-}
-
 fn error(code: StatusCode, text: &str) -> Response {
-    reply(code, &ErrorReply { error: text.to_owned() })
+    json_reply(code, &ErrorReply { error: text.to_owned() })
 }
 
 #[handler]
@@ -93,22 +86,22 @@
 
 #[handler]
 async fn status(Data(admin): Data<&Admin>) -> Response {
-    reply(StatusCode::OK, &admin.status.status().await)
+    json_reply(StatusCode::OK, &admin.status.status().await)
 }
 
 #[handler]
 fn show_tables(Data(admin): Data<&Admin>) -> Response {
-    reply(StatusCode::OK, &admin.hub.config.borrow().view())
+    json_reply(StatusCode::OK, &admin.hub.config.borrow().view())
 }
 
 #[handler]
 async fn apply(Data(admin): Data<&Admin>, Json(request): Json<ApplyRequest>) -> Response {
     match admin.config.apply(request).await {
-        Ok(accepted @ ApplyReply::Accepted { .. }) => reply(StatusCode::OK, &accepted),
+        Ok(accepted @ ApplyReply::Accepted { .. }) => json_reply(StatusCode::OK, &accepted),
         Ok(rejected @ ApplyReply::Rejected { .. }) => {
-            reply(StatusCode::UNPROCESSABLE_ENTITY, &rejected)
+            json_reply(StatusCode::UNPROCESSABLE_ENTITY, &rejected)
         }
-        Ok(conflict @ ApplyReply::Conflict { .. }) => reply(StatusCode::CONFLICT, &conflict),
+        Ok(conflict @ ApplyReply::Conflict { .. }) => json_reply(StatusCode::CONFLICT, &conflict),
         Err(failure) if failure.may_have_applied => {
             error(StatusCode::GATEWAY_TIMEOUT, &failure.detail)
         }
@@ -121,10 +114,10 @@
     let id = admin.hub.new_job_id();
     match admin.jobs.submit(&id, request).await {
         SubmitOutcome::Decided(accepted @ SubmitReply::Accepted { .. }) => {
-            reply(StatusCode::OK, &accepted)
+            json_reply(StatusCode::OK, &accepted)
         }
         SubmitOutcome::Decided(refused @ SubmitReply::Refused { .. }) => {
-            reply(StatusCode::UNPROCESSABLE_ENTITY, &refused)
+            json_reply(StatusCode::UNPROCESSABLE_ENTITY, &refused)
         }
         SubmitOutcome::NotRecorded => error(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -137,7 +130,7 @@
 #[handler]
 async fn job(Data(admin): Data<&Admin>, Path(id): Path<String>) -> Response {
     match admin.jobs.get(&id).await {
-        Some(view) => reply(StatusCode::OK, &view),
+        Some(view) => json_reply(StatusCode::OK, &view),
         None => error(StatusCode::NOT_FOUND, &format!("job \"{id}\" does not exist")),
     }
 }
@@ -145,7 +138,7 @@
 #[handler]
 async fn cancel(Data(admin): Data<&Admin>, Path(id): Path<String>) -> Response {
     match admin.jobs.cancel(&id).await {
-        Some(view) => reply(StatusCode::OK, &view),
+        Some(view) => json_reply(StatusCode::OK, &view),
         None => error(StatusCode::NOT_FOUND, &format!("job \"{id}\" does not exist")),
     }
 }
@@ -169,7 +162,7 @@
     match tokio::time::timeout(CALL_TIMEOUT, call).await {
         Ok(Ok(drained)) => {
             let remaining = drained.into_inner().remaining;
-            reply(StatusCode::OK, &DrainReply { member, remaining })
+            json_reply(StatusCode::OK, &DrainReply { member, remaining })
         }
         Ok(Err(failure)) => error(StatusCode::BAD_GATEWAY, failure.message()),
         Err(_) => error(StatusCode::BAD_GATEWAY, "the agent did not answer the drain call in time"),
@@ -193,7 +186,7 @@
         return error(StatusCode::NOT_FOUND, &format!("no process has a record of \"{id}\""));
     }
     lines.sort_by_key(|line| std::cmp::Reverse(line.age_ms));
-    reply(StatusCode::OK, &Explanation { id, lines })
+    json_reply(StatusCode::OK, &Explanation { id, lines })
 }
 
 async fn explain_at_agent(
--- a/crates/entry/src/caller_reply.rs
+++ b/crates/entry/src/caller_reply.rs
@@ -1,6 +1,7 @@
 use poem::Response;
 use poem::http::{HeaderName, HeaderValue, StatusCode};
 use serde::Serialize;
+use skylarkpulley_process::json_reply;
 use skylarkpulley_proto::v1;
 use skylarkpulley_types::Outcome;
 
@@ -91,6 +92,5 @@
 }
 
 fn render_refusal(status: StatusCode, outcome: Outcome, reason: &str, id: &str) -> Response {
-    let body = serde_json::to_vec(&Body { outcome, reason, request: id }).unwrap_or_default();
-    Response::builder().status(status).content_type("application/json").body(body)
+    json_reply(status, &Body { outcome, reason, request: id })
 }
