--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -197,6 +197,7 @@
                 _ = tick.tick() => {
                     let now = self.now();
                     self.coordinator.tick(now);
+                    self.audit(now);
                     self.refuse_stuck_submissions();
                     self.announce_confirmation();
                     self.update_gauges();
@@ -572,6 +573,15 @@
         }
     }
 
+    /// Logs broken rules of the coordinator's state. Release builds leave it out for its cost.
+    fn audit(&mut self, now: Timestamp) {
+        if cfg!(debug_assertions) {
+            for violation in self.coordinator.audit(now) {
+                tracing::error!(%violation, "audit of the coordinator found a broken rule");
+            }
+        }
+    }
+
     fn update_gauges(&self) {
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
         let steps = self.coordinator.wait_counts();
