Split the task that owns jobs by rule

The sessions of workers' agents and the job rows of the store are modules below it; the methods are moved and not changed.

--- a/crates/entry/src/placement_task.rs
+++ b/crates/entry/src/placement_task.rs
@@ -5,32 +5,25 @@
 use skylarkpulley_admin::{JobState, SubmitRequest};
 use skylarkpulley_placement::{Action, Event as PlacementEvent, Placer};
 use skylarkpulley_proto::v1;
-use skylarkpulley_store::{Store, StoreError, WriteClass};
+use skylarkpulley_store::Store;
 use skylarkpulley_tables::{Pool, PoolKind, Tables};
 use skylarkpulley_telemetry::Event;
 use skylarkpulley_types::{AgentId, rank_nodes};
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::hub::{Hub, MemberEvent, agent_id};
+use crate::hub::{Hub, MemberEvent};
 use crate::job_command::{JobCommand, SubmitAnswer};
 use crate::job_record::JobRecord;
 use crate::job_registry::{JobRegistry, TrackedJob};
-use crate::job_row::{job_row_key, row_to_copy};
 use crate::pool_placer::PoolPlacer;
 use crate::recorded_changes::RecordedChanges;
 
+mod members;
+mod rows;
+
 /// Longest interval between two decisions of the placers.
 const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Limit on member events that are handled before the next decision; bounds its delay.
-const MAX_EVENTS_PER_DECISION: usize = 256;
-
-/// Limit on job rows that are written at the same time; bounds the load on the store.
-const MAX_CONCURRENT_SAVES: usize = 5;
-
-/// Number of ids of recently stored jobs that are kept for waiting submitters.
-const STORED_IDS_LIMIT: usize = 256;
-
 /// A worker whose agent has a session.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerInfo {
@@ -114,27 +107,6 @@
         }
     }
 
-    /// Reads the jobs of other entries from the store. While the store is unavailable, only peers
-    /// provide them.
-    fn load(&mut self) {
-        if std::mem::replace(&mut self.loading, true) {
-            return;
-        }
-        let store = Arc::clone(&self.store);
-        let commands = self.commands.clone();
-        tokio::spawn(async move {
-            loop {
-                if let Ok(rows) = store.list("jobs/").await {
-                    let rows = rows.iter().map(|(_, row)| row_to_copy(row)).collect();
-                    let _ = commands.send(JobCommand::Rows(rows));
-                    let _ = commands.send(JobCommand::Loaded);
-                    return;
-                }
-                tokio::time::sleep(Duration::from_secs(2)).await;
-            }
-        });
-    }
-
     fn handle(&mut self, command: JobCommand) {
         let now = self.hub.clock.now();
         match command {
@@ -245,123 +217,6 @@
         u32::try_from(grants).ok()
     }
 
-    /// Handles the end of a write: `version` is that of the row, or `None` after a failure.
-    /// `revision` is 0 if the record was not written.
-    fn saved(&mut self, id: &str, revision: u64, version: Option<u64>) {
-        self.saving.remove(id);
-        let Some(version) = version else { return };
-        self.registry.saved(id, revision, version);
-        if revision == 0 {
-            return;
-        }
-        self.recorded.send_modify(|recorded| {
-            recorded.stored.push(id.to_owned());
-            if recorded.stored.len() > STORED_IDS_LIMIT {
-                recorded.stored.remove(0);
-            }
-        });
-    }
-
-    /// Handles an event and those queued behind it, so that a burst of reports leads to one
-    /// decision.
-    fn handle_events(
-        &mut self,
-        first: MemberEvent,
-        queued: &mut mpsc::UnboundedReceiver<MemberEvent>,
-    ) {
-        self.handle_event(first);
-        for _ in 0..MAX_EVENTS_PER_DECISION {
-            match queued.try_recv() {
-                Ok(event) => self.handle_event(event),
-                Err(_) => return,
-            }
-        }
-    }
-
-    fn handle_event(&mut self, event: MemberEvent) {
-        if event.hello().kind() != v1::PoolKind::Worker {
-            return;
-        }
-        let now = self.hub.clock.now();
-        let agent = agent_id(event.hello());
-        match event {
-            MemberEvent::Joined { session, hello } => self.join(agent, session, hello, now),
-            MemberEvent::Leaving { hello } => {
-                let event = PlacementEvent::Drain { worker: agent.name, draining: true };
-                self.notify_placer(&hello.pool, event, now);
-            }
-            MemberEvent::Closed { session, hello, silent } => {
-                self.leave(&agent, session, &hello, silent, now);
-            }
-            MemberEvent::Report { hello, report, .. } => {
-                let Some(state) = report.worker.clone() else { return };
-                self.report(&agent, &hello, state, now);
-            }
-        }
-    }
-
-    fn join(&mut self, agent: AgentId, session: u64, hello: Arc<v1::Hello>, now: Instant) {
-        if self.workers.keys().any(|existing| existing.supersedes(&agent)) {
-            return;
-        }
-        let superseded: Vec<AgentId> =
-            self.workers.keys().filter(|existing| agent.supersedes(existing)).cloned().collect();
-        for previous in superseded {
-            self.workers.remove(&previous);
-            self.controls.remove(&previous);
-            self.notify_placer(&hello.pool, PlacementEvent::WorkerLost { agent: previous }, now);
-        }
-        self.hub.decisions.record(now, Event::AgentJoined, &agent.name, &agent.to_string());
-        let state = self.workers.get(&agent).and_then(|info| info.state.clone());
-        self.controls.insert(agent.clone(), hello.control.clone());
-        self.workers.insert(agent, WorkerInfo { hello, session, state });
-    }
-
-    fn leave(
-        &mut self,
-        agent: &AgentId,
-        session: u64,
-        hello: &v1::Hello,
-        silent: bool,
-        now: Instant,
-    ) {
-        if self.workers.get(agent).is_none_or(|info| info.session != session) {
-            return;
-        }
-        self.workers.remove(agent);
-        self.controls.remove(agent);
-        let detail = if silent { "silent" } else { "session closed" };
-        self.hub.decisions.record(now, Event::AgentSilent, &agent.name, detail);
-        self.notify_placer(&hello.pool, PlacementEvent::WorkerLost { agent: agent.clone() }, now);
-    }
-
-    fn report(&mut self, agent: &AgentId, hello: &v1::Hello, state: v1::WorkerState, now: Instant) {
-        // The agent learns the worker's accelerators from the configuration; without one it reports
-        // 0.
-        if state.accelerators == 0 {
-            return;
-        }
-        let Some(info) = self.workers.get_mut(agent) else { return };
-        let is_first_report = info.state.is_none();
-        info.state = Some(state.clone());
-        let drained = self.drained.contains(&agent.name);
-        let Some(placer) = self.pools.get_mut(&hello.pool) else { return };
-        if is_first_report {
-            placer.handle(worker_joined_event(agent, hello, &state), now);
-            if drained {
-                let event = PlacementEvent::Drain { worker: agent.name.clone(), draining: true };
-                placer.handle(event, now);
-            }
-        }
-        placer.handle_report(agent, &state, now);
-    }
-
-    fn notify_placer(&mut self, pool: &str, event: PlacementEvent, now: Instant) {
-        if let Some(placer) = self.pools.get_mut(pool) {
-            placer.handle(event, now);
-        }
-    }
-
     /// Starts placers for pools for which this entry has become the preferred one, and drops those
     /// of other pools. Also writes unsaved jobs and deletes expired ones.
     fn update_pools(&mut self) {
@@ -418,52 +273,6 @@
             placer.decide(&mut self.registry, &self.controls, now);
         }
     }
-
-    /// Writes unsaved jobs to the store, at most [`MAX_CONCURRENT_SAVES`] at the same time.
-    fn save(&mut self) {
-        let now = self.hub.clock.now();
-        for tracked in self.registry.unsaved(MAX_CONCURRENT_SAVES + self.saving.len()) {
-            let id = tracked.record.id.clone();
-            if self.saving.len() >= MAX_CONCURRENT_SAVES || !self.saving.insert(id.clone()) {
-                continue;
-            }
-            let copy = tracked.record.to_copy(now.saturating_duration_since(tracked.received));
-            let store = Arc::clone(&self.store);
-            let commands = self.commands.clone();
-            tokio::spawn(async move {
-                let key = job_row_key(&id);
-                let value = copy.value.into();
-                let written = store.put(&key, tracked.version, value, WriteClass::Jobs).await;
-                let (version, revision) = match written {
-                    Ok(version) => (Some(version), copy.revision),
-                    Err(StoreError::Conflict { .. }) => match store.get(&key).await {
-                        Ok(Some(row)) => {
-                            // The record that another entry wrote may supersede this one.
-                            let _ = commands.send(JobCommand::Rows(vec![row_to_copy(&row)]));
-                            (None, 0)
-                        }
-                        Ok(None) => (Some(0), 0),
-                        Err(_) => (None, 0),
-                    },
-                    Err(_) => (None, 0),
-                };
-                let _ = commands.send(JobCommand::Saved { id, revision, version });
-            });
-        }
-    }
-
-    fn delete_expired(&mut self, now: Instant) {
-        for (id, version) in self.registry.expire(now) {
-            if version == 0 {
-                continue;
-            }
-            let store = Arc::clone(&self.store);
-            tokio::spawn(async move {
-                // If this fails, the next entry that reads the row deletes it after its expiry.
-                let _ = store.delete(&job_row_key(&id), version, WriteClass::Jobs).await;
-            });
-        }
-    }
 }
 
 fn worker_joined_event(
