--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,5 +1,5 @@
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -9,7 +9,6 @@
 use skylarkpulley_proto::v1;
 use skylarkpulley_store::TransactError;
 use skylarkpulley_telemetry::Event;
-use skylarkpulley_types::Clock;
 use tokio::sync::{mpsc, oneshot, watch};
 use tonic::Status;
 
@@ -20,6 +19,7 @@
 use crate::leader_context::LeaderContext;
 use crate::leader_message::LeaderMessage;
 use crate::plan_pause::plan_pause;
+use crate::timestamp::timestamp;
 use crate::waiting_callers::WaitingCallers;
 
 /// Interval at which the coordinator handles what has become due.
@@ -599,9 +599,3 @@
 fn store_down_answer() -> JobAnswer {
     JobAnswer::Refused { reason: "the store is down".to_owned(), retry: STORE_RETRY_AFTER }
 }
-
-/// Returns the current time of `clock` and of the wall clock.
-pub fn timestamp(clock: &dyn Clock) -> Timestamp {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Timestamp { monotonic: clock.now(), wall_ms: millis(wall) }
-}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -30,6 +30,7 @@
 mod standby;
 mod store_health;
 mod tables_task;
+mod timestamp;
 mod waiting_callers;
 mod worker_control;
 mod worker_task;
