--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of the second review start.
+set -e
+cd "$(dirname "$0")/.."
+cargo build --release --locked --manifest-path review/harness-2/Cargo.toml --target-dir target/review-2
--- /dev/null
+++ b/review/harness-2/src/main.rs
@@ -0,0 +1,69 @@
+//! Scripts of the second review. Usage: review-harness-2 CASE FOLDER; exits with 1 if the rule was
+//! broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the disruption is left out.
+
+mod deployment;
+mod record;
+mod stale_cancel;
+mod worker;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use deployment::Deployment;
+use record::Record;
+
+/// A case ends within 120 s.
+const LIMIT: Duration = Duration::from_secs(110);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-harness-2 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let work = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    let outcome = tokio::time::timeout(LIMIT, run(case, Path::new(folder), &work, trouble)).await;
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&work);
+    } else {
+        println!("logs in {}", work.display());
+    }
+    match outcome.unwrap_or_else(|_| Err("the case took too long".to_owned())) {
+        Ok(broken) if broken.is_empty() => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(broken) => {
+            broken.iter().for_each(|line| println!("broken: {line}"));
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            println!("could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(
+    case: &str,
+    folder: &Path,
+    work: &PathBuf,
+    trouble: bool,
+) -> Result<Vec<String>, String> {
+    std::fs::create_dir_all(work).map_err(|error| error.to_string())?;
+    let record = Record::create(&folder.join("record.txt")).map_err(|error| error.to_string())?;
+    record.line(&format!("case {case}, trouble {trouble}"));
+    let deployment = Deployment::start(work, &record, 3).await?;
+    let broken = match case {
+        "stale-cancel" => stale_cancel::run(&deployment, trouble).await?,
+        _ => return Err(format!("no case {case:?}")),
+    };
+    broken.iter().for_each(|line| record.line(&format!("broken: {line}")));
+    if broken.is_empty() {
+        record.line("held");
+    }
+    Ok(broken)
+}
