--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -5,6 +5,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use skylarkpulley_platform_standins::Store;
@@ -87,6 +89,7 @@
     pub entries: Vec<Entry>,
     pub record: Record,
     pub store: Store,
+    store_address: SocketAddr,
     pub workers: Vec<Worker>,
 }
 
@@ -134,7 +137,15 @@
         }
         let client = reqwest::Client::new();
         let deployment =
-            Self { agents, client, entries, record: record.clone(), store, workers: started };
+            Self {
+            agents,
+            client,
+            entries,
+            record: record.clone(),
+            store,
+            store_address,
+            workers: started,
+        };
         deployment.wait_ready().await?;
         tokio::time::sleep(Duration::from_secs(4)).await;
         Ok(deployment)
@@ -156,6 +167,20 @@
         Err("the entries are not ready within 30 s".to_owned())
     }
 
+    /// Writes a desired state, as the operator does.
+    pub async fn put_tables(&self, tables: &Value) -> Result<(), String> {
+        let value = STANDARD.encode(tables.to_string());
+        let body = json!({ "expect": [], "deletes": [],
+            "upserts": [{ "table": "op", "part": "", "key": "config", "value": value }] });
+        let url = format!("http://{}/rows-tx", self.store_address);
+        let answer = self.client.post(url).json(&body).send().await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        if answer.status() != 200 {
+            return Err(format!("the store answers {} to the operator", answer.status()));
+        }
+        Ok(())
+    }
+
     /// Returns the index of the entry that leads according to its record in the store.
     pub fn leader(&self) -> Option<usize> {
         let (_, name) = self.store.leader()?;
@@ -198,7 +223,7 @@
 }
 
 /// A desired state with one queue, one service and one tenant.
-fn tables() -> Value {
+pub fn tables() -> Value {
     json!({
         "version": 7,
         "limits": { "max_body_bytes": 262_144 },
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -2,7 +2,9 @@
 //! broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
 mod deployment;
+mod foreign_checkin;
 mod record;
+mod renamed_route;
 mod stale_cancel;
 mod worker;
 
@@ -59,6 +61,8 @@
     let deployment = Deployment::start(work, &record, 3).await?;
     let broken = match case {
         "stale-cancel" => stale_cancel::run(&deployment, trouble).await?,
+        "foreign-checkin" => foreign_checkin::run(&deployment, trouble).await?,
+        "renamed-route" => renamed_route::run(&deployment, trouble).await?,
         _ => return Err(format!("no case {case:?}")),
     };
     broken.iter().for_each(|line| record.line(&format!("broken: {line}")));
