--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -63,6 +63,16 @@
         "stale-cancel" => stale_cancel::run(&deployment, trouble).await?,
         "foreign-checkin" => foreign_checkin::run(&deployment, trouble).await?,
         "renamed-route" => renamed_route::run(&deployment, trouble).await?,
+        "explore" => {
+            for entry in &deployment.entries {
+                println!("{} {} {}", entry.name, entry.callers, entry.readiness);
+            }
+            for agent in &deployment.agents {
+                println!("agent {}", agent.control);
+            }
+            tokio::time::sleep(Duration::from_secs(100)).await;
+            Vec::new()
+        }
         _ => return Err(format!("no case {case:?}")),
     };
     broken.iter().for_each(|line| record.line(&format!("broken: {line}")));
