--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -1,7 +1,7 @@
 //! The programs of the deploy file as separate processes, with stand-ins of the platform.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 
 use crate::record::Record;
-use crate::worker::{HOLD_MAX_MS, SERVICE, Worker};
+use crate::worker::{HOLD_MAX_MS, Host, Life, SERVICE};
 
 pub const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
@@ -22,9 +22,6 @@
 /// A program of the project; killed when it is dropped.
 pub struct Process {
     child: Child,
-    log: PathBuf,
-    program: PathBuf,
-    settings: PathBuf,
 }
 
 impl Process {
@@ -32,14 +29,14 @@
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings)?;
         let log = folder.join(format!("{name}.log"));
-        let program = PathBuf::from(program);
-        let child = spawn(&program, &path, &log)?;
-        Ok(Self { child, log, program, settings: path })
-    }
-
-    pub fn restart(&mut self) -> std::io::Result<()> {
-        self.child = spawn(&self.program, &self.settings, &self.log)?;
-        Ok(())
+        let log = std::fs::File::create(log)?;
+        let child = Command::new(program)
+            .env("SKYLARKPULLEY_NODE_FILE", path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { child })
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -48,29 +45,15 @@
             let _ = kill_process(pid, signal);
         }
     }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.kill();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
-fn spawn(program: &Path, settings: &Path, log: &Path) -> std::io::Result<Child> {
-    let log = std::fs::File::options().create(true).append(true).open(log)?;
-    Command::new(program)
-        .env("SKYLARKPULLEY_NODE_FILE", settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()
-}
-
 pub struct Entry {
     pub callers: SocketAddr,
     pub name: String,
@@ -80,7 +63,8 @@
 
 pub struct Agent {
     pub control: SocketAddr,
-    pub process: Process,
+    /// Kept so that the agent runs as long as the deployment.
+    _process: Process,
 }
 
 pub struct Deployment {
@@ -90,7 +74,7 @@
     pub record: Record,
     pub store: Store,
     store_address: SocketAddr,
-    pub workers: Vec<Worker>,
+    pub workers: Vec<Host>,
 }
 
 async fn free_address() -> std::io::Result<SocketAddr> {
@@ -100,7 +84,15 @@
 impl Deployment {
     /// Starts three entries, `workers` agents, each with a worker, and the store. The settings are
     /// those of platform/*.toml with the bounds of the site menza-grid.
-    pub async fn start(folder: &Path, record: &Record, workers: usize) -> Result<Self, String> {
+    ///
+    /// A minion that crashes is back after `down`; `next` changes what its next life has.
+    pub async fn start(
+        folder: &Path,
+        record: &Record,
+        workers: usize,
+        down: Duration,
+        next: fn(&mut Life),
+    ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let store = Store::new(&tables(), 1);
         let store_address = store.start().await.map_err(|error| error.to_string())?;
@@ -131,13 +123,18 @@
             );
             let program = "target/release/skylarkpulley-platform-agent";
             let process = Process::start(program, folder, &name, &settings).map_err(text)?;
-            agents.push(Agent { control, process });
+            agents.push(Agent { control, _process: process });
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(text)?;
-            started.push(Worker::start(&format!("i-{number}"), listener, control, record));
+            let life = Life {
+                agent: control,
+                clock_ahead_ms: 0,
+                id: format!("i-{number}"),
+                rack: format!("r1-{number}"),
+            };
+            started.push(Host::start(life, listener, record, down, next));
         }
         let client = reqwest::Client::new();
-        let deployment =
-            Self {
+        let deployment = Self {
             agents,
             client,
             entries,
--- a/review/harness-2/src/foreign_checkin.rs
+++ b/review/harness-2/src/foreign_checkin.rs
@@ -19,9 +19,9 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     let seen = record.all_seen();
     let start = seen.iter().find(|seen| seen.event == Event::Start).ok_or("no task started")?;
-    let number = deployment.workers.iter().position(|worker| worker.id == start.worker);
+    let number = deployment.workers.iter().position(|worker| worker.current().id == start.worker);
     let number = number.ok_or("the worker is not known")?;
-    let (worker, agent) = (&deployment.workers[number], &deployment.agents[number]);
+    let (worker, agent) = (deployment.workers[number].current(), &deployment.agents[number]);
     if trouble {
         let body = json!({
             "service": "another-svc", "address": worker.address.to_string(), "zone": "sofia-a",
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Scripts of the second review. Usage: review-harness-2 CASE FOLDER; exits with 1 if the rule was
 //! broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
+mod deadly_later;
 mod deployment;
 mod foreign_checkin;
 mod record;
@@ -58,21 +59,20 @@
     std::fs::create_dir_all(work).map_err(|error| error.to_string())?;
     let record = Record::create(&folder.join("record.txt")).map_err(|error| error.to_string())?;
     record.line(&format!("case {case}, trouble {trouble}"));
-    let deployment = Deployment::start(work, &record, 3).await?;
+    let (workers, down) = match case {
+        "deadly-later" => (11, Duration::from_secs(3)),
+        _ => (3, Duration::from_secs(3)),
+    };
+    let next = match case {
+        "deadly-later" => deadly_later::next_life,
+        _ => |_: &mut worker::Life| {},
+    };
+    let deployment = Deployment::start(work, &record, workers, down, next).await?;
     let broken = match case {
         "stale-cancel" => stale_cancel::run(&deployment, trouble).await?,
+        "deadly-later" => deadly_later::run(&deployment, trouble).await?,
         "foreign-checkin" => foreign_checkin::run(&deployment, trouble).await?,
         "renamed-route" => renamed_route::run(&deployment, trouble).await?,
-        "explore" => {
-            for entry in &deployment.entries {
-                println!("{} {} {}", entry.name, entry.callers, entry.readiness);
-            }
-            for agent in &deployment.agents {
-                println!("agent {}", agent.control);
-            }
-            tokio::time::sleep(Duration::from_secs(100)).await;
-            Vec::new()
-        }
         _ => return Err(format!("no case {case:?}")),
     };
     broken.iter().for_each(|line| record.line(&format!("broken: {line}")));
--- a/review/harness-2/src/worker.rs
+++ b/review/harness-2/src/worker.rs
@@ -26,6 +26,7 @@
 
 struct Run {
     began: Instant,
+    crash: Option<Duration>,
     stop_at: Option<Instant>,
     work: Duration,
 }
@@ -39,6 +40,17 @@
     token: u64,
 }
 
+/// What the lives of a minion have in common.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub agent: SocketAddr,
+    /// Added to the time of day from which the minion takes `born`, in milliseconds.
+    pub clock_ahead_ms: u64,
+    pub id: String,
+    /// The second label: the rack of the machine.
+    pub rack: String,
+}
+
 /// One life of a minion.
 #[derive(Clone)]
 pub struct Worker {
@@ -47,19 +59,25 @@
     ended: Arc<Notify>,
     pub id: String,
     origin: Instant,
+    rack: String,
     record: Record,
     state: Arc<Mutex<State>>,
+    stopped: Arc<tokio::sync::Semaphore>,
 }
 
 impl Worker {
     /// Starts a minion that serves on `listener` and announces itself at the agent.
-    pub fn start(id: &str, listener: TcpListener, agent: SocketAddr, record: &Record) -> Self {
+    pub fn start(life: &Life, listener: TcpListener, record: &Record) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(1) + life.clock_ahead_ms;
+        record.line(&format!("{} starts, born {born_ms}", life.id));
         let worker = Self {
             address: listener.local_addr().expect("address of a listener"),
-            born_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(1),
+            born_ms,
             ended: Arc::default(),
-            id: id.to_owned(),
+            id: life.id.clone(),
+            rack: life.rack.clone(),
+            stopped: Arc::new(tokio::sync::Semaphore::new(0)),
             origin: Instant::now(),
             record: record.clone(),
             state: Arc::new(Mutex::new(State {
@@ -72,18 +90,50 @@
             })),
         };
         let acceptor = TcpAcceptor::from_tokio(listener).expect("listener");
-        tokio::spawn(Server::new_with_acceptor(acceptor).run(worker.clone()));
+        let stopped = worker.stopped.clone();
+        let end = async move {
+            let _ = stopped.acquire().await;
+        };
+        let server = Server::new_with_acceptor(acceptor);
+        let served = server.run_with_graceful_shutdown(worker.clone(), end, Some(Duration::ZERO));
+        tokio::spawn(served);
         let ticking = worker.clone();
         tokio::spawn(async move {
-            loop {
+            while !ticking.is_crashed() {
                 ticking.advance();
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         });
-        tokio::spawn(worker.clone().announce(agent));
+        tokio::spawn(worker.clone().announce(life.agent));
         worker
     }
 
+    /// Crashes the minion: its runs are gone, and its port is closed.
+    pub fn crash(&self) {
+        if self.is_crashed() {
+            return;
+        }
+        self.stopped.close();
+        let runs = std::mem::take(&mut self.lock().running);
+        self.record.line(&format!("{} crashes", self.id));
+        for (task, run) in runs.into_keys() {
+            self.record.seen(&self.id, &task, run, Event::End("crashed"));
+        }
+    }
+
+    pub fn is_crashed(&self) -> bool {
+        self.stopped.is_closed()
+    }
+
+    /// Reports whether a run crashes the minion now: its `spec` has `crash_ms`.
+    fn is_crash_due(&self) -> bool {
+        let state = self.lock();
+        state
+            .running
+            .values()
+            .any(|run| run.crash.is_some_and(|after| run.began + after <= Instant::now()))
+    }
+
     fn clock_ms(&self) -> u64 {
         u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(0)
     }
@@ -92,6 +142,9 @@
         let client = reqwest::Client::new();
         let url = format!("http://{agent}/Instances.Heartbeat/{}", self.id);
         for seq in 1_u64.. {
+            if self.is_crashed() {
+                return;
+            }
             let body = self.heartbeat(seq);
             let _ = client.post(&url).timeout(Duration::from_secs(1)).json(&body).send().await;
             tokio::time::sleep(BEAT).await;
@@ -103,7 +156,7 @@
             "service": SERVICE, "address": self.address.to_string(), "zone": "sofia-a",
             "version": "v1", "slots": 8, "state": "ready", "cold_ms": 0,
             "capacity": { "cpu": 64_000, "mem_mb": 262_144, "gpu": 8 },
-            "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(), "born": self.born_ms, "seq": seq,
+            "labels": ["a", self.rack], "clock_ms": self.clock_ms(), "born": self.born_ms, "seq": seq,
         })
     }
 
@@ -113,6 +166,12 @@
 
     /// Ends the runs whose work, stop or lease has ended.
     fn advance(&self) {
+        if self.is_crash_due() {
+            self.crash();
+        }
+        if self.is_crashed() {
+            return;
+        }
         let (now, clock) = (Instant::now(), self.clock_ms());
         let mut state = self.lock();
         let lapsed = clock >= state.deadline_ms;
@@ -162,6 +221,7 @@
         let step: usize = task.split('.').nth(2).and_then(|s| s.parse().ok()).unwrap_or(0);
         let spec: Value = serde_json::from_str(spec).unwrap_or_default();
         let work = Duration::from_millis(spec["work_ms"][step].as_u64().unwrap_or(1000));
+        let crash = spec["crash_ms"].as_u64().map(Duration::from_millis);
         let mut state = self.lock();
         if token < state.token {
             return (409, json!({ "reason": "fence" }));
@@ -181,7 +241,7 @@
         if state.running.len() >= 8 {
             return (409, json!({ "reason": "room" }));
         }
-        state.running.insert(key, Run { began: Instant::now(), stop_at: None, work });
+        state.running.insert(key, Run { began: Instant::now(), crash, stop_at: None, work });
         drop(state);
         self.record.seen(&self.id, task, run, Event::Start);
         (200, json!({}))
@@ -211,10 +271,8 @@
 
     async fn hold(&self, body: &Value) -> (u16, Value) {
         self.advance();
-        let (token, acked) = (
-            body["fencing_token"].as_u64().unwrap_or(0),
-            body["ack_seq"].as_u64().unwrap_or(0),
-        );
+        let (token, acked) =
+            (body["fencing_token"].as_u64().unwrap_or(0), body["ack_seq"].as_u64().unwrap_or(0));
         let ended = self.ended.notified();
         let wait = {
             let mut state = self.lock();
@@ -261,6 +319,9 @@
         let path = request.uri().path().to_owned();
         let body = request.take_body().into_bytes().await?;
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        if self.is_crashed() {
+            std::future::pending::<()>().await;
+        }
         let (status, mut answer) = match path.as_str() {
             _ if other => (421, json!({})),
             "/run-start" => self.start_run(&body),
@@ -277,3 +338,48 @@
             .body(answer.to_string()))
     }
 }
+
+/// A minion that starts again after each crash, at the same address.
+#[derive(Clone)]
+pub struct Host {
+    current: Arc<Mutex<Worker>>,
+}
+
+impl Host {
+    /// Starts the first life. After a crash `next` changes what the next life has, and the minion is
+    /// back after `down`.
+    pub fn start(
+        mut life: Life,
+        listener: TcpListener,
+        record: &Record,
+        down: Duration,
+        next: impl Fn(&mut Life) + Send + 'static,
+    ) -> Self {
+        let first = Worker::start(&life, listener, record);
+        let address = first.address;
+        let host = Self { current: Arc::new(Mutex::new(first)) };
+        let (current, record) = (host.current.clone(), record.clone());
+        tokio::spawn(async move {
+            loop {
+                while !current.lock().unwrap_or_else(PoisonError::into_inner).is_crashed() {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                tokio::time::sleep(down).await;
+                next(&mut life);
+                let listener = loop {
+                    match TcpListener::bind(address).await {
+                        Ok(listener) => break listener,
+                        Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+                    }
+                };
+                let worker = Worker::start(&life, listener, &record);
+                *current.lock().unwrap_or_else(PoisonError::into_inner) = worker;
+            }
+        });
+        host
+    }
+
+    pub fn current(&self) -> Worker {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
