--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -4,6 +4,7 @@
 mod deadly_later;
 mod deployment;
 mod foreign_checkin;
+mod leave_unacked;
 mod record;
 mod renamed_route;
 mod stale_cancel;
@@ -67,11 +68,21 @@
         "deadly-later" => deadly_later::next_life,
         _ => |_: &mut worker::Life| {},
     };
-    let deployment = Deployment::start(work, &record, workers, down, next).await?;
+    // Another process may take a port between its choice and its use.
+    let mut attempt = 1;
+    let deployment = loop {
+        match Deployment::start(work, &record, workers, down, next).await {
+            Ok(deployment) => break deployment,
+            Err(error) if attempt < 3 => record.line(&format!("{error}; starting again")),
+            Err(error) => return Err(error),
+        }
+        attempt += 1;
+    };
     let broken = match case {
         "stale-cancel" => stale_cancel::run(&deployment, trouble).await?,
         "deadly-later" => deadly_later::run(&deployment, trouble).await?,
         "foreign-checkin" => foreign_checkin::run(&deployment, trouble).await?,
+        "leave-unacked" => leave_unacked::run(&deployment, trouble).await?,
         "renamed-route" => renamed_route::run(&deployment, trouble).await?,
         _ => return Err(format!("no case {case:?}")),
     };
