Limit the calls that an agent has open to its worker

Cause: the agent sent every start of its orders at the same moment, up to 262, each over a connection of its own, and kept four of them idle. A worker serves 64 connections. Where a process has 1,024 descriptors, as a login shell gives it, the worker of the case accepts no further calls after some 825 starts, renewals included. Ruled out: the machine kind (x86-64 holds with 20,000 descriptors), the size of the orders. Why it works: the number of connections to a worker no longer depends on the number of tasks, and stays below what a worker serves.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -36,6 +36,11 @@
 /// Time from the last message of a leaving worker until its runs count as gone.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum number of starts, of stops and of changes of speed that are open at a time. A worker serves
+/// 64 connections, which the renewal of its leases needs as well; 262 starts that were sent at once
+/// exhausted the descriptors of a worker.
+pub const MAX_OPEN_CALLS: usize = 16;
+
 type RunKey = (TaskId, u32);
 
 /// Sans-IO core of the agent of one worker. It carries out the coordinator's orders, extends leases
@@ -76,6 +81,8 @@
     /// When the listings that have not been read were requested, by the number of their call.
     listing_requests: BTreeMap<u64, Instant>,
     name: String,
+    /// Number of changes of speed that are open.
+    open_paces: usize,
     orders: Orders,
     pacer: Pacer,
     refused: BTreeMap<RunKey, RefusalKind>,
@@ -109,6 +116,7 @@
             limits,
             listing_requests: BTreeMap::new(),
             name: name.to_owned(),
+            open_paces: 0,
             orders: Orders::default(),
             pacer: Pacer::new(),
             refused: BTreeMap::new(),
@@ -198,7 +206,7 @@
     /// of this agent may have sent them.
     fn adopt_starts(&mut self, at: Instant, starts: &[StartOrder]) {
         for order in starts {
-            let key = (order.task.clone(), order.run);
+            let key = order.key();
             self.calls.entry(key.clone()).or_default().start_uncertain = true;
             self.late_starts.record(key, at);
         }
@@ -222,7 +230,8 @@
 
     fn pace_actions(&mut self) -> Vec<AgentAction> {
         let sharing = self.listed_sharing();
-        let changes = self.pacer.changes(&sharing);
+        let changes = self.pacer.changes(&sharing, MAX_OPEN_CALLS.saturating_sub(self.open_paces));
+        self.open_paces += changes.len();
         changes
             .into_iter()
             .map(|(task, run, percent)| AgentAction::Pace(task, run, percent))
@@ -243,6 +252,7 @@
 
     /// Handles the outcome of a change of speed. One that was not answered is repeated.
     pub fn handle_pace_answer(&mut self, task: &TaskId, run: u32, answered: bool) {
+        self.open_paces = self.open_paces.saturating_sub(1);
         if !answered {
             self.pacer.record_unanswered(task, run);
         }
@@ -511,39 +521,55 @@
         if self.fencing_earlier || !valid || leases_uncertain || self.has_unordered_starts() {
             return Vec::new();
         }
-        let draining = self.status.as_ref().is_some_and(|status| status.draining);
-        let mut actions = Vec::new();
-        for order in self.orders.start.clone() {
-            let key = (order.task.clone(), order.run);
-            if self.running.contains_key(&key)
-                || self.refused.contains_key(&key)
-                || self.has_ended(&key)
-            {
-                continue;
-            }
-            if draining {
-                self.refuse_draining(key);
+        if self.status.as_ref().is_some_and(|status| status.draining) {
+            self.refuse_draining();
+            return Vec::new();
+        }
+        let open = self.calls.values().filter(|calls| calls.starting).count();
+        let mut due: Vec<(Option<Instant>, &StartOrder)> = Vec::new();
+        for order in self.orders.start.iter().filter(|order| self.is_unsettled(&order.key())) {
+            let calls = self.calls.get(&order.key());
+            if calls.is_some_and(|calls| calls.starting || calls.refusal.is_some()) {
                 continue;
             }
-            let calls = self.calls.entry(key).or_default();
-            let early = calls.start_after.is_some_and(|after| now < after);
-            if calls.starting || calls.refusal.is_some() || early {
-                continue;
+            let after = calls.and_then(|calls| calls.start_after);
+            if after.is_none_or(|after| now >= after) {
+                due.push((after, order));
             }
-            calls.starting = true;
-            actions.push(AgentAction::Start(order));
         }
-        actions
+        // Those that were tried last come last, so that unanswered starts do not hold up the others.
+        due.sort_by_key(|(after, _)| *after);
+        let sent: Vec<StartOrder> = due
+            .into_iter()
+            .take(MAX_OPEN_CALLS.saturating_sub(open))
+            .map(|(_, order)| order.clone())
+            .collect();
+        for order in &sent {
+            self.calls.entry(order.key()).or_default().starting = true;
+        }
+        sent.into_iter().map(AgentAction::Start).collect()
+    }
+
+    /// Reports whether a start may still have to be sent: the worker has not carried it out, ended it
+    /// or refused it.
+    fn is_unsettled(&self, run: &RunKey) -> bool {
+        !self.running.contains_key(run) && !self.refused.contains_key(run) && !self.has_ended(run)
     }
 
-    /// Refuses a start on a draining worker. A start that may still be carried out is fenced first.
-    fn refuse_draining(&mut self, run: RunKey) {
-        match self.calls.get_mut(&run) {
-            None => {
-                self.refused.insert(run, RefusalKind::Fenced);
+    /// Refuses the starts on a draining worker. A start that may still be carried out is fenced first.
+    fn refuse_draining(&mut self) {
+        let runs: Vec<RunKey> = self.orders.start.iter().map(StartOrder::key).collect();
+        for run in runs {
+            if !self.is_unsettled(&run) {
+                continue;
+            }
+            match self.calls.get_mut(&run) {
+                None => {
+                    self.refused.insert(run, RefusalKind::Fenced);
+                }
+                Some(calls) if !calls.starting => calls.refusal = Some(RefusalKind::Fenced),
+                Some(_) => {}
             }
-            Some(calls) if !calls.starting => calls.refusal = Some(RefusalKind::Fenced),
-            Some(_) => {}
         }
     }
 
@@ -562,17 +588,24 @@
             .chain(refused.map(|(run, _)| run))
             .cloned()
             .collect();
-        let mut actions = Vec::new();
+        let open = self.calls.values().filter(|calls| calls.stopping).count();
+        let mut due: Vec<(Option<Instant>, RunKey)> = Vec::new();
         for run in runs {
             if self.refused.contains_key(&run) || self.has_ended(&run) {
                 continue;
             }
-            let calls = self.calls.entry(run.clone()).or_default();
-            let early = calls.stop_after.is_some_and(|after| now < after);
-            if calls.stopping || early {
-                continue;
+            let calls = self.calls.get(&run);
+            let after = calls.and_then(|calls| calls.stop_after);
+            if !calls.is_some_and(|calls| calls.stopping) && after.is_none_or(|after| now >= after)
+            {
+                due.push((after, run));
             }
-            calls.stopping = true;
+        }
+        due.sort();
+        due.truncate(MAX_OPEN_CALLS.saturating_sub(open));
+        let mut actions = Vec::new();
+        for (_, run) in due {
+            self.calls.entry(run.clone()).or_default().stopping = true;
             actions.push(AgentAction::Stop(run.0, run.1));
         }
         actions
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -34,7 +34,7 @@
 mod worker;
 
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
-pub use agent::AgentCore;
+pub use agent::{AgentCore, MAX_OPEN_CALLS};
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
 pub use closure::Closure;
 pub use coordinator::{
--- a/crates/jobs/src/pacing.rs
+++ b/crates/jobs/src/pacing.rs
@@ -67,17 +67,23 @@
         }
     }
 
-    /// Returns the filling runs whose speed must change now, with the new percent.
-    pub fn changes(&mut self, sharing: &[SharingRun]) -> Vec<(TaskId, u32, u8)> {
+    /// Returns at most `limit` filling runs whose speed must change now, with the new percent. The
+    /// others follow with the next calls.
+    pub fn changes(&mut self, sharing: &[SharingRun], limit: usize) -> Vec<(TaskId, u32, u8)> {
         let percent = if is_shared(sharing) { self.percent } else { 100 };
         let mut previous = std::mem::take(&mut self.ordered);
         let mut changes = Vec::new();
         for run in sharing.iter().filter(|run| run.response.is_none()) {
             let key = (run.task.clone(), run.run);
-            if previous.remove(&key) != Some(percent) {
+            let ordered = previous.remove(&key);
+            if ordered == Some(percent) {
+                self.ordered.insert(key, percent);
+            } else if changes.len() < limit {
                 changes.push((run.task.clone(), run.run, percent));
+                self.ordered.insert(key, percent);
+            } else if let Some(ordered) = ordered {
+                self.ordered.insert(key, ordered);
             }
-            self.ordered.insert(key, percent);
         }
         changes
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -144,6 +144,11 @@
 }
 
 impl StartOrder {
+    /// Returns the task and the number of the run.
+    pub fn key(&self) -> (TaskId, u32) {
+        (self.task.clone(), self.run)
+    }
+
     /// Returns the size of its texts in bytes.
     pub fn text_bytes(&self) -> usize {
         self.checkpoint.len() + self.payload.len() + self.permit.len() + self.task.job.len()
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -28,7 +28,7 @@
 fn observe(pacer: &mut Pacer, response_ms: u64) -> Option<u8> {
     let readings = BTreeMap::from([((task("serve"), 1), response_ms)]);
     pacer.observe(&sharing(), &readings);
-    pacer.changes(&sharing()).first().map(|(_, _, percent)| *percent)
+    pacer.changes(&sharing(), 16).first().map(|(_, _, percent)| *percent)
 }
 
 /// Guards against filling tasks that keep running while a serving task on the same worker misses
@@ -51,7 +51,7 @@
     let first = observe(&mut pacer, 80);
     assert!(first.is_some());
     pacer.record_unanswered(&task("fill"), 1);
-    assert_eq!(pacer.changes(&sharing()), vec![], "not before the next reading");
+    assert_eq!(pacer.changes(&sharing(), 16), vec![], "not before the next reading");
     assert_eq!(observe(&mut pacer, 80), first);
     assert_eq!(observe(&mut pacer, 80), None);
 }
@@ -64,8 +64,8 @@
     let mut pacer = Pacer::new();
     observe(&mut pacer, 200);
     pacer.observe(only_filling, &BTreeMap::new());
-    assert_eq!(pacer.changes(only_filling), vec![(task("fill"), 1, 100)]);
-    assert_eq!(Pacer::new().changes(only_filling), vec![(task("fill"), 1, 100)]);
+    assert_eq!(pacer.changes(only_filling, 16), vec![(task("fill"), 1, 100)]);
+    assert_eq!(Pacer::new().changes(only_filling, 16), vec![(task("fill"), 1, 100)]);
 }
 
 /// Replays serving tasks with a varying load on a worker with filling tasks that slow them down by
