Count the time limit of a start while it is ordered, over all sessions

Cause: the 5 s after which a start counts as lost ran for runs whose start still waited for a message to the agent, and began anew whenever the agent had no session. A session that fails over the same content therefore bounded nothing. Change: the time counts only while the start is in the orders. A run that is not listed 20 s after its start was first ordered is stopped once its agent reports, whatever its sessions did. Why it works: both bounds are counted from facts of the run and not of the session.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -26,6 +26,8 @@
     /// Whether the run is lost with an earlier incarnation of its worker. It ends once it is fenced
     /// in the present one, which may still carry out a late copy of its start.
     pub lost: bool,
+    /// When the start was first ordered.
+    pub ordered_at: Option<Instant>,
     /// Progress in percent.
     pub percent: u8,
     /// Permit of the placement policy.
@@ -135,6 +137,7 @@
                 listed: false,
                 listed_at: None,
                 lost: false,
+                ordered_at: None,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -26,9 +26,9 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, Job, JobAccess, JobState,
-    JobTables, Orders, RowsError, SharingRun, StartOrder, TaskId, TaskKey, decode_progress,
-    progress_key,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, FleetWorker, Job, JobAccess,
+    JobState, JobTables, Orders, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
+    decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
@@ -248,7 +248,7 @@
             let worker_entry = self.fleet.workers.entry(placement.worker.clone());
             // Only one incarnation of an id is tracked; if any is alive, it is the highest one.
             let worker = worker_entry.or_insert_with(|| {
-                crate::FleetWorker::new(&placement.worker, placement.incarnation, now.monotonic)
+                FleetWorker::new(&placement.worker, placement.incarnation, now.monotonic)
             });
             if placement.incarnation >= worker.status.incarnation {
                 worker.status.incarnation = placement.incarnation;
@@ -438,7 +438,7 @@
             worker: worker.to_owned(),
             ..Orders::default()
         };
-        let mut start_bytes = 0;
+        let ordered = self.ordered_starts(state);
         for (task, run) in &state.runs {
             let Some(entry) = self.jobs.get(&task.job) else { continue };
             let Some(placement) = entry.placement(&task.key) else { continue };
@@ -452,23 +452,17 @@
                 let response = (!step.fills).then(|| Duration::from_millis(step.response_ms));
                 orders.sharing.push(SharingRun { response, run: *run, task: task.clone() });
             }
-            if placement.listed || entry.durable_version < placement.version {
+            if !ordered.contains(task) {
                 orders.keep.push((task.clone(), *run));
                 continue;
             }
-            let start = StartOrder {
+            orders.start.push(StartOrder {
                 checkpoint: placement.checkpoint.clone(),
                 payload: entry.job.payload.clone(),
                 permit: placement.permit.clone(),
                 run: *run,
                 task: task.clone(),
-            };
-            start_bytes += start.text_bytes();
-            if start_bytes > MAX_START_BYTES && !orders.start.is_empty() {
-                orders.keep.push((task.clone(), *run));
-                continue;
-            }
-            orders.start.push(start);
+            });
         }
         if orders.sharing.iter().all(|run| run.response.is_some()) {
             orders.sharing.clear();
@@ -476,6 +470,27 @@
         orders
     }
 
+    /// Returns the tasks whose start is ordered at a worker: their rows are durable, the worker does
+    /// not list them yet, and a message holds them.
+    fn ordered_starts<'a>(&'a self, worker: &'a FleetWorker) -> BTreeSet<&'a TaskId> {
+        let mut ordered = BTreeSet::new();
+        let mut bytes = 0;
+        for task in worker.runs.keys() {
+            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let Some(placement) = entry.placement(&task.key) else { continue };
+            if placement.stopping || placement.listed || entry.durable_version < placement.version {
+                continue;
+            }
+            let (payload, permit) = (&entry.job.payload, &placement.permit);
+            bytes += payload.len() + permit.len() + placement.checkpoint.len() + task.job.len();
+            if bytes > MAX_START_BYTES && !ordered.is_empty() {
+                break;
+            }
+            ordered.insert(task);
+        }
+        ordered
+    }
+
     /// Returns the ids of all workers.
     pub fn worker_ids(&self) -> Vec<String> {
         self.fleet.workers.keys().cloned().collect()
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -436,6 +436,7 @@
                 listed: false,
                 listed_at: None,
                 lost: false,
+                ordered_at: None,
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -13,6 +13,11 @@
 /// time covers several tries of its agent, each with its time-out, and a report.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// A run that is neither listed nor refused this long after its start was first ordered is moved even
+/// if its agent could not be observed all the while: its sessions may end over the same content again
+/// and again. Longer than the leases of a silent agent, which end its runs.
+const MAX_START_TIME: Duration = Duration::from_secs(20);
+
 /// A worker whose agent has not reported for this long gets no new work. Agents report every
 /// second. Without this limit a dead connection would be noticed only once the leases have lapsed.
 const SILENT_AFTER: Duration = Duration::from_millis(1600);
@@ -47,8 +52,16 @@
                 let Some(entry) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = entry.placement(&task.key) else { continue };
                 let idle = now.monotonic.saturating_duration_since(placement.last_progress);
-                if !placement.stopping && !placement.listed && idle > START_TIMEOUT {
-                    let reason = format!("not started within {} ms on {id}", idle.as_millis());
+                let ordered_at = placement.ordered_at.unwrap_or(now.monotonic);
+                let ordered = now.monotonic.saturating_duration_since(ordered_at);
+                let observed = worker.has_session && worker.is_reached && !worker.ends_truncated;
+                let overdue = idle > START_TIMEOUT || (observed && ordered > MAX_START_TIME);
+                if !placement.stopping && !placement.listed && overdue {
+                    let reason = format!(
+                        "not started on {id} within {} ms, the last {} ms of them observed",
+                        ordered.as_millis(),
+                        idle.as_millis()
+                    );
                     stalled.push((id.clone(), task.clone(), reason));
                     continue;
                 }
@@ -73,21 +86,34 @@
         }
     }
 
-    /// Restarts the count of the time without progress for runs that cannot be observed.
+    /// Restarts the count of the time without progress for runs that cannot be observed, and for those
+    /// whose start is not ordered yet.
     fn reset_unobserved(&mut self, now: Timestamp) {
+        let ordered: BTreeSet<TaskId> = self
+            .fleet
+            .workers
+            .values()
+            .flat_map(|worker| self.ordered_starts(worker))
+            .cloned()
+            .collect();
         for worker in self.fleet.workers.values() {
             // While ends are left out, a run that is listed nowhere may have ended.
             let observed = worker.has_session && worker.is_reached && !worker.ends_truncated;
             for task in worker.runs.keys() {
                 let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
-                let (durable, alone) = (entry.durable_version, worker.runs.len() == 1);
+                let alone = worker.runs.len() == 1;
                 // A filling task makes no progress while the other runs on its worker use all
                 // cores.
                 let step = entry.job.steps.get(task.key.step as usize);
                 let may_pause = step.is_some_and(|step| step.fills && !alone);
                 let Some(placement) = entry.placement_mut(&task.key) else { continue };
                 let pauses = may_pause && placement.listed;
-                if !observed || placement.stopping || durable < placement.version || pauses {
+                let is_ordered = ordered.contains(task);
+                if is_ordered {
+                    placement.ordered_at.get_or_insert(now.monotonic);
+                }
+                let unordered = !placement.listed && !is_ordered;
+                if !observed || placement.stopping || unordered || pauses {
                     placement.last_progress = now.monotonic;
                 }
             }
--- a/crates/jobs/tests/coordinator/row_sizes.rs
+++ b/crates/jobs/tests/coordinator/row_sizes.rs
@@ -218,3 +218,45 @@
     rig.core.report(rig.now, &report(&worker(0, 1), &[(first[0].task.clone(), 1)]));
     assert_eq!(rig.core.orders("w0").start[0].task.job, "b");
 }
+
+/// Guards against runs that count as not started while their starts wait behind others for a message
+/// to the agent. They were stopped after 5 s, and their worker was quarantined.
+#[test]
+fn orders_in_parts_slowly() {
+    let mut rig = Rig::new(1);
+    // Lasting tasks are not judged by their progress once they have started.
+    let mut large = Step { lasting: true, ..step(640, 0) };
+    (large.resources.cores, large.resources.memory) = (50, 10);
+    rig.submit(Job { payload: "x".repeat(3990), ..job("a", 1, large) });
+    let mut listed: Vec<(TaskId, u32)> = Vec::new();
+    while listed.len() < 640 {
+        let starts = rig.core.orders("w0").start;
+        assert!(!starts.is_empty(), "{} of 640 starts were ordered", listed.len());
+        for _ in 0..4 {
+            rig.advance(900);
+            rig.core.report(rig.now, &report(&worker(0, 1), &listed));
+        }
+        assert!(rig.stops().is_empty(), "runs are stopped after {} starts", listed.len());
+        listed.extend(starts.into_iter().map(|order| (order.task, order.run)));
+        rig.core.report(rig.now, &report(&worker(0, 1), &listed));
+    }
+}
+
+/// Guards against a start that waits without end because the session of its agent is replaced every
+/// second, for whatever reason, and the time limit begins anew each time (review/3).
+#[test]
+fn start_limit_over_sessions() {
+    let mut rig = Rig::new(1);
+    rig.submit(job("a", 1, step(1, 8)));
+    for second in 0..25 {
+        rig.core.report(rig.now, &report(&worker(0, 1), &[]));
+        rig.advance(900);
+        if !rig.stops().is_empty() {
+            assert!(second >= 19, "stopped after {second} s");
+            return;
+        }
+        rig.core.end_session("w0");
+        rig.advance(100);
+    }
+    panic!("the run is not stopped within 25 s");
+}
