Identify the route of a job by host and path prefix

Cause: the name that the route had at submission was compared with its present one. Host and path prefix select a route; callers never name it. Change: a job records them, and calls carry them; names decide only for rows and calls of earlier builds. A route that moves under its name keeps its jobs for their team. A job whose pool is gone goes to the pool that its route names. Why it works: what identifies a route to callers does not change with its name, and the key of the team is checked as before.

--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -161,6 +161,7 @@
             pool: POOL.to_owned(),
             route: format!("class-{}", job.class),
             schedule: None,
+            selector: String::new(),
             slack: job.slack,
             steps: vec![step],
             target_ms: job.target,
--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use skylarkpulley_jobs::{Job, JobAccess, JobState};
+use skylarkpulley_jobs::{Job, JobAccess, JobState, RouteKey};
 use skylarkpulley_proto::v1;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
@@ -32,8 +32,8 @@
     State(String, JobAccess),
     /// Cancels the job with this id.
     Cancel(String, JobAccess),
-    /// Requests the number of jobs of the route with this name that have not started.
-    Pending(String),
+    /// Requests the number of jobs of this route that have not started.
+    Pending(RouteKey),
 }
 
 impl JobCall {
@@ -45,7 +45,8 @@
     pub fn access(&self) -> Option<(&str, JobAccess)> {
         match self {
             Self::Submit(job, open) => {
-                let (route, team) = (job.route.clone(), job.team.clone());
+                let route = RouteKey { name: job.route.clone(), selector: job.selector.clone() };
+                let team = job.team.clone();
                 Some((&job.id, JobAccess { open: *open, route, team }))
             }
             Self::State(id, access) | Self::Cancel(id, access) => Some((id, access.clone())),
@@ -217,17 +218,22 @@
         }
         JobCall::State(id, _) => (v1::JobCallKind::State, id.clone(), Vec::new()),
         JobCall::Cancel(id, _) => (v1::JobCallKind::Cancel, id.clone(), Vec::new()),
-        JobCall::Pending(route) => (v1::JobCallKind::Pending, route.clone(), Vec::new()),
+        JobCall::Pending(route) => (v1::JobCallKind::Pending, route.name.clone(), Vec::new()),
+    };
+    let access = match call {
+        JobCall::Pending(route) => JobAccess { route: route.clone(), ..JobAccess::default() },
+        _ => call.access().map(|(_, access)| access).unwrap_or_default(),
     };
-    let access = call.access().map(|(_, access)| access).unwrap_or_default();
     let JobAccess { open, route, team } = access;
-    v1::JobCallRequest { kind: kind.into(), id, job, route, team, open }
+    let RouteKey { name: route, selector } = route;
+    v1::JobCallRequest { kind: kind.into(), id, job, route, team, open, selector }
 }
 
 /// Decodes a call; `None` when its kind is not specified or its job cannot be decoded.
 pub fn decode_call(request: v1::JobCallRequest) -> Option<JobCall> {
     let (kind, open) = (request.kind(), request.open);
-    let access = JobAccess { open, route: request.route, team: request.team };
+    let route = RouteKey { name: request.route, selector: request.selector };
+    let access = JobAccess { open, route, team: request.team };
     match kind {
         v1::JobCallKind::Submit => {
             let job: Job = serde_json::from_slice(&request.job).ok()?;
@@ -235,7 +241,9 @@
         }
         v1::JobCallKind::State => Some(JobCall::State(request.id, access)),
         v1::JobCallKind::Cancel => Some(JobCall::Cancel(request.id, access)),
-        v1::JobCallKind::Pending => Some(JobCall::Pending(request.id)),
+        v1::JobCallKind::Pending => {
+            Some(JobCall::Pending(RouteKey { name: request.id, ..access.route }))
+        }
         v1::JobCallKind::Unspecified => None,
     }
 }
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -520,6 +520,7 @@
         };
         let event = Event::RequestDenied;
         let JobAccess { open, route, team } = access;
+        let route = route.name;
         let detail = format!("route {route}, open {open}, team {team}, answer {answer:?}");
         self.context.records.metrics.count(event.name());
         self.context.records.decisions.record(self.context.clock.now(), event, id, &detail);
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -49,6 +49,7 @@
         pool: "renders".to_owned(),
         route: "looks".to_owned(),
         schedule: None,
+        selector: String::new(),
         slack: 3.0,
         steps: vec![Step { count: 1, ..Step::default() }],
         target_ms: 1000,
--- a/crates/coordination/tests/entries/store_faults.rs
+++ b/crates/coordination/tests/entries/store_faults.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_coordination::{Entry, JobAnswer, JobCall, JobService};
-use skylarkpulley_jobs::{Job, JobAccess};
+use skylarkpulley_jobs::{Job, JobAccess, RouteKey};
 use skylarkpulley_store::{MemoryTransactor, TransactFault};
 
 use crate::rig::{job, start, until_ready};
@@ -70,7 +70,8 @@
         service.call(&JobCall::Submit(job("b"), false), deadline_in(10)).await,
         JobAnswer::Done
     );
-    let pending = service.call(&JobCall::Pending("looks".to_owned()), deadline_in(10)).await;
+    let looks = RouteKey { name: "looks".to_owned(), ..RouteKey::default() };
+    let pending = service.call(&JobCall::Pending(looks), deadline_in(10)).await;
     assert_eq!(pending, JobAnswer::Pending(2));
 }
 
--- a/crates/jobs/src/coordinator/audit_tests.rs
+++ b/crates/jobs/src/coordinator/audit_tests.rs
@@ -59,6 +59,7 @@
             pool: "pool".to_owned(),
             route: String::new(),
             schedule: None,
+            selector: String::new(),
             slack: 1.0,
             steps: vec![step],
             target_ms: 0,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, FleetWorker, Job, JobAccess,
-    JobState, JobTables, Orders, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
+    JobState, JobTables, Orders, RouteKey, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
     decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
@@ -237,6 +237,7 @@
             |error: serde_json::Error| RowsError { key: key.to_owned(), detail: error.to_string() };
         let mut job: Job = serde_json::from_slice(job).map_err(error)?;
         limit_acceptance(&mut job, now);
+        self.tables.adopt_pool(&mut job);
         let further =
             (1..).take_while(|number| progress.contains_key(&progress_key(key, *number))).count();
         if further > 0 {
@@ -271,6 +272,9 @@
     pub fn set_tables(&mut self, tables: &JobTables) {
         if tables.version > self.tables.version {
             self.tables = tables.clone();
+            for entry in self.jobs.values_mut() {
+                self.tables.adopt_pool(&mut entry.job);
+            }
             self.plan_due = true;
         }
     }
@@ -385,10 +389,10 @@
     }
 
     /// Returns the number of accepted jobs of `route` for which no task has started.
-    pub fn pending(&self, route: &str) -> usize {
+    pub fn pending(&self, route: &RouteKey) -> usize {
         self.jobs
             .values()
-            .filter(|entry| entry.job.route == route && !entry.started && !entry.is_final())
+            .filter(|entry| route.selects(&entry.job) && !entry.started && !entry.is_final())
             .count()
     }
 
@@ -505,7 +509,7 @@
 
     /// Returns the expected time of the critical path of a job, in milliseconds.
     fn expected_critical_path(&self, job: &Job) -> u64 {
-        job.critical_path_of(|step| self.estimates.correct(&job.route, step.estimate_ms))
+        job.critical_path_of(|step| self.estimates.correct(job.route_id(), step.estimate_ms))
     }
 
     fn record_decision(&mut self, id: &str, kind: DecisionKind, detail: String) {
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -96,7 +96,7 @@
         let done: u64 = (0_u32..)
             .zip(&entry.job.steps)
             .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
-            .map(|(_, spec)| self.estimates.correct(&entry.job.route, spec.estimate_ms))
+            .map(|(_, spec)| self.estimates.correct(entry.job.route_id(), spec.estimate_ms))
             .sum();
         entry.job.objective_ms(critical_path).saturating_sub(critical_path.saturating_sub(done))
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -111,6 +111,10 @@
     pub pool: String,
     /// Name of the route.
     pub route: String,
+    /// Host and path prefix at which it was submitted, which select its route in each version of the
+    /// tables; empty in rows of earlier builds.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub selector: String,
     /// Schedule of its occurrences; `None` for a job with a single occurrence.
     pub schedule: Option<Schedule>,
     /// Objective for the end, as a multiple of the estimated critical path.
@@ -171,28 +175,62 @@
         (critical_path_ms as f64 * self.slack) as u64 + self.target_ms
     }
 
+    /// Returns what identifies its route: the selector, or the name in rows of earlier builds.
+    pub fn route_id(&self) -> &str {
+        if self.selector.is_empty() { &self.route } else { &self.selector }
+    }
+
     /// Reports whether the tasks of any step run until the job is cancelled.
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
     }
 }
 
+/// A route as a call names it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteKey {
+    /// Name in the current tables; empty if it is not known, because an earlier build has forwarded
+    /// the call.
+    pub name: String,
+    /// Host and path prefix; empty if an earlier build has forwarded the call.
+    pub selector: String,
+}
+
+impl RouteKey {
+    /// Reports whether the route stands where `job` was submitted, under whatever name. Names decide
+    /// where an earlier build has left out the selector.
+    pub fn selects(&self, job: &Job) -> bool {
+        if self.selector.is_empty() || job.selector.is_empty() {
+            return self.name == job.route;
+        }
+        self.selector == job.selector
+    }
+}
+
 /// Who asks about a job, and on which route.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct JobAccess {
     /// Whether callers of the route need no key.
     pub open: bool,
-    /// Name of the route; empty if it is not known, because an earlier build has forwarded the call.
-    pub route: String,
+    /// The route.
+    pub route: RouteKey,
     /// Name of the caller's team; empty for a caller without a valid key on an open route.
     pub team: String,
 }
 
 impl JobAccess {
-    /// Reports whether the caller may see and cancel `job`: it asks on the route of the job, and
-    /// with a key of its team unless the route is open.
+    /// Reports whether the caller may see and cancel `job`: it asks where the job was submitted, and
+    /// with a key of its team unless the route is open. A route that has moved to another host or path
+    /// keeps its jobs by its name, but only for their team.
     pub fn allows(&self, job: &Job) -> bool {
-        self.route.is_empty() || (self.route == job.route && (self.open || self.team == job.team))
+        if self.route.name.is_empty() {
+            return true;
+        }
+        let same_team = self.team == job.team;
+        if self.route.selects(job) {
+            return self.open || same_team;
+        }
+        self.route.name == job.route && same_team
     }
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -47,7 +47,7 @@
 pub use fleet::{Fleet, FleetWorker};
 pub use headroom::{exclude_emptiest, is_small};
 pub use health::{Fault, Health};
-pub use job::{Job, JobAccess, JobState, Resources, Schedule, Step};
+pub use job::{Job, JobAccess, JobState, Resources, RouteKey, Schedule, Step};
 pub use loss_cause::LossCause;
 pub use pacing::Pacer;
 pub use placing::{Candidate, Demand, choose_workers};
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -3,6 +3,8 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::{Job, RouteKey};
+
 /// Reason for which a version of the tables cannot be used.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum TablesError {
@@ -48,6 +50,19 @@
     pub target_ms: u64,
 }
 
+impl JobRoute {
+    /// Returns what selects the route: host and path prefix. It identifies the route over versions of
+    /// the tables, which may change its name.
+    pub fn selector(&self) -> String {
+        format!("{}{}", self.host, self.path)
+    }
+
+    /// Returns the route as a call names it.
+    pub fn key(&self) -> RouteKey {
+        RouteKey { name: self.name.clone(), selector: self.selector() }
+    }
+}
+
 /// A row of the table of pools.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WorkerPool {
@@ -101,6 +116,17 @@
             .max_by_key(|route| route.path.len())
     }
 
+    /// Moves a job whose pool does not exist any more to the pool of the route at which it was
+    /// submitted.
+    pub fn adopt_pool(&self, job: &mut Job) {
+        if self.pools.contains_key(&job.pool) {
+            return;
+        }
+        if let Some(route) = self.routes.iter().find(|route| route.key().selects(job)) {
+            job.pool.clone_from(&route.pool);
+        }
+    }
+
     /// Returns the team that owns `key`.
     pub fn team(&self, key: &str) -> Option<&TeamEntry> {
         self.teams.iter().find(|team| team.keys.iter().any(|team_key| team_key == key))
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod preferences;
 mod rig;
+mod routes;
 mod row_sizes;
 mod rules;
 mod sim_pool;
--- a/crates/jobs/tests/coordinator/rig.rs
+++ b/crates/jobs/tests/coordinator/rig.rs
@@ -42,6 +42,7 @@
         pool: POOL.to_owned(),
         route: "looks".to_owned(),
         schedule: None,
+        selector: String::new(),
         slack: 3.0,
         steps: vec![step],
         target_ms: 1000,
