Report a departure to each leader until one has stored it

Cause: the agent told one leader once, for 250 ms, and ended at once on SIGTERM. Evidence: event 320 of all later leaders names the worker as not reported; the agent's process ended 1 s after its worker. Why it works: the fact lives with the party that knows it until it is stored; no leader has to outlive its own write.

--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -10,7 +10,7 @@
     v1::TaskRun { task: task.to_string(), run, checkpoint: String::new(), percent: 0 }
 }
 
-/// Encodes the report of an agent; the session adds its number and whether the worker has left.
+/// Encodes the report of an agent; the session adds its number.
 pub fn encode_report(report: &WorkerReport) -> v1::WorkerUpdate {
     v1::WorkerUpdate {
         agent: report.agent.clone(),
@@ -19,7 +19,7 @@
         ended_through: report.ended_through,
         ends_truncated: report.ends_truncated,
         lapsed: report.lapsed,
-        left: false,
+        left: report.left,
         listed: report.listed,
         refused: report.refused.iter().map(encode_refusal).collect(),
         running: report
@@ -96,6 +96,7 @@
         ended_through: update.ended_through,
         ends_truncated: update.ends_truncated,
         lapsed: update.lapsed,
+        left: update.left,
         listed: update.listed,
         refused: update.refused.into_iter().filter_map(decode_refusal).collect(),
         running: update.running.into_iter().filter_map(decode_run).collect(),
@@ -182,6 +183,7 @@
     v1::CoordinatorUpdate {
         worker: orders.worker.clone(),
         boot: orders.incarnation,
+        departure_stored: orders.departure_stored,
         ended_through: orders.ended_through,
         keep: orders.keep.iter().map(|(task, run)| encode_run_id(task, *run)).collect(),
         start: orders
@@ -228,6 +230,7 @@
         Some(SharingRun { response, run: shared.run, task: task_id(&shared.task)? })
     });
     Orders {
+        departure_stored: update.departure_stored,
         ended_through: update.ended_through,
         incarnation: update.boot,
         keep: runs(update.keep),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -335,8 +335,8 @@
                 self.sessions
                     .insert(session, Session { acked: 0, outbound, worker: String::new() });
             }
-            LeaderMessage::Report { session, sequence, report, left } => {
-                self.handle_report(now, session, sequence, &report, left);
+            LeaderMessage::Report { session, sequence, report } => {
+                self.handle_report(now, session, sequence, &report);
             }
             LeaderMessage::Close { session } => {
                 self.latest_sessions.retain(|_, latest| *latest != session);
@@ -349,24 +349,13 @@
         }
     }
 
-    fn handle_report(
-        &mut self,
-        now: Timestamp,
-        number: u64,
-        sequence: u64,
-        report: &WorkerReport,
-        left: bool,
-    ) {
+    fn handle_report(&mut self, now: Timestamp, number: u64, sequence: u64, report: &WorkerReport) {
         if self.is_superseded(number, report) {
             // Dropping the sender of its updates closes the session.
             self.sessions.remove(&number);
             return;
         }
-        if let Some(status) = report.worker.as_ref().filter(|_| left) {
-            self.coordinator.remove_worker(now, &status.id, status.incarnation);
-        } else {
-            self.coordinator.report(now, report);
-        }
+        self.coordinator.report(now, report);
         let Some(session) = self.sessions.get_mut(&number) else { return };
         session.acked = sequence;
         if let Some(status) = &report.worker {
--- a/crates/coordination/src/leader_message.rs
+++ b/crates/coordination/src/leader_message.rs
@@ -29,8 +29,6 @@
         sequence: u64,
         /// The content.
         report: Box<WorkerReport>,
-        /// Whether the worker has left permanently.
-        left: bool,
     },
     /// The call to the placement policy has ended.
     Advice {
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -177,9 +177,9 @@
     inbox: mpsc::Sender<LeaderMessage>,
 ) {
     while let Ok(Some(update)) = updates.message().await {
-        let (sequence, left) = (update.sequence, update.left);
+        let sequence = update.sequence;
         let report = Box::new(decode_report(update));
-        let message = LeaderMessage::Report { session, sequence, report, left };
+        let message = LeaderMessage::Report { session, sequence, report };
         if inbox.send(message).await.is_err() {
             return;
         }
--- a/crates/coordination/src/session.rs
+++ b/crates/coordination/src/session.rs
@@ -44,15 +44,6 @@
 /// Longest time between two look-ups that the store does not answer. It may be down for all.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The current message of an agent to the leader.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct AgentUpdate {
-    /// Whether the worker has left permanently.
-    pub left: bool,
-    /// The report.
-    pub report: WorkerReport,
-}
-
 /// An update from the leader.
 #[derive(Clone, Debug)]
 pub struct LeaderUpdate {
@@ -92,7 +83,7 @@
 pub async fn run_session(
     store: Arc<dyn Transactor>,
     clock: Arc<dyn Clock>,
-    outgoing: watch::Receiver<AgentUpdate>,
+    outgoing: watch::Receiver<WorkerReport>,
     incoming: mpsc::Sender<LeaderUpdate>,
 ) {
     let mut delay = FIRST_LOOKUP_DELAY;
@@ -162,7 +153,7 @@
     session: OpenSession,
     store: Arc<dyn Transactor>,
     clock: &dyn Clock,
-    mut outgoing: watch::Receiver<AgentUpdate>,
+    mut outgoing: watch::Receiver<WorkerReport>,
     incoming: &mpsc::Sender<LeaderUpdate>,
 ) -> SessionEnd {
     let OpenSession { leader, reports, mut updates } = session;
@@ -210,10 +201,8 @@
             () = &mut silence => return SessionEnd::new("no update within the silence limit"),
         }
         sequence += 1;
-        let current = outgoing.borrow_and_update().clone();
-        let mut update = encode_report(&current.report);
+        let mut update = encode_report(&outgoing.borrow_and_update());
         update.sequence = sequence;
-        update.left = current.left;
         sent_reports.push_back((sequence, clock.now()));
         // A connection that accepts no data lets the channel fill; the silence limit then ends the
         // session.
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -6,7 +6,8 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use skylarkpulley_jobs::{
-    AgentAction, AgentCore, AgentLimits, Listing, RenewalCall, StartAnswer, TaskId, WorkerStatus,
+    AgentAction, AgentCore, AgentLimits, Listing, RenewalCall, StartAnswer, TaskId, WorkerReport,
+    WorkerStatus,
 };
 use skylarkpulley_store::Transactor;
 use skylarkpulley_telemetry::Event;
@@ -14,7 +15,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::boot_time::BootClock;
-use crate::session::{AgentUpdate, LeaderUpdate, run_session};
+use crate::session::{LeaderUpdate, run_session};
 use crate::worker_control::{WorkerAddress, WorkerControl, WorkerError};
 
 /// How long the worker may wait for the end of a run before it answers a listing. This is also the
@@ -79,6 +80,8 @@
     boot_clock: Arc<dyn Clock>,
     clock: Arc<dyn Clock>,
     control: Arc<dyn WorkerControl>,
+    /// Number of workers that leave while no leader has stored it.
+    leaving: watch::Sender<usize>,
     settings: WorkerAgentSettings,
     store: Arc<dyn Transactor>,
     workers: BTreeMap<String, mpsc::Sender<Announcement>>,
@@ -94,7 +97,14 @@
     ) -> Self {
         let (addresses, workers) = (BTreeMap::new(), BTreeMap::new());
         let boot_clock = Arc::new(BootClock::new());
-        Self { addresses, boot_clock, clock, control, settings, store, workers }
+        let leaving = watch::Sender::new(0);
+        Self { addresses, boot_clock, clock, control, leaving, settings, store, workers }
+    }
+
+    /// Returns the number of workers that leave while no leader has stored it. An agent that ends
+    /// before it is 0 leaves their runs to the time limits of leases.
+    pub fn leaving(&self) -> watch::Receiver<usize> {
+        self.leaving.subscribe()
     }
 
     /// Returns the agent with another clock that counts suspensions of the VM.
@@ -146,7 +156,7 @@
     fn start_worker(&self) -> mpsc::Sender<Announcement> {
         let (sender, announcements) = mpsc::channel(16);
         let core = AgentCore::new(&self.settings.name, self.settings.limits, self.clock.now());
-        let (outgoing, report) = watch::channel(AgentUpdate::default());
+        let (outgoing, report) = watch::channel(WorkerReport::default());
         let (updates, incoming) = mpsc::channel(16);
         tokio::spawn(run_session(self.store.clone(), self.boot_clock.clone(), report, updates));
         let task = WorkerTask {
@@ -155,6 +165,7 @@
             control: self.control.clone(),
             core,
             failed_listings: 0,
+            leaving: self.leaving.clone(),
             outgoing,
             suspended: Duration::ZERO,
             worker: None,
@@ -182,7 +193,8 @@
     core: AgentCore,
     /// Listings that failed since the last successful one.
     failed_listings: u32,
-    outgoing: watch::Sender<AgentUpdate>,
+    leaving: watch::Sender<usize>,
+    outgoing: watch::Sender<WorkerReport>,
     /// Time for which the VM has been suspended so far.
     suspended: Duration,
     worker: Option<WorkerAddress>,
@@ -198,10 +210,25 @@
 
 impl WorkerTask {
     async fn run(
+        self,
+        announcements: mpsc::Receiver<Announcement>,
+        incoming: mpsc::Receiver<LeaderUpdate>,
+    ) {
+        let leaving = self.leaving.clone();
+        let was_leaving = self.serve(announcements, incoming).await;
+        if was_leaving {
+            leaving.send_modify(|count| *count -= 1);
+        }
+    }
+
+    /// Serves the worker until nothing depends on its agent any more. Returns whether the worker is
+    /// counted as leaving.
+    async fn serve(
         mut self,
         mut announcements: mpsc::Receiver<Announcement>,
         mut incoming: mpsc::Receiver<LeaderUpdate>,
-    ) {
+    ) -> bool {
+        let mut is_leaving = false;
         let mut calls: Calls = FuturesUnordered::new();
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -216,7 +243,7 @@
             self.observe_suspension();
             match input {
                 Input::Announcement(Some(announcement)) => self.handle_announcement(announcement),
-                Input::Announcement(None) => return,
+                Input::Announcement(None) => return is_leaving,
                 Input::Outcome(outcome) => {
                     listing_open &= !self.handle_outcome(outcome, &mut calls);
                 }
@@ -224,7 +251,15 @@
                 Input::Update(update) => self.handle_update(update),
             }
             let now = self.clock.now();
-            if let Some(worker) = self.worker.clone() {
+            if self.core.is_leaving() != is_leaving {
+                is_leaving = !is_leaving;
+                self.count_leaving(is_leaving);
+            }
+            if self.core.is_done(now) {
+                return is_leaving;
+            }
+            let left = self.core.has_left(now);
+            if let Some(worker) = self.worker.clone().filter(|_| !left) {
                 if !listing_open {
                     listing_open = true;
                     self.request_listing(&worker, &mut calls);
@@ -233,21 +268,19 @@
                     self.call(&worker, action, &mut calls);
                 }
             }
-            let left = self.core.has_left(now);
-            let next = AgentUpdate { left, report: self.core.report(now) };
+            let next = self.core.report(now);
             self.outgoing.send_if_modified(|current| {
                 let changed = *current != next;
                 *current = next;
                 changed
             });
-            if left {
-                // The session sends the last report once more before the task ends.
-                tokio::time::sleep(TICK_INTERVAL).await;
-                return;
-            }
         }
     }
 
+    fn count_leaving(&self, is_leaving: bool) {
+        self.leaving.send_modify(|count| if is_leaving { *count += 1 } else { *count -= 1 });
+    }
+
     /// Ages what the agent holds by the time for which the VM was suspended since the last call.
     fn observe_suspension(&mut self) {
         let suspended = self.suspended_time();
--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entries that use an in-memory store.
 
 mod cut_leader;
+mod departures;
 mod network;
 mod operators;
 mod rig;
--- a/crates/coordination/tests/entries/network.rs
+++ b/crates/coordination/tests/entries/network.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// Forwards connections to `target`. While the gate is closed, none carries data.
+pub async fn forward_while_open(
+    listener: TcpListener,
+    target: SocketAddr,
+    gate: watch::Receiver<bool>,
+) {
+    while let Ok((connection, _)) = listener.accept().await {
+        let Ok(upstream) = TcpStream::connect(target).await else { return };
+        let (source_read, source_write) = connection.into_split();
+        let (target_read, target_write) = upstream.into_split();
+        tokio::spawn(pump(source_read, target_write, Some(gate.clone())));
+        tokio::spawn(pump(target_read, source_write, Some(gate.clone())));
+    }
+}
+
 async fn pump(
     mut input: impl AsyncRead + Unpin,
     mut output: impl AsyncWrite + Unpin,
--- a/crates/coordination/tests/entries/workers.rs
+++ b/crates/coordination/tests/entries/workers.rs
@@ -1,5 +1,6 @@
 //! A worker in memory, with the agent beside it.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -35,7 +36,11 @@
 
 /// A worker whose runs never end.
 pub struct EndlessWorker {
+    announcements: mpsc::Sender<Announcement>,
     born: Instant,
+    /// Whether the process has ended, so that nothing listens at its address.
+    down: AtomicBool,
+    id: String,
     orders: Mutex<Vec<Order>>,
     running: Mutex<Vec<RunReport>>,
 }
@@ -48,8 +53,22 @@
 
     /// Starts an agent with the given clock that counts suspensions, beside a new worker.
     pub async fn start_with(store: Arc<dyn Transactor>, boot_clock: Arc<dyn Clock>) -> Arc<Self> {
+        Self::start_named("w", "10.0.0.1:1", store, boot_clock).await
+    }
+
+    /// Starts an agent beside a new worker with the given id and address.
+    pub async fn start_named(
+        id: &str,
+        address: &str,
+        store: Arc<dyn Transactor>,
+        boot_clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let (sender, announcements) = mpsc::channel(4);
         let worker = Arc::new(Self {
+            announcements: sender.clone(),
             born: Instant::now(),
+            down: AtomicBool::new(false),
+            id: id.to_owned(),
             orders: Mutex::default(),
             running: Mutex::default(),
         });
@@ -59,13 +78,12 @@
         let clock = Arc::new(SystemClock::new());
         let agent =
             WorkerAgent::new(settings, store, worker.clone(), clock).with_boot_clock(boot_clock);
-        let (sender, announcements) = mpsc::channel(4);
         tokio::spawn(agent.run(announcements));
         let status = WorkerStatus {
-            address: "10.0.0.1:1".to_owned(),
+            address: address.to_owned(),
             domain: "domain-1".to_owned(),
             draining: false,
-            id: "w".to_owned(),
+            id: id.to_owned(),
             incarnation: 1,
             labels: Vec::new(),
             pool: "renders".to_owned(),
@@ -73,8 +91,9 @@
             remaining: None,
             resources: Resources { accelerators: 8, cores: 64_000, memory: 65_536 },
         };
+        let announcing = worker.clone();
         tokio::spawn(async move {
-            loop {
+            while !announcing.down.load(Ordering::Relaxed) {
                 let announcement = Announcement::Present { status: status.clone() };
                 if sender.send(announcement).await.is_err() {
                     return;
@@ -85,6 +104,13 @@
         worker
     }
 
+    /// Says that the worker leaves, and ends its process.
+    pub async fn leave(&self) {
+        self.down.store(true, Ordering::Relaxed);
+        let left = Announcement::Left { id: self.id.clone() };
+        self.announcements.send(left).await.expect("the agent runs");
+    }
+
     /// Returns the orders so far.
     pub fn orders(&self) -> Vec<Order> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -149,6 +175,10 @@
         call: &RenewalCall,
         wait: Duration,
     ) -> Result<Listing, WorkerError> {
+        if self.down.load(Ordering::Relaxed) {
+            let detail = "nothing listens".to_owned();
+            return Err(WorkerError { id: self.id.clone(), detail, down: true });
+        }
         if call.deadline_ms.is_some() {
             self.record(Order::Renewal(call.epoch));
         }
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -41,6 +41,10 @@
 /// exhausted the descriptors of a worker.
 pub const MAX_OPEN_CALLS: usize = 16;
 
+/// Time for which an agent reports that its worker has left, unless a leader has stored it before.
+/// Leaders of earlier builds never tell that they have.
+const MAX_DEPARTURE_TIME: Duration = Duration::from_secs(600);
+
 type RunKey = (TaskId, u32);
 
 /// Sans-IO core of the agent of one worker. It carries out the coordinator's orders, extends leases
@@ -51,6 +55,8 @@
     answered_report: Option<Instant>,
     calls: BTreeMap<RunKey, RunCalls>,
     clock: Option<ClockReading>,
+    /// Whether it is stored that the worker has left.
+    departure_stored: bool,
     /// Whether no process listened at the worker's address at the last call.
     down: bool,
     ended: BTreeMap<u64, RunEnd>,
@@ -97,6 +103,7 @@
             answered_report: None,
             calls: BTreeMap::new(),
             clock: None,
+            departure_stored: false,
             down: false,
             ended: BTreeMap::new(),
             ends_truncated: false,
@@ -145,11 +152,24 @@
         self.left_at.get_or_insert(now);
     }
 
+    /// Reports whether the worker has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.left_at.is_some()
+    }
+
     /// Reports whether the worker and its runs count as gone.
     pub fn has_left(&self, now: Instant) -> bool {
         self.left_at.is_some_and(|left_at| now >= left_at + LEAVE_DELAY)
     }
 
+    /// Reports whether the worker has left and nothing depends on this agent any more. Until then it
+    /// tells each leader that the worker has left, since one that knows it may end before the rows
+    /// hold it.
+    pub fn is_done(&self, now: Instant) -> bool {
+        let expired = self.left_at.is_some_and(|left_at| now >= left_at + MAX_DEPARTURE_TIME);
+        self.has_left(now) && (self.departure_stored || expired)
+    }
+
     /// Handles orders of the coordinator; returns `false` if their epoch is outdated. The orders
     /// answer the report that was sent at `sent`, and extend the leases by `lease` from then. Orders
     /// for another incarnation answer a report that did not name this one: the coordinator counts it
@@ -170,6 +190,7 @@
         {
             return true;
         }
+        self.departure_stored |= orders.departure_stored;
         if let Some(sent) = sent
             && !lease.is_zero()
             && self.granted_lease.is_none_or(|(at, length)| sent + lease > at + length)
@@ -219,7 +240,7 @@
 
     /// Returns the calls to make now.
     pub fn actions(&mut self, now: Instant) -> Vec<AgentAction> {
-        if !self.has_listing {
+        if !self.has_listing || self.has_left(now) {
             return Vec::new();
         }
         let mut actions = self.start_actions(now);
@@ -406,7 +427,8 @@
                 calls.reported_lapsed = true;
             }
         }
-        let reportable = self.has_listing && !self.fencing_earlier;
+        let left = self.has_left(now);
+        let reportable = left || (self.has_listing && !self.fencing_earlier);
         let uncertain = self.calls.iter().filter(|(_, calls)| calls.start_uncertain);
         WorkerReport {
             agent: self.name.clone(),
@@ -415,6 +437,7 @@
             ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
             ends_truncated: self.ends_truncated,
             lapsed,
+            left,
             listed: reportable,
             refused: self
                 .refused
@@ -487,6 +510,7 @@
         }
         self.incarnation = incarnation;
         self.clock = None;
+        self.departure_stored = false;
         self.down = false;
         self.ended.clear();
         self.ends_truncated = false;
--- a/crates/jobs/src/coordinator/commits.rs
+++ b/crates/jobs/src/coordinator/commits.rs
@@ -155,6 +155,10 @@
                 self.changed_workers.insert(id.clone());
             }
         }
+        let departures = self.departures.iter();
+        let stored = departures.filter(|(_, departure)| self.is_stored(departure));
+        let stored: Vec<String> = stored.map(|(id, _)| id.clone()).collect();
+        self.changed_workers.extend(stored);
     }
 }
 
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -124,6 +124,8 @@
     changed_jobs: BTreeSet<String>,
     changed_workers: BTreeSet<String>,
     decisions: Vec<Decision>,
+    /// Workers that have left, by id, while their agents have sessions.
+    departures: BTreeMap<String, Departure>,
     estimates: Estimates,
     fleet: Fleet,
     /// Number of stored rows beyond the first, of each job whose state takes more than one row.
@@ -150,6 +152,15 @@
     write_limit: usize,
 }
 
+/// A worker that has left.
+#[derive(Clone, Debug)]
+struct Departure {
+    incarnation: u64,
+    /// Versions of the jobs of its last runs, by id, that must be durable before its agent may stop
+    /// reporting that it has left.
+    versions: BTreeMap<String, u64>,
+}
+
 /// A decision for the log, with its subject and its reason.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
@@ -201,6 +212,7 @@
             changed_jobs: BTreeSet::new(),
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
+            departures: BTreeMap::new(),
             estimates: Estimates::new(),
             fleet: Fleet::new(),
             further_rows: BTreeMap::new(),
@@ -435,7 +447,9 @@
     /// as the size of a message allows; otherwise its run is one to keep, for which the agent does
     /// nothing yet.
     pub fn orders(&self, worker: &str) -> Orders {
-        let Some(state) = self.fleet.workers.get(worker) else { return Orders::default() };
+        let Some(state) = self.fleet.workers.get(worker) else {
+            return self.departure_orders(worker);
+        };
         let mut orders = Orders {
             ended_through: state.acked,
             incarnation: state.status.incarnation,
@@ -474,6 +488,24 @@
         orders
     }
 
+    /// Returns the orders for a worker that is not in the fleet: none, or that its departure is stored.
+    fn departure_orders(&self, worker: &str) -> Orders {
+        let departure = self.departures.get(worker);
+        let Some(departure) = departure.filter(|departure| self.is_stored(departure)) else {
+            return Orders::default();
+        };
+        Orders {
+            departure_stored: true,
+            incarnation: departure.incarnation,
+            worker: worker.to_owned(),
+            ..Orders::default()
+        }
+    }
+
+    fn is_stored(&self, departure: &Departure) -> bool {
+        departure.versions.iter().all(|(job, version)| self.is_durable(job, *version))
+    }
+
     /// Returns the tasks whose start is ordered at a worker: their rows are durable, the worker does
     /// not list them yet, and a message holds them.
     fn ordered_starts<'a>(&'a self, worker: &'a FleetWorker) -> BTreeSet<&'a TaskId> {
@@ -502,6 +534,7 @@
 
     /// Records the end of a worker's session. The worker gets no new work until it reports again.
     pub fn end_session(&mut self, worker: &str) {
+        self.departures.remove(worker);
         if let Some(state) = self.fleet.workers.get_mut(worker) {
             state.has_session = false;
         }
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::entry::Placement;
-use super::{Coordinator, DecisionKind, Timestamp};
+use super::{Coordinator, DecisionKind, Departure, Timestamp};
 use crate::late_starts::LATE_START_LIMIT;
 use crate::{
     EndKind, Fault, FleetWorker, LossCause, RefusalKind, Resources, RunEnd, RunRefusal, StepId,
@@ -21,6 +22,10 @@
     /// Handles the report of an agent.
     pub fn report(&mut self, now: Timestamp, report: &WorkerReport) {
         let Some(status) = &report.worker else { return };
+        if report.left {
+            self.record_departure(now, status, &report.ended);
+            return;
+        }
         if !self.admit_incarnation(now, status) {
             return;
         }
@@ -90,6 +95,24 @@
         }
     }
 
+    /// Takes in the last ends of a worker that has left, ends its other runs, and remembers which rows
+    /// must be stored before its agent may stop reporting it.
+    fn record_departure(&mut self, now: Timestamp, status: &WorkerStatus, ended: &[RunEnd]) {
+        let runs = self.fleet.workers.get(&status.id).into_iter().flat_map(|worker| &worker.runs);
+        let mut jobs: BTreeSet<String> = runs.map(|(task, _)| task.job.clone()).collect();
+        if let Some(earlier) = self.departures.get(&status.id) {
+            jobs.extend(earlier.versions.keys().cloned());
+        }
+        for end in ended {
+            self.handle_end(now, status, end);
+        }
+        self.remove_worker(now, &status.id, status.incarnation);
+        let version = |id: String| Some((id.clone(), self.jobs.get(&id)?.version));
+        let versions = jobs.into_iter().filter_map(version).collect();
+        let departure = Departure { incarnation: status.incarnation, versions };
+        self.departures.insert(status.id.clone(), departure);
+    }
+
     /// Removes a worker that is certainly gone, and ends its runs.
     pub fn remove_worker(&mut self, now: Timestamp, id: &str, incarnation: u64) {
         let Some(worker) = self.fleet.workers.get(id) else { return };
@@ -152,6 +175,7 @@
 
     fn add_worker(&mut self, now: Timestamp, status: &WorkerStatus) {
         self.end_earlier_incarnations(now, status);
+        self.departures.remove(&status.id);
         let worker = FleetWorker::new(&status.id, status.incarnation, now.monotonic);
         self.fleet.workers.insert(status.id.clone(), worker);
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -116,6 +116,8 @@
     pub ends_truncated: bool,
     /// Whether every lease at the worker is certain to have lapsed since the agent last reached it.
     pub lapsed: bool,
+    /// Whether the worker has left for good and runs nothing any more.
+    pub left: bool,
     /// Whether `running` was read from this incarnation of the worker.
     pub listed: bool,
     /// Starts that were refused.
@@ -170,6 +172,8 @@
 /// Orders for a worker. They replace all earlier ones.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Orders {
+    /// Whether it is stored that the worker has left, so that its agent need not report it again.
+    pub departure_stored: bool,
     /// Ends up to this number are durable and need not be reported again.
     pub ended_through: u64,
     /// Incarnation that the orders are for.
--- a/crates/jobs/tests/coordinator/sim_pool.rs
+++ b/crates/jobs/tests/coordinator/sim_pool.rs
@@ -402,11 +402,7 @@
                 continue;
             }
             leader.sessions.insert(status.id.clone(), (index, sent.session));
-            if sent.left {
-                leader.core.remove_worker(now, &status.id, status.incarnation);
-            } else {
-                leader.core.report(now, &sent.report);
-            }
+            leader.core.report(now, &sent.report);
             if sent.session == site.session {
                 self.send_orders(leader, index, &status.id, Some(sent.sent));
             }
--- a/crates/jobs/tests/coordinator/sim_site.rs
+++ b/crates/jobs/tests/coordinator/sim_site.rs
@@ -29,7 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct SentReport {
     pub due_ms: u64,
-    pub left: bool,
     pub report: WorkerReport,
     pub sent: Instant,
     pub session: u64,
@@ -375,12 +374,11 @@
         if rng.u8(..) < self.call_faults / 4 {
             due_ms += rng.u64(1..10) * 200;
         }
-        let left = agent.has_left(now.monotonic);
         let (sent, session) = (now.monotonic, self.session);
         if let Some(last) = self.reports.iter().rfind(|last| last.session == session) {
             due_ms = due_ms.max(last.due_ms);
         }
-        self.reports.push_back(SentReport { due_ms, left, report, sent, session });
+        self.reports.push_back(SentReport { due_ms, report, sent, session });
     }
 }
 
