Count a worker as gone only by proof

Cause: the agent took the message that a worker leaves, and an announcement with its address, for the end of its runs 0.5 s later, whether or not the worker still answered. Change: a worker that leaves gets no new work and its runs are moved; it is gone when its address refuses connections, another worker answers there, a listing requested after the message is empty, or all leases have lapsed. Why it works: what frees a run is an answer, or its absence for as long as its leases last, and no longer a statement.

--- a/crates/coordination/src/worker_control.rs
+++ b/crates/coordination/src/worker_control.rs
@@ -22,6 +22,8 @@
     pub detail: String,
     /// Whether no process listens at the worker's address.
     pub down: bool,
+    /// Whether another worker answers at its address.
+    pub replaced: bool,
 }
 
 /// Interface to the workers. Implementations never send a call twice.
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -74,8 +74,6 @@
 
 /// The agent of a VM. Runs one task for each worker that announces itself on the VM.
 pub struct WorkerAgent {
-    /// Id and incarnation of the latest worker at each address.
-    addresses: BTreeMap<String, (String, u64)>,
     /// Clock that counts suspensions of the VM.
     boot_clock: Arc<dyn Clock>,
     clock: Arc<dyn Clock>,
@@ -95,10 +93,10 @@
         control: Arc<dyn WorkerControl>,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        let (addresses, workers) = (BTreeMap::new(), BTreeMap::new());
+        let workers = BTreeMap::new();
         let boot_clock = Arc::new(BootClock::new());
         let leaving = watch::Sender::new(0);
-        Self { addresses, boot_clock, clock, control, leaving, settings, store, workers }
+        Self { boot_clock, clock, control, leaving, settings, store, workers }
     }
 
     /// Returns the number of workers that leave while no leader has stored it. An agent that ends
@@ -126,9 +124,6 @@
                 }
                 self.workers.insert(id.clone(), self.start_worker());
             }
-            if let Announcement::Present { status } = &announcement {
-                self.end_earlier_worker(status).await;
-            }
             if let Some(sender) = self.workers.get(&id) {
                 // Sending fails when the task has ended, which happens only after its worker has
                 // left.
@@ -137,22 +132,6 @@
         }
     }
 
-    /// Ends the task of an earlier worker at the same address, because two workers cannot share
-    /// one.
-    async fn end_earlier_worker(&mut self, status: &WorkerStatus) {
-        let current = (status.id.clone(), status.incarnation);
-        let previous = self.addresses.insert(status.address.clone(), current);
-        let Some((id, incarnation)) = previous.filter(|(id, _)| *id != status.id) else { return };
-        if incarnation > status.incarnation {
-            self.addresses.insert(status.address.clone(), (id, incarnation));
-            return;
-        }
-        if let Some(sender) = self.workers.get(&id) {
-            // Sending fails when the task has ended, which needs no handling.
-            let _ = sender.send(Announcement::Left { id }).await;
-        }
-    }
-
     fn start_worker(&self) -> mpsc::Sender<Announcement> {
         let (sender, announcements) = mpsc::channel(16);
         let core = AgentCore::new(&self.settings.name, self.settings.limits, self.clock.now());
@@ -395,6 +374,9 @@
                 if error.down {
                     self.core.record_down();
                 }
+                if error.replaced {
+                    self.core.record_replaced(now);
+                }
                 self.failed_listings += 1;
                 let first = self.failed_listings == 1 && !error.down;
                 add_delay(if first { FIRST_RETRY_DELAY } else { RETRY_DELAY }, calls);
--- a/crates/coordination/tests/entries/workers.rs
+++ b/crates/coordination/tests/entries/workers.rs
@@ -177,7 +177,7 @@
     ) -> Result<Listing, WorkerError> {
         if self.down.load(Ordering::Relaxed) {
             let detail = "nothing listens".to_owned();
-            return Err(WorkerError { id: self.id.clone(), detail, down: true });
+            return Err(WorkerError { id: self.id.clone(), detail, down: true, replaced: false });
         }
         if call.deadline_ms.is_some() {
             self.record(Order::Renewal(call.epoch));
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -33,9 +33,6 @@
 /// second, and a successor that this agent cannot reach may have cancelled a job in the meantime.
 const ORDERS_VALIDITY: Duration = Duration::from_millis(2500);
 
-/// Time from the last message of a leaving worker until its runs count as gone.
-const LEAVE_DELAY: Duration = Duration::from_millis(500);
-
 /// Maximum number of starts, of stops and of changes of speed that are open at a time. A worker serves
 /// 64 connections, which the renewal of its leases needs as well; 262 starts that were sent at once
 /// exhausted the descriptors of a worker.
@@ -66,6 +63,8 @@
     /// Whether runs of an earlier incarnation may still start here. Nothing is reported until they
     /// are fenced.
     fencing_earlier: bool,
+    /// Whether it is certain that nothing runs at the worker any more.
+    gone: bool,
     granted_lease: Option<(Instant, Duration)>,
     /// Whether the current incarnation has answered a listing.
     has_listing: bool,
@@ -82,6 +81,8 @@
     /// Latest end of a lease that was sent to the worker, on its clock.
     latest_deadline: Option<f64>,
     late_starts: LateStarts,
+    /// Number of the last renewal call when the worker said that it leaves.
+    leave_call: u64,
     left_at: Option<Instant>,
     limits: AgentLimits,
     /// When the listings that have not been read were requested, by the number of their call.
@@ -109,6 +110,7 @@
             ends_truncated: false,
             epoch: 0,
             fencing_earlier: false,
+            gone: false,
             granted_lease: None,
             has_listing: false,
             has_orders: false,
@@ -119,6 +121,7 @@
             last_contact: None,
             latest_deadline: None,
             late_starts: LateStarts::new(),
+            leave_call: 0,
             left_at: None,
             limits,
             listing_requests: BTreeMap::new(),
@@ -147,9 +150,25 @@
         }
     }
 
-    /// Records that the worker has left for good.
+    /// Records that the worker has said that it leaves. The message may be old, and the worker may still
+    /// run tasks, so that this alone proves nothing.
     pub fn leave(&mut self, now: Instant) {
-        self.left_at.get_or_insert(now);
+        if self.left_at.is_some() {
+            return;
+        }
+        self.left_at = Some(now);
+        self.leave_call = self.last_call;
+        self.gone |= self.down;
+        if let Some(status) = &mut self.status {
+            status.draining = true;
+            status.remaining = Some(Duration::ZERO);
+        }
+    }
+
+    /// Records that another worker answers at the address of this one, which has therefore ended.
+    pub fn record_replaced(&mut self, now: Instant) {
+        self.leave(now);
+        self.gone = true;
     }
 
     /// Reports whether the worker has said that it leaves.
@@ -157,9 +176,11 @@
         self.left_at.is_some()
     }
 
-    /// Reports whether the worker and its runs count as gone.
+    /// Reports whether the worker has left and nothing can run there any more: no process listens at
+    /// its address, another worker answers there, a listing that was requested after its last message
+    /// shows no runs, or all leases have lapsed.
     pub fn has_left(&self, now: Instant) -> bool {
-        self.left_at.is_some_and(|left_at| now >= left_at + LEAVE_DELAY)
+        self.is_leaving() && (self.gone || self.is_lapsed(now))
     }
 
     /// Reports whether the worker has left and nothing depends on this agent any more. Until then it
@@ -314,7 +335,7 @@
                 }
             }
             StartAnswer::Late | StartAnswer::Outdated => {}
-            StartAnswer::Down => self.down = true,
+            StartAnswer::Down => self.record_down(),
             StartAnswer::Unanswered => {
                 calls.start_uncertain = true;
                 self.late_starts.record(key, now);
@@ -338,6 +359,7 @@
     /// it answers a listing.
     pub fn record_down(&mut self) {
         self.down = true;
+        self.gone |= self.is_leaving();
     }
 
     /// Returns the parameters of the next call that extends the leases.
@@ -403,9 +425,10 @@
         if !self.ends_truncated {
             self.resolve_fenced(number);
         }
-        if self.fencing_earlier && self.calls.is_empty() && self.running.is_empty() {
-            self.fencing_earlier = false;
-        }
+        let idle = self.calls.is_empty() && self.running.is_empty();
+        self.fencing_earlier &= !idle;
+        let after_leave = self.is_leaving() && number > self.leave_call;
+        self.gone |= after_leave && idle && !self.ends_truncated;
     }
 
     /// Reports whether ends wait to be acknowledged. A further listing would repeat them.
@@ -512,6 +535,7 @@
         self.clock = None;
         self.departure_stored = false;
         self.down = false;
+        self.gone = false;
         self.ended.clear();
         self.ends_truncated = false;
         self.latest_deadline = None;
