Let the worker confirm a later incarnation of itself

Callers would see: runs taken for lost, and workers that are never heard again, after a check-in of another writer with the id of a worker at work and a later start time; found beside the check-in with a false address. Cause: an announcement switched the incarnation at once, and the listings of the worker then counted as outdated. One with another address sent all calls there. Change: while the worker answers, a later incarnation waits for its own listing; within an incarnation the address stays. Why it works: the listing comes over a connection to the worker itself.

--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -238,7 +238,7 @@
                 return is_leaving;
             }
             let left = self.core.has_left(now);
-            if let Some(worker) = self.worker.clone().filter(|_| !left) {
+            if let Some(worker) = self.address().filter(|_| !left) {
                 if !listing_open {
                     listing_open = true;
                     self.request_listing(&worker, &mut calls);
@@ -256,6 +256,15 @@
         }
     }
 
+    /// Returns the address of the worker, also while a later incarnation at it is not announced yet.
+    fn address(&mut self) -> Option<WorkerAddress> {
+        if let Some(status) = self.core.status() {
+            let (address, id) = (status.address.clone(), status.id.clone());
+            self.worker = Some(WorkerAddress { address, id });
+        }
+        self.worker.clone()
+    }
+
     fn count_leaving(&self, is_leaving: bool) {
         self.leaving.send_modify(|count| if is_leaving { *count += 1 } else { *count -= 1 });
     }
@@ -296,7 +305,7 @@
         let now = self.clock.now();
         match announcement {
             Announcement::Present { status } => {
-                let (id, address) = (status.id.clone(), status.address.clone());
+                let (id, address) = (&status.id, &status.address);
                 if self.core.status().is_none() {
                     let event = Event::AgentJoined;
                     let (code, event) = (event.code(), event.name());
@@ -310,13 +319,6 @@
                     );
                 }
                 self.core.announce(now, &status);
-                if self
-                    .core
-                    .status()
-                    .is_some_and(|current| current.incarnation == status.incarnation)
-                {
-                    self.worker = Some(WorkerAddress { address, id });
-                }
             }
             Announcement::Left { .. } => self.core.leave(now),
         }
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -48,6 +48,8 @@
 /// no longer than the coordinator allows, and reports only what is certain.
 #[derive(Debug)]
 pub struct AgentCore {
+    /// Announcement of a later incarnation that the worker has not confirmed.
+    announced: Option<WorkerStatus>,
     /// When the report that the current orders answer was sent.
     answered_report: Option<Instant>,
     calls: BTreeMap<RunKey, RunCalls>,
@@ -101,6 +103,7 @@
     /// Returns the core of the agent on the VM `name`.
     pub fn new(name: &str, limits: AgentLimits, now: Instant) -> Self {
         Self {
+            announced: None,
             answered_report: None,
             calls: BTreeMap::new(),
             clock: None,
@@ -135,18 +138,28 @@
         }
     }
 
-    /// Handles an announcement of the worker. One of an earlier incarnation is ignored.
+    /// Handles an announcement of the worker. One of an earlier incarnation is ignored, and one of a
+    /// later incarnation waits for the worker's own listing while the worker answers: another writer
+    /// may have sent it.
     pub fn announce(&mut self, now: Instant, status: &WorkerStatus) {
         if status.incarnation < self.incarnation {
             return;
         }
+        let answers = self.has_listing && self.is_reached(now);
+        if status.incarnation > self.incarnation && answers {
+            self.announced = Some(status.clone());
+            return;
+        }
         self.switch_incarnation(now, status.incarnation);
-        let draining = self.status.as_ref().is_some_and(|status| status.draining);
-        self.status = Some(status.clone());
-        if let Some(current) = &mut self.status {
+        let earlier = self.status.replace(status.clone());
+        if let (Some(current), Some(earlier)) = (&mut self.status, earlier) {
             // An incarnation that drains never serves again; a late announcement must not revert
             // that.
-            current.draining |= draining;
+            current.draining |= earlier.draining;
+            if self.has_listing {
+                // A process does not change its address.
+                current.address = earlier.address;
+            }
         }
     }
 
@@ -405,6 +418,10 @@
             return;
         }
         self.switch_incarnation(now, listing.incarnation);
+        if self.status.is_none() {
+            let confirmed = |status: &mut WorkerStatus| status.incarnation == listing.incarnation;
+            self.status = self.announced.take_if(confirmed);
+        }
         let unread = self.listing_requests.split_off(&(number + 1));
         let requested_at = std::mem::replace(&mut self.listing_requests, unread).remove(&number);
         self.last_contact =
--- a/crates/jobs/tests/departures.rs
+++ b/crates/jobs/tests/departures.rs
@@ -163,3 +163,45 @@
         assert!(rig.core.is_done(rig.now), "stored: {stored}");
     }
 }
+
+/// Guards against a check-in of another writer, with the id of a worker at work and a later start
+/// time, that makes its agent take the runs for lost. The listing of the worker tells its incarnation.
+#[test]
+fn announce_false_incarnation() {
+    let mut rig = Rig::new();
+    let later = WorkerStatus { incarnation: INCARNATION + 5000, ..status() };
+    rig.core.announce(rig.now, &later);
+    rig.advance(300);
+    rig.list(&[1]);
+    let report = rig.core.report(rig.now);
+    assert_eq!(report.worker.map(|worker| worker.incarnation), Some(INCARNATION));
+    assert_eq!(report.running.len(), 1);
+    rig.core.announce(rig.now, &status());
+    assert_eq!(rig.core.status().map(|status| status.incarnation), Some(INCARNATION));
+}
+
+/// Guards against a later incarnation that is taken for a false one: its listing confirms it.
+#[test]
+fn announce_later_incarnation() {
+    let mut rig = Rig::new();
+    let later = WorkerStatus {
+        address: "10.0.0.1:1".to_owned(),
+        incarnation: INCARNATION + 5000,
+        ..status()
+    };
+    rig.core.announce(rig.now, &later);
+    let call = rig.core.next_renewal(rig.now);
+    let listing = Listing { incarnation: INCARNATION + 5000, ..Listing::default() };
+    rig.core.handle_listing(rig.now, call.number, &listing);
+    assert_eq!(rig.core.status(), Some(&later));
+}
+
+/// Guards against calls that go elsewhere because a check-in of another writer names the worker with
+/// another address: a process does not change its address.
+#[test]
+fn announce_false_address() {
+    let mut rig = Rig::new();
+    let elsewhere = WorkerStatus { address: "10.0.0.9:1".to_owned(), ..status() };
+    rig.core.announce(rig.now, &elsewhere);
+    assert_eq!(rig.core.status().map(|status| status.address.as_str()), Some(""));
+}
