Confirm the leadership before a job is said not to exist

Cause: the answer relied on a confirmation by the store of up to 3 s ago, and another entry takes over within 1 to 1.5 s. Change: 410 and 409 wait for a call to the store that was sent after the caller's call arrived and confirms the leadership; without one the call is sent to the successor or refused. States and numbers of jobs need one no older than 3 s. Why it works: whatever another leader accepted before the call would have changed the record that the confirmation reads.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -15,6 +15,7 @@
 use crate::boot_time::boot_time;
 use crate::calls::{JobAnswer, JobCall};
 use crate::convert::{encode_orders, millis};
+use crate::held_calls::HeldCalls;
 use crate::journal::{CommitOutcome, Journal};
 use crate::leader_context::LeaderContext;
 use crate::leader_message::LeaderMessage;
@@ -85,6 +86,7 @@
     context: LeaderContext,
     coordinator: Coordinator,
     epoch: u64,
+    held_calls: HeldCalls,
     /// Number of the latest session that has reported for each worker.
     latest_sessions: HashMap<String, u64>,
     sessions: HashMap<u64, Session>,
@@ -131,6 +133,7 @@
             context,
             coordinator,
             epoch: journal.epoch(),
+            held_calls: HeldCalls::new(),
             latest_sessions: HashMap::new(),
             sessions: HashMap::new(),
             store_called,
@@ -193,6 +196,7 @@
                         return LeadershipEnd::Deposed;
                     }
                     idle_journal = Some(journal);
+                    self.answer_confirmed();
                 }
                 _ = tick.tick() => {
                     let now = self.now();
@@ -200,6 +204,9 @@
                     self.audit(now);
                     self.refuse_stuck_submissions();
                     self.announce_confirmation();
+                    if !self.is_confirmed() {
+                        self.held_calls.give_up();
+                    }
                     self.update_gauges();
                 }
                 Ok(()) = tables.changed() => {
@@ -300,6 +307,8 @@
         }
         let interval = if failing {
             PROBE_INTERVAL
+        } else if self.held_calls.is_waiting(self.confirmed_at) {
+            Duration::ZERO
         } else if self.context.followers.are_silent() {
             CUT_OFF_CONFIRM_INTERVAL
         } else {
@@ -453,7 +462,50 @@
     }
 
     fn handle_call(&mut self, now: Timestamp, call: JobCall, reply: oneshot::Sender<JobAnswer>) {
-        if let Some(answer) = self.deny(&call) {
+        if self.is_confirmed() && self.needs_confirmation(&call) {
+            self.held_calls.add(call, boot_time(), reply);
+            return;
+        }
+        self.answer_call(now, call, reply, false);
+    }
+
+    /// Answers the calls for which the leadership is confirmed.
+    fn answer_confirmed(&mut self) {
+        let now = self.now();
+        for (call, reply) in self.held_calls.take_confirmed(self.confirmed_at) {
+            self.answer_call(now, call, reply, true);
+        }
+    }
+
+    /// Reports whether the answer to a call is true only if this entry still leads. That a job does not
+    /// exist, or that its id is in use, needs a confirmation sent after the call arrived. States and
+    /// numbers of jobs may be as old as the confirmations that are sent all the time.
+    fn needs_confirmation(&self, call: &JobCall) -> bool {
+        let age = boot_time().saturating_sub(self.confirmed_at);
+        let outdated = age > CONFIRM_INTERVAL * 2;
+        match call {
+            JobCall::Submit(..) => self.is_denied(call),
+            JobCall::Cancel(id, _) => self.is_denied(call) || self.coordinator.view(id).is_none(),
+            JobCall::State(id, _) => {
+                outdated || self.is_denied(call) || self.coordinator.view(id).is_none()
+            }
+            JobCall::Pending(_) => outdated,
+        }
+    }
+
+    fn is_denied(&self, call: &JobCall) -> bool {
+        call.access().is_some_and(|(id, access)| self.coordinator.is_denied(id, &access))
+    }
+
+    /// Answers a call. `confirmed` tells whether the leadership was confirmed after it arrived.
+    fn answer_call(
+        &mut self,
+        now: Timestamp,
+        call: JobCall,
+        reply: oneshot::Sender<JobAnswer>,
+        confirmed: bool,
+    ) {
+        if let Some(answer) = self.deny(&call, confirmed) {
             // Sending fails when the caller has left, which needs no handling.
             let _ = reply.send(answer);
             return;
@@ -481,11 +533,11 @@
                     self.waiting_callers.add(id, version, false, reply);
                     return;
                 }
-                None => self.absent_answer(),
+                None => absent_answer(confirmed),
             },
             JobCall::State(id, _) => match self.coordinator.view(&id) {
                 Some(view) => JobAnswer::State(view.state),
-                None => self.absent_answer(),
+                None => absent_answer(confirmed),
             },
             JobCall::Pending(route) => JobAnswer::Pending(
                 u64::try_from(self.coordinator.pending(&route)).unwrap_or(u64::MAX),
@@ -497,15 +549,15 @@
 
     /// Returns the answer to a call about a job of another team or route: that of a job that does not
     /// exist, so that callers cannot find out the ids of others. `None` if the call is allowed.
-    fn deny(&mut self, call: &JobCall) -> Option<JobAnswer> {
-        let (id, access) = call.access()?;
-        if !self.coordinator.is_denied(id, &access) {
+    fn deny(&mut self, call: &JobCall, confirmed: bool) -> Option<JobAnswer> {
+        if !self.is_denied(call) {
             return None;
         }
+        let (id, access) = call.access()?;
         let answer = match call {
             // An id names one job, so that the submission cannot be accepted.
-            JobCall::Submit(..) => JobAnswer::Taken,
-            _ => self.absent_answer(),
+            JobCall::Submit(..) if confirmed => JobAnswer::Taken,
+            _ => absent_answer(confirmed),
         };
         let event = Event::RequestDenied;
         let JobAccess { open, route, team } = access;
@@ -516,15 +568,6 @@
         Some(answer)
     }
 
-    /// Answers that a job does not exist, but only while no other entry can have accepted it.
-    fn absent_answer(&self) -> JobAnswer {
-        let age = boot_time().saturating_sub(self.confirmed_at);
-        if age > CONFIRM_INTERVAL * 2 {
-            return JobAnswer::NotLeading;
-        }
-        JobAnswer::Absent
-    }
-
     fn is_stuck(&self) -> bool {
         let now = self.context.clock.now();
         let stuck = self
@@ -586,6 +629,11 @@
     }
 }
 
+/// Answers that a job does not exist, unless another entry may have accepted it.
+fn absent_answer(confirmed: bool) -> JobAnswer {
+    if confirmed { JobAnswer::Absent } else { JobAnswer::NotLeading }
+}
+
 fn store_down_answer() -> JobAnswer {
     JobAnswer::Refused { reason: "the store is down".to_owned(), retry: STORE_RETRY_AFTER }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod entry_settings;
 mod followers;
+mod held_calls;
 mod journal;
 mod leader;
 mod leader_context;
--- a/crates/coordination/tests/entries/cut_leader.rs
+++ b/crates/coordination/tests/entries/cut_leader.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use skylarkpulley_coordination::{JobAnswer, JobCall, LeaderRecord};
-use skylarkpulley_jobs::Limits;
+use skylarkpulley_jobs::{JobAccess, Limits};
 use skylarkpulley_store::MemoryTransactor;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::network::{GatedStore, forward_first};
+use crate::network::{GatedStore, forward_first, forward_while_open};
 use crate::rig::{job, start, start_announced, start_with, until_ready};
 use crate::sessions::{Session, client};
 use crate::workers::{EndlessWorker, Order};
@@ -49,6 +49,44 @@
     }
 }
 
+/// Guards against a leader that has been replaced without knowing it and answers that a job does not
+/// exist which its successor has accepted (review/6). The caller took its cancel for done, and the job
+/// ran on. It gives no such answer until the store confirms it after the call.
+#[tokio::test]
+async fn cut_leader_denies_nothing() {
+    let inner = Arc::new(MemoryTransactor::new());
+    let (gated, store_gate) = GatedStore::new(inner.clone());
+    let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = control.local_addr().expect("an address");
+    let proxy = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let announced = proxy.local_addr().expect("an address");
+    let (peer_gate, peers_open) = watch::channel(true);
+    tokio::spawn(forward_while_open(proxy, target, peers_open));
+    let limits = Limits::default();
+    let (a, _) = start_announced("a", Arc::new(gated), limits, control, announced).await;
+    until_ready(&a).await;
+    let (b, _) = start_with("b", inner.clone(), limits).await;
+    until_ready(&b).await;
+    store_gate.send_replace(false);
+    peer_gate.send_replace(false);
+    let deadline = Instant::now() + HANG_LIMIT;
+    let call = JobCall::Submit(job("j"), false);
+    assert_eq!(b.service().call(&call, deadline).await, JobAnswer::Done);
+    for call in [
+        JobCall::Cancel("j".to_owned(), JobAccess::default()),
+        JobCall::State("j".to_owned(), JobAccess::default()),
+    ] {
+        let deadline = Instant::now() + Duration::from_millis(300);
+        let answer = a.service().call(&call, deadline).await;
+        assert_ne!(answer, JobAnswer::Absent, "{call:?}");
+    }
+    store_gate.send_replace(true);
+    peer_gate.send_replace(true);
+    let cancel = JobCall::Cancel("j".to_owned(), JobAccess::default());
+    let deadline = Instant::now() + HANG_LIMIT;
+    assert_eq!(a.service().call(&cancel, deadline).await, JobAnswer::Done);
+}
+
 /// Guards against agents that stay with a leader which is cut off from the store and from the other
 /// entries, and against one that obeys it after it has moved to the successor. The chain: A leads, A
 /// is cut off, B takes over and A still extends leases, the agent moves, B starts a run, and A comes
