Play departures without a leader in the liveness driver

Change: the core of an agent whose worker has left goes on reporting it beside the next one; a fault ends the leader and lets a worker at work leave; runs of a worker that has left must not be kept for more than 5 s by a leader that its agent reaches.

--- a/crates/jobs/tests/coordinator/liveness.rs
+++ b/crates/jobs/tests/coordinator/liveness.rs
@@ -16,10 +16,10 @@
 use crate::sim_worker::RunFault;
 
 /// Number of cases without a setting.
-const DEFAULT_CASES: u64 = 150;
+const DEFAULT_CASES: u64 = 1500;
 
 /// Number of cases that are played side by side.
-const THREADS: usize = 3;
+const THREADS: usize = 4;
 
 /// Largest number of steps with faults, of 200 ms each.
 const MAX_FAULT_STEPS: u64 = 400;
@@ -34,7 +34,7 @@
 const JOB_KINDS: u32 = 11;
 
 /// Number of kinds of faults.
-const FAULT_KINDS: u32 = 17;
+const FAULT_KINDS: u32 = 18;
 
 /// A random case.
 struct Case {
@@ -195,6 +195,11 @@
             14 => self.pool.rejects_write = true,
             15 => site.frozen_until = later,
             16 => self.pool.leader_frozen_until = soon,
+            17 if site.worker.is_some() => {
+                // It leaves at work, while nobody leads.
+                site.leaves_at = Some(0);
+                self.pool.kill_leader(soon);
+            }
             _ => {}
         }
     }
--- a/crates/jobs/tests/coordinator/sim_pool.rs
+++ b/crates/jobs/tests/coordinator/sim_pool.rs
@@ -23,6 +23,10 @@
 /// Long validity of a permit, in seconds.
 pub const LONG_PERMIT_S: u64 = 600;
 
+/// Longest time for which a leader keeps the runs of a worker that has left while it reaches the agent,
+/// in milliseconds. The leases of silent workers last longer.
+const MAX_HELD_MS: u64 = 5_000;
+
 /// Number of violations that are kept.
 const MAX_VIOLATIONS: usize = 4;
 
@@ -217,12 +221,10 @@
         let now = self.now;
         let site = &mut self.sites[index];
         if site.leaves_at.is_some_and(|at| now.ms >= at) {
-            if let Some(agent) = &mut site.agent {
-                agent.leave(now.monotonic);
-            }
             // An id that has left never comes back.
             let restart = Some((now.ms + 3000, true));
             site.crash(restart);
+            site.depart(now);
         }
         site.restart(now);
         let jobs = &self.jobs;
@@ -337,6 +339,7 @@
         for index in 0..self.sites.len() {
             self.deliver_reports(leader, index, now);
         }
+        self.deliver_departures(leader, now);
         if let Some((due_ms, _)) = &leader.write
             && self.now.ms >= *due_ms
             && let Some((_, rows)) = leader.write.take()
@@ -409,6 +412,44 @@
         }
     }
 
+    /// Delivers what the agents of workers that have left report, and the leader's answers.
+    fn deliver_departures(&mut self, leader: &mut Leader, now: Timestamp) {
+        for index in 0..self.sites.len() {
+            let site = &mut self.sites[index];
+            if self.now.ms < site.linked_at || self.now.ms < site.frozen_until {
+                continue;
+            }
+            let mut held = Vec::new();
+            for departed in &mut site.departed {
+                departed.held_ms += STEP_MS;
+                let orders = leader.core.orders(&departed.id);
+                let left = departed.agent.status().map_or(0, |status| status.incarnation);
+                let runs = [orders.keep.len(), orders.start.len(), orders.stop.len()];
+                // It may have started again under its id.
+                if runs == [0; 3] || orders.incarnation > left {
+                    departed.held_ms = 0;
+                }
+                if departed.held_ms > MAX_HELD_MS {
+                    held.push(departed.id.clone());
+                }
+                if departed.stored || self.rng.u8(..) < site.call_faults {
+                    continue;
+                }
+                let report = departed.agent.report(now.monotonic);
+                leader.core.report(now, &report);
+                let orders = leader.core.orders(&departed.id);
+                let (sent, none) = (Some(now.monotonic), Duration::ZERO);
+                departed.agent.handle_orders(leader.epoch, orders, sent, none);
+                departed.stored = departed.agent.is_done(now.monotonic);
+            }
+            for id in held {
+                let orders = leader.core.orders(&id);
+                self.log(|| format!("{id} has left and is kept: {orders:?}"));
+                self.violations.insert(format!("the runs of {id} are kept although it has left"));
+            }
+        }
+    }
+
     fn send_orders(&mut self, leader: &Leader, index: usize, id: &str, sent: Option<Instant>) {
         let site = &mut self.sites[index];
         if self.now.ms < site.linked_at {
--- a/crates/jobs/tests/coordinator/sim_site.rs
+++ b/crates/jobs/tests/coordinator/sim_site.rs
@@ -69,6 +69,16 @@
     pub ms: u64,
 }
 
+/// A worker that has left, whose agent tells each leader so until one has stored it.
+pub struct Departed {
+    pub agent: AgentCore,
+    /// Time for which a leader that its agent reaches has kept its runs, in milliseconds.
+    pub held_ms: u64,
+    pub id: String,
+    /// Whether a leader has stored that it has left.
+    pub stored: bool,
+}
+
 /// A VM with a worker and its agent.
 pub struct Site {
     pub agent: Option<AgentCore>,
@@ -77,6 +87,7 @@
     calls: Vec<(u64, OpenCall)>,
     /// Share of calls that fail, in 256ths.
     pub call_faults: u8,
+    pub departed: Vec<Departed>,
     /// Until when the agent stands still.
     pub frozen_until: u64,
     /// When a draining worker leaves.
@@ -108,6 +119,7 @@
             agent_at: 0,
             calls: Vec::new(),
             call_faults: 0,
+            departed: Vec::new(),
             frozen_until: 0,
             leaves_at: None,
             id: format!("w{number:02}"),
@@ -158,6 +170,24 @@
     /// Ends the agent process. Another one starts at `at`.
     pub fn end_agent(&mut self, at: u64) {
         self.agent = None;
+        // The process holds what it knows of workers that have left.
+        self.departed.clear();
+        self.open_agent(at);
+    }
+
+    /// Lets the agent report that its worker has left and ended, beside another agent for the next one.
+    pub fn depart(&mut self, now: StepTime) {
+        // A process that has not heard the worker cannot name it.
+        let heard = self.agent.take().filter(|agent| agent.status().is_some());
+        if let Some(mut agent) = heard {
+            agent.leave(now.monotonic);
+            agent.record_down();
+            self.departed.push(Departed { agent, held_ms: 0, id: self.id.clone(), stored: false });
+        }
+        self.open_agent(now.ms);
+    }
+
+    fn open_agent(&mut self, at: u64) {
         self.agent_at = at;
         self.calls.clear();
         self.listing_open = false;
@@ -181,9 +211,10 @@
             self.restart = None;
             self.worker = Some(SimWorker::new(1_000 + now.ms, FULL));
             if new_id {
+                self.agent = None;
+                self.open_agent(now.ms);
                 self.id = format!("w{:02}.{}", self.number, now.ms);
                 self.late_starts.clear();
-                self.end_agent(now.ms);
             }
         }
         if self.agent.is_none() && now.ms >= self.agent_at {
