Give up tasks that crash their workers at the start as before

Tasks that are kept in spite of three or four crashes go on to start alone on idle workers and to wait for calm, so that the pool does little else. Change: the rule of three and four crashes is again independent of other crashes. The rule for crashes after some progress stays.

--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -84,39 +84,33 @@
     }
 
     fn keep_lapsed_runs(&mut self, now: Timestamp, id: &str) {
-        let (unproven, exposed) = (self.unproven_runs(id), self.exposed_runs(now, id));
+        let (unproven, listed) = (self.unproven_runs(id), self.listed_runs(now, id));
         if let Some(worker) = self.fleet.workers.get_mut(id) {
-            worker.lapsed_runs.extend(exposed);
+            worker.lapsed_runs.extend(listed);
             worker.lapsed_starts.extend(unproven);
         }
     }
 
-    /// Returns the runs that a worker lists or may have started, with the time for which it has listed
-    /// them until it was closed.
-    fn exposed_runs(&self, now: Timestamp, id: &str) -> Vec<(TaskId, Duration)> {
+    /// Returns the runs that a worker lists, with the time for which it has until it was closed.
+    fn listed_runs(&self, now: Timestamp, id: &str) -> Vec<(TaskId, Duration)> {
         let Some(worker) = self.fleet.workers.get(id) else { return Vec::new() };
         let until = worker.closed_since.unwrap_or(now.monotonic);
-        let unproven = self.unproven_runs(id);
-        let exposed = |task: &TaskId| {
-            let listed_at = self.placement(task)?.listed_at;
-            let listed = listed_at.map(|at| until.saturating_duration_since(at));
-            let listed = listed.or_else(|| unproven.contains(task).then_some(Duration::ZERO))?;
-            Some((task.clone(), listed))
+        let listed = |task: &TaskId| {
+            let listed_at = self.placement(task)?.listed_at?;
+            Some((task.clone(), until.saturating_duration_since(listed_at)))
         };
-        worker.runs.keys().filter_map(exposed).collect()
+        worker.runs.keys().filter_map(listed).collect()
     }
 
-    /// Weighs the crash of a worker against each task that ran there. If its agent was lost as well,
-    /// only tasks count that are suspect already, as in [`Self::crash_suspects`].
+    /// Weighs the crash of a worker, whose agent has outlived it, against each task that ran there.
     fn record_losses(&mut self, now: Timestamp, id: &str) {
-        let Some(worker) = self.fleet.workers.get_mut(id) else { return };
-        let agent_lost = worker.is_reached && worker.has_reported;
+        let Some(worker) = self.fleet.workers.get_mut(id).filter(|worker| !worker.is_reached)
+        else {
+            return;
+        };
         let pool = worker.status.pool.clone();
         let mut runs = std::mem::take(&mut worker.lapsed_runs);
-        runs.extend(self.exposed_runs(now, id));
-        if agent_lost {
-            runs.retain(|(task, _)| self.suspects.contains(task) && !self.is_proven(task));
-        }
+        runs.extend(self.listed_runs(now, id));
         let crashes = self.pool_crashes.entry(pool.clone()).or_default();
         crashes.retain(|at| now.monotonic.saturating_duration_since(*at) < CRASHES_KEPT);
         crashes.push_back(now.monotonic);
@@ -207,7 +201,7 @@
         };
         state.crash_record.record(unshared);
         state.crashed_at = Some(now.monotonic);
-        let (record, coincidence) = (state.crash_record, state.exposure.is_coincidence());
+        let record = state.crash_record;
         self.suspects.insert(task.clone());
         self.mark_changed(&task.job);
         let detail = format!(
@@ -215,7 +209,7 @@
             record.crashes, record.unshared,
         );
         self.record_decision(&task.to_string(), DecisionKind::CrashRecorded, detail);
-        if record.is_at_limit() || (record.is_exhausted() && !coincidence) {
+        if record.is_exhausted() {
             let reason = format!(
                 "{} workers crashed under {task}, {} of them under no other job",
                 record.crashes, record.unshared
--- a/crates/jobs/src/crash_record.rs
+++ b/crates/jobs/src/crash_record.rs
@@ -44,14 +44,9 @@
         self.crashes >= MAX_CRASHES
     }
 
-    /// Reports whether the task has had all the starts that it may have, whatever caused the crashes.
-    pub fn is_at_limit(&self) -> bool {
-        self.crashes >= MAX_SHARED_CRASHES
-    }
-
-    /// Reports whether the task must not be started again, unless its crashes are a coincidence.
+    /// Reports whether the task must not be started again.
     pub fn is_exhausted(&self) -> bool {
-        self.is_at_limit()
+        self.crashes >= MAX_SHARED_CRASHES
             || (self.crashes >= MAX_MIXED_CRASHES && self.unshared > 0)
             || (self.crashes >= MAX_CRASHES && self.unshared >= MIN_UNSHARED)
     }
--- a/crates/jobs/src/exposure.rs
+++ b/crates/jobs/src/exposure.rs
@@ -7,9 +7,6 @@
 /// this probability at each loss, if workers crash independently of their tasks.
 const MAX_COINCIDENCE: f64 = 1e-5;
 
-/// Probability above which the losses of a task may be a coincidence, whatever else speaks against it.
-const LIKELY_COINCIDENCE: f64 = 1e-3;
-
 /// Shortest time that counts for a lost run. A run starts before it is listed, and that its worker has
 /// crashed is noticed later; without it, runs that a wave of crashes met at their start counted as if
 /// they had hardly been exposed to it.
@@ -62,12 +59,6 @@
         self.losses >= MIN_LOSSES && self.coincidence() < MAX_COINCIDENCE
     }
 
-    /// Reports whether the losses may well be a coincidence: workers crash so often without the task
-    /// that crashes at its starts prove nothing.
-    pub fn is_coincidence(&self) -> bool {
-        self.others > 0 && self.coincidence() > LIKELY_COINCIDENCE
-    }
-
     /// Returns the probability of as many losses or more at the rate of the other crashes.
     pub fn coincidence(&self) -> f64 {
         let without_task = self.worker_ms.saturating_sub(self.exposed_ms).max(1);
