Send acknowledgements and leases only to a confirmed incarnation

Cause: each renewal call carried the acknowledged number and the deadline of the incarnation that the agent knew, also while it waited at the worker for a second and when calls before it had failed. A worker that is back under its id carries out such calls; the numbers of its ends and its clock start anew. So it forgot ends that nobody had read. A run whose end is forgotten looks like one that never started, and was placed again. Its leases became longer than agent and leader knew.

The code sent the number of the earlier incarnation until a listing of the later one was read.

Change: a listing that may be open for long acknowledges and extends nothing. Both go with a short call, an update, directly after an answer of the same incarnation. An update without an answer, or answered by the next incarnation, keeps that one out of use for 30 s, the time within which late calls are carried out. Errors of calls tell whether a worker may have received them.

Four tests requested leases twice without an answer, or let a restarted worker answer within 50 ms; they list in between or wait 100 ms, with the same assertions.

--- a/crates/coordination/src/worker_control.rs
+++ b/crates/coordination/src/worker_control.rs
@@ -22,6 +22,8 @@
     pub detail: String,
     /// Whether no process listens at the worker's address.
     pub down: bool,
+    /// Whether a worker may have carried out the call, or may do so later.
+    pub received: bool,
     /// Whether another worker answers at its address.
     pub replaced: bool,
 }
--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -325,8 +325,10 @@
     }
 
     fn request_listing(&mut self, worker: &WorkerAddress, calls: &mut Calls) {
-        let call: RenewalCall = self.core.next_renewal(self.clock.now());
+        let now = self.clock.now();
+        let call: RenewalCall = self.core.next_renewal(now);
         let wait = match (self.core.awaits_listing(), self.core.is_shared()) {
+            _ if call.is_update() || self.core.awaits_answer(now) => Duration::ZERO,
             (true, _) => STOP_LISTING_WAIT,
             (false, true) => SHARED_LISTING_WAIT,
             (false, false) => LISTING_WAIT,
@@ -365,14 +367,15 @@
             CallOutcome::Listing(number, Ok(listing)) => {
                 self.failed_listings = 0;
                 self.core.handle_listing(now, number, &listing);
-                if self.core.has_ends() {
+                if self.core.has_ends() && !self.core.is_update_due(now) {
                     add_delay(ACK_DELAY, calls);
                     return false;
                 }
                 true
             }
-            CallOutcome::Listing(_, Err(error)) => {
+            CallOutcome::Listing(number, Err(error)) => {
                 tracing::debug!(%error, "worker did not answer a listing; requesting it again");
+                self.core.handle_failed_renewal(now, number, error.received);
                 if error.down {
                     self.core.record_down();
                 }
--- a/crates/coordination/tests/entries/workers.rs
+++ b/crates/coordination/tests/entries/workers.rs
@@ -177,7 +177,8 @@
     ) -> Result<Listing, WorkerError> {
         if self.down.load(Ordering::Relaxed) {
             let detail = "nothing listens".to_owned();
-            return Err(WorkerError { id: self.id.clone(), detail, down: true, replaced: false });
+            let id = self.id.clone();
+            return Err(WorkerError { id, detail, down: true, received: false, replaced: false });
         }
         if call.deadline_ms.is_some() {
             self.record(Order::Renewal(call.epoch));
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -5,6 +5,7 @@
 use crate::late_starts::LateStarts;
 use crate::pacing::is_shared;
 use crate::run_calls::RunCalls;
+use crate::updates::Updates;
 use crate::{
     AgentAction, AgentLimits, Listing, Orders, Pacer, RefusalKind, RenewalCall, RunEnd, RunRefusal,
     RunReport, SharingRun, StartAnswer, StartOrder, TaskId, WorkerReport, WorkerStatus,
@@ -97,6 +98,7 @@
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
     status: Option<WorkerStatus>,
+    updates: Updates,
 }
 
 impl AgentCore {
@@ -135,6 +137,7 @@
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
             status: None,
+            updates: Updates::new(),
         }
     }
 
@@ -255,6 +258,7 @@
         for time in requests.chain(granted).chain(observed) {
             *time -= length;
         }
+        self.updates.unconfirm();
     }
 
     /// Treats the starts in the first orders as sent without an answer, because an earlier process
@@ -375,26 +379,68 @@
         self.gone |= self.is_leaving();
     }
 
-    /// Returns the parameters of the next call that extends the leases.
+    /// Returns the parameters of the next listing, which is an update if one is due and the worker is
+    /// certain to be the current incarnation.
     pub fn next_renewal(&mut self, now: Instant) -> RenewalCall {
         self.last_call += 1;
         self.listing_requests.insert(self.last_call, now);
-        RenewalCall {
-            acked: if self.orders.incarnation == self.incarnation {
-                self.orders.ended_through
-            } else {
-                0
-            },
-            deadline_ms: self.deadline(now),
-            epoch: self.epoch,
-            number: self.last_call,
+        let (epoch, number) = (self.epoch, self.last_call);
+        let (acked, deadline_ms) = if self.is_update_due(now) {
+            (self.unsent_ack().unwrap_or(0), self.deadline(now))
+        } else {
+            (0, None)
+        };
+        let call = RenewalCall { acked, deadline_ms, epoch, number };
+        self.updates.record_call(number, call.is_update().then_some(acked));
+        call
+    }
+
+    /// Reports whether the next listing is an update and need not be delayed.
+    pub fn is_update_due(&self, now: Instant) -> bool {
+        self.updates.is_confirmed(now) && self.has_pending_update(now)
+    }
+
+    /// Reports whether the worker should answer the next listing at once: the incarnation is not known,
+    /// or an update waits for the answer.
+    pub fn awaits_answer(&self, now: Instant) -> bool {
+        !self.has_listing || self.has_pending_update(now)
+    }
+
+    fn has_pending_update(&self, now: Instant) -> bool {
+        let extends = self.updates.is_extension_due(now) && self.lease_end(now).is_some();
+        self.updates.is_safe(now) && (self.unsent_ack().is_some() || extends)
+    }
+
+    /// Returns the number up to which ends can be acknowledged, if the worker does not know it.
+    fn unsent_ack(&self) -> Option<u64> {
+        let stored = self.orders.ended_through;
+        let is_current = self.orders.incarnation == self.incarnation;
+        Some(stored).filter(|stored| is_current && *stored > self.updates.acked())
+    }
+
+    /// Handles a renewal call without an answer. `received` tells whether the worker may have received
+    /// it.
+    pub fn handle_failed_renewal(&mut self, now: Instant, number: u64, received: bool) {
+        if received {
+            self.updates.record_unanswered(now, number);
+        } else {
+            self.updates.record_unsent(number);
         }
     }
 
-    /// Returns the end of the leases on the worker's clock, or `None` when no lease may be
-    /// extended. A worker that does not answer gets no extensions, so that its leases are certain
-    /// to lapse.
+    /// Returns the end of the leases on the worker's clock for the next update or start, or `None` when
+    /// no lease may be extended.
     pub fn deadline(&mut self, now: Instant) -> Option<u64> {
+        let deadline = self.lease_end(now)?;
+        self.latest_deadline =
+            Some(self.latest_deadline.map_or(deadline, |latest| latest.max(deadline)));
+        // Positive and far below 2^53.
+        Some(deadline as u64)
+    }
+
+    /// Returns the end to which leases may be extended. A worker that does not answer gets no
+    /// extensions, so that its leases are certain to lapse.
+    fn lease_end(&self, now: Instant) -> Option<f64> {
         if !self.is_reached(now) || self.lapse_reported.is_some() || self.has_unordered_starts() {
             return None;
         }
@@ -403,13 +449,7 @@
         let limit = clock.earliest_at(sent) + lease.as_secs_f64() * 1000.0;
         let worker_now = clock.earliest_at(now);
         let deadline = limit.min(worker_now + self.limits.extension.as_secs_f64() * 1000.0).floor();
-        if deadline <= worker_now {
-            return None;
-        }
-        self.latest_deadline =
-            Some(self.latest_deadline.map_or(deadline, |latest| latest.max(deadline)));
-        // Positive and far below 2^53.
-        Some(deadline as u64)
+        (deadline > worker_now).then_some(deadline)
     }
 
     /// Handles the listing with which the worker answers the renewal call `number`.
@@ -426,6 +466,7 @@
         let requested_at = std::mem::replace(&mut self.listing_requests, unread).remove(&number);
         self.last_contact =
             Some(requested_at.map_or(now, |requested_at| now.min(requested_at + LISTING_VALIDITY)));
+        self.updates.record_answer(now, number, requested_at);
         self.has_listing = true;
         self.down = false;
         self.clock = Some(ClockReading { ms: listing.clock_ms as f64, received: now });
@@ -468,7 +509,8 @@
             }
         }
         let left = self.has_left(now);
-        let reportable = left || (self.has_listing && !self.fencing_earlier);
+        let usable = !self.fencing_earlier && self.updates.is_safe(now);
+        let reportable = left || (self.has_listing && usable);
         let uncertain = self.calls.iter().filter(|(_, calls)| calls.start_uncertain);
         WorkerReport {
             agent: self.name.clone(),
@@ -566,6 +608,7 @@
         self.running.clear();
         self.known_since = now;
         self.status = None;
+        self.updates.switch_incarnation(now);
     }
 
     fn ordered_runs(&self) -> BTreeSet<RunKey> {
@@ -583,7 +626,8 @@
     fn start_actions(&mut self, now: Instant) -> Vec<AgentAction> {
         let valid = self.answered_report.is_some_and(|at| now < at + ORDERS_VALIDITY);
         let leases_uncertain = !self.is_reached(now) || self.lapse_reported.is_some();
-        if self.fencing_earlier || !valid || leases_uncertain || self.has_unordered_starts() {
+        let unusable = self.fencing_earlier || !self.updates.is_safe(now);
+        if unusable || !valid || leases_uncertain || self.has_unordered_starts() {
             return Vec::new();
         }
         if self.status.as_ref().is_some_and(|status| status.draining) {
--- a/crates/jobs/src/agent_calls.rs
+++ b/crates/jobs/src/agent_calls.rs
@@ -59,10 +59,10 @@
     pub running: Vec<RunReport>,
 }
 
-/// Parameters of a call that extends the leases and lists the runs.
+/// Parameters of a call that lists the runs. An update also acknowledges ends or extends the leases.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RenewalCall {
-    /// Ends up to this number are durable.
+    /// Ends up to this number are durable; 0 if the call acknowledges none.
     pub acked: u64,
     /// End of the leases on the worker's clock; `None` if they must not be extended.
     pub deadline_ms: Option<u64>,
@@ -71,3 +71,11 @@
     /// Number of the call for [`crate::AgentCore::handle_listing`].
     pub number: u64,
 }
+
+impl RenewalCall {
+    /// Reports whether the call changes the worker, so that it must be short: another incarnation must
+    /// not receive it.
+    pub fn is_update(&self) -> bool {
+        self.acked > 0 || self.deadline_ms.is_some()
+    }
+}
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -3,7 +3,7 @@
 
 use super::entry::Placement;
 use super::{Coordinator, DecisionKind, Departure, Timestamp};
-use crate::late_starts::LATE_START_LIMIT;
+use crate::late_starts::LATE_CALL_LIMIT;
 use crate::{
     EndKind, Fault, FleetWorker, LossCause, RefusalKind, Resources, RunEnd, RunRefusal, StepId,
     TaskId, WorkerReport, WorkerStatus,
@@ -198,7 +198,7 @@
         let Some(placement) = entry.placement(&task.key) else { return false };
         let ordered = entry.durable_version >= placement.version;
         let settled = placement.listed_at.is_some_and(|listed_at| {
-            now.monotonic.saturating_duration_since(listed_at) > LATE_START_LIMIT
+            now.monotonic.saturating_duration_since(listed_at) > LATE_CALL_LIMIT
         });
         ordered && !settled
     }
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -3,10 +3,10 @@
 
 use crate::TaskId;
 
-/// A start that was not answered may be carried out up to this much later, also by the next
+/// A call that was not answered may be carried out up to this much later, also by the next
 /// incarnation of the worker and after a later copy was answered. Workers were seen to do so after
 /// up to 12 s.
-pub const LATE_START_LIMIT: Duration = Duration::from_secs(30);
+pub const LATE_CALL_LIMIT: Duration = Duration::from_secs(30);
 
 /// Starts that a worker has not answered and may still carry out.
 ///
@@ -31,7 +31,7 @@
 
     /// Forgets the starts that can no longer be carried out.
     pub fn expire(&mut self, now: Instant) {
-        self.unanswered.retain(|_, at| now < *at + LATE_START_LIMIT);
+        self.unanswered.retain(|_, at| now < *at + LATE_CALL_LIMIT);
     }
 
     /// Returns the runs that may still start.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,6 +31,7 @@
 mod run_calls;
 mod tables;
 mod task;
+mod updates;
 mod violation;
 mod worker;
 
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -210,6 +210,7 @@
     rig.order_start(1);
     rig.core.actions(rig.now);
     rig.core.handle_start_answer(rig.now, &task(), 1, StartAnswer::Unanswered);
+    rig.advance(100);
     rig.announce(INCARNATION + 1);
     rig.list(INCARNATION + 1, &[1], &[]);
     assert_eq!(rig.core.report(rig.now).worker, None);
@@ -406,6 +407,7 @@
     rig.core.handle_orders(1, orders.clone(), Some(before), lease);
     assert_eq!(rig.core.actions(rig.now), vec![]);
     assert_eq!(rig.core.next_renewal(rig.now).deadline_ms, None);
+    rig.list(INCARNATION, &[], &[]);
     rig.core.handle_orders(1, orders, Some(rig.now), lease);
     assert_eq!(rig.core.actions(rig.now).len(), 1);
     assert!(rig.core.next_renewal(rig.now).deadline_ms.is_some());
@@ -573,6 +575,7 @@
     let mut rig = Rig::new();
     rig.order_start(1);
     rig.answer_start(StartAnswer::Unanswered);
+    rig.advance(100);
     rig.announce(INCARNATION + 1);
     rig.list(INCARNATION + 1, &[1], &[]);
     assert_eq!(rig.core.actions(rig.now), vec![AgentAction::Stop(task(), 1)]);
@@ -686,6 +689,7 @@
     let mut rig = Rig::without_orders();
     rig.core.handle_orders(1, Orders::default(), Some(rig.now), Duration::from_secs(8));
     assert_eq!(rig.core.next_renewal(rig.now).deadline_ms, None);
+    rig.list(INCARNATION, &[], &[]);
     rig.order(Orders::default());
     assert!(rig.core.next_renewal(rig.now).deadline_ms.is_some());
 }
--- a/crates/jobs/tests/coordinator/sim_site.rs
+++ b/crates/jobs/tests/coordinator/sim_site.rs
@@ -268,6 +268,9 @@
         self.answer_calls(&mut agent, now);
         if agent.status().is_some() && !self.listing_open && now.ms >= self.listing_at {
             self.request_listing(&mut agent, now, rng);
+            if !self.listing_open && agent.is_update_due(now.monotonic) {
+                self.request_listing(&mut agent, now, rng);
+            }
         }
         let mut started = Vec::new();
         for action in agent.actions(now.monotonic) {
@@ -287,8 +290,13 @@
                     self.listing_at = now.ms + LISTING_MS;
                     match listing {
                         Some(listing) => agent.handle_listing(now.monotonic, number, &listing),
-                        None if self.worker.is_none() => agent.record_down(),
-                        None => {}
+                        None => {
+                            let down = self.worker.is_none();
+                            agent.handle_failed_renewal(now.monotonic, number, !down);
+                            if down {
+                                agent.record_down();
+                            }
+                        }
                     }
                     if agent.awaits_listing() || agent.has_ends() {
                         self.listing_at = now.ms;
--- a/crates/jobs/tests/departures.rs
+++ b/crates/jobs/tests/departures.rs
@@ -113,6 +113,8 @@
 #[test]
 fn left_silent() {
     let mut rig = Rig::new();
+    rig.advance(1000);
+    rig.list(&[1]);
     assert!(rig.core.next_renewal(rig.now).deadline_ms.is_some());
     rig.core.leave(rig.now);
     rig.advance(5500);
