Let leases end that calls for an earlier incarnation have extended

Cause: a start names a deadline on the clock of the incarnation that it is meant for. Agent and leader counted only what they had granted themselves (6 s and 8.8 s). If the worker was cut off then, its tasks were started elsewhere while they went on there.

Evidence: the random driver now lets the worker's clock start anew, limits leases, crashes workers so that calls hang and are carried out by the next incarnation, cuts them off 2 s later, and checks that no task starts after an acknowledged end as done.

Change: the agent counts with leases that starts for the earlier incarnation may have extended: for its longest lease after a start that no listing has followed, and 30 s longer after one without an answer. It reports the time that is left, and a leader waits for it before the runs of a silent agent count as lapsed.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use crate::clock_reading::{ClockReading, MAX_CLOCK_DRIFT};
-use crate::late_starts::LateStarts;
+use crate::late_starts::{LATE_CALL_LIMIT, LateStarts};
 use crate::pacing::is_shared;
 use crate::run_calls::RunCalls;
 use crate::updates::Updates;
@@ -74,6 +74,9 @@
     /// Whether orders for the worker were received.
     has_orders: bool,
     incarnation: u64,
+    /// Until when leases may last that starts for an earlier incarnation have extended in the current
+    /// one.
+    inherited_leases: Option<Instant>,
     /// When the current incarnation became known.
     known_since: Instant,
     /// When a lapse was reported that the coordinator has not answered yet.
@@ -98,6 +101,8 @@
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
     status: Option<WorkerStatus>,
+    /// Number of the last renewal call when a start was sent that no listing has followed.
+    unconfirmed_start: Option<u64>,
     updates: Updates,
 }
 
@@ -120,6 +125,7 @@
             has_listing: false,
             has_orders: false,
             incarnation: 0,
+            inherited_leases: None,
             known_since: now,
             lapse_reported: None,
             last_call: 0,
@@ -137,6 +143,7 @@
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
             status: None,
+            unconfirmed_start: None,
             updates: Updates::new(),
         }
     }
@@ -467,6 +474,7 @@
         self.last_contact =
             Some(requested_at.map_or(now, |requested_at| now.min(requested_at + LISTING_VALIDITY)));
         self.updates.record_answer(now, number, requested_at);
+        self.unconfirmed_start = self.unconfirmed_start.filter(|call| *call >= number);
         self.has_listing = true;
         self.down = false;
         self.clock = Some(ClockReading { ms: listing.clock_ms as f64, received: now });
@@ -518,6 +526,7 @@
             ended: self.ended.values().cloned().collect(),
             ended_through: self.ended.keys().next_back().copied().unwrap_or(0),
             ends_truncated: self.ends_truncated,
+            inherited_lease: self.inherited_lease(now),
             lapsed,
             left,
             listed: reportable,
@@ -541,9 +550,17 @@
         self.status.as_ref()
     }
 
+    /// Returns the time for which inherited leases may last, in full seconds, so that the report does
+    /// not change all the time.
+    fn inherited_lease(&self, now: Instant) -> Duration {
+        let left = self.inherited_leases.map(|until| until.saturating_duration_since(now));
+        left.filter(|left| !left.is_zero())
+            .map_or(Duration::ZERO, |left| Duration::from_secs(left.as_secs() + 1))
+    }
+
     /// Reports whether the worker is unreached and all its leases are certain to have lapsed.
     fn is_lapsed(&self, now: Instant) -> bool {
-        if self.is_reached(now) {
+        if self.is_reached(now) || self.inherited_leases.is_some_and(|until| now <= until) {
             return false;
         }
         match (self.latest_deadline, self.clock) {
@@ -586,6 +603,7 @@
                 };
             }
             self.late_starts.expire(now);
+            self.inherit_leases(now);
             for run in self.late_starts.runs() {
                 self.calls.entry(run.clone()).or_default().start_uncertain = true;
             }
@@ -611,6 +629,19 @@
         self.updates.switch_incarnation(now);
     }
 
+    /// Records until when leases may last in the current incarnation because it carries out starts for
+    /// the earlier one. The deadline in a start is far in the future on the clock of a later
+    /// incarnation, which starts anew.
+    fn inherit_leases(&mut self, now: Instant) {
+        let is_open = self.calls.values().any(|calls| calls.starting);
+        let unanswered = self.late_starts.latest().max(is_open.then_some(now));
+        let carried_out = unanswered.map(|at| at + LATE_CALL_LIMIT);
+        let answered = self.unconfirmed_start.take().map(|_| now);
+        let longest = self.limits.longest.mul_f64(1.0 + MAX_CLOCK_DRIFT);
+        let until = carried_out.max(answered).map(|at| at + longest);
+        self.inherited_leases = self.inherited_leases.max(until);
+    }
+
     fn ordered_runs(&self) -> BTreeSet<RunKey> {
         let start = self.orders.start.iter().map(|order| (order.task.clone(), order.run));
         start
@@ -655,6 +686,7 @@
             .collect();
         for order in &sent {
             self.calls.entry(order.key()).or_default().starting = true;
+            self.unconfirmed_start = Some(self.last_call);
         }
         sent.into_iter().map(AgentAction::Start).collect()
     }
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -46,6 +46,9 @@
         }
         worker.has_session = true;
         worker.ends_truncated = report.ends_truncated;
+        worker.inherited_until = Some(report.inherited_lease)
+            .filter(|lease| !lease.is_zero())
+            .map(|lease| now.monotonic + lease);
         worker.last_report = now.monotonic;
         worker.status = status.clone();
         if is_down {
@@ -135,7 +138,9 @@
             .filter(|(_, worker)| {
                 let last_renewal =
                     if worker.has_reported { worker.last_report } else { self.predecessor_end };
-                !worker.runs.is_empty() && now.monotonic > last_renewal + lapse
+                !worker.runs.is_empty()
+                    && now.monotonic > last_renewal + lapse
+                    && !worker.inherits_leases(now.monotonic)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -27,6 +27,8 @@
     pub has_session: bool,
     /// Evidence against the worker.
     pub health: Health,
+    /// Until when leases may last that calls for an earlier incarnation have extended.
+    pub inherited_until: Option<Instant>,
     /// Whether its agent can reach it.
     pub is_reached: bool,
     /// Runs that lapsed while the worker has not answered its agent since, with the time for which they
@@ -57,6 +59,7 @@
             has_reported: false,
             has_session: false,
             health: Health::new(),
+            inherited_until: None,
             is_reached: true,
             lapsed_runs: Vec::new(),
             lapsed_starts: Vec::new(),
@@ -74,6 +77,11 @@
         free
     }
 
+    /// Reports whether leases may last that its agent has not granted.
+    pub fn inherits_leases(&self, now: Instant) -> bool {
+        self.inherited_until.is_some_and(|until| now <= until)
+    }
+
     /// Reports whether new work may be placed on the worker.
     pub fn is_open(&self, now: Instant) -> bool {
         self.closure(now).is_none()
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -34,6 +34,11 @@
         self.unanswered.retain(|_, at| now < *at + LATE_CALL_LIMIT);
     }
 
+    /// Returns when the last of the calls ended.
+    pub fn latest(&self) -> Option<Instant> {
+        self.unanswered.values().max().copied()
+    }
+
     /// Returns the runs that may still start.
     pub fn runs(&self) -> impl Iterator<Item = &(TaskId, u32)> {
         self.unanswered.keys()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -114,6 +114,9 @@
     pub ended_through: u64,
     /// Whether the worker may have ended further runs that it does not list yet.
     pub ends_truncated: bool,
+    /// Time for which leases may last that calls for an earlier incarnation have extended; zero if
+    /// there are none.
+    pub inherited_lease: Duration,
     /// Whether every lease at the worker is certain to have lapsed since the agent last reached it.
     pub lapsed: bool,
     /// Whether the worker has left for good and runs nothing any more.
--- a/crates/jobs/tests/coordinator/sim_pool.rs
+++ b/crates/jobs/tests/coordinator/sim_pool.rs
@@ -51,6 +51,8 @@
 
 /// Workers with their agents, a leader and its store.
 pub struct SimPool {
+    /// Tasks whose end as done was acknowledged to a worker before its leases lapsed.
+    acked_done: BTreeSet<TaskId>,
     pub jobs: BTreeMap<String, Job>,
     leader: Option<Leader>,
     /// Until when the leader stands still.
@@ -78,6 +80,7 @@
     pub fn new(workers: u32, rack_size: u32, rng: Rng) -> Self {
         let now = StepTime { monotonic: Instant::now(), ms: 100_000 };
         let mut pool = Self {
+            acked_done: BTreeSet::new(),
             jobs: BTreeMap::new(),
             leader: None,
             leader_frozen_until: 0,
@@ -227,6 +230,9 @@
             site.depart(now);
         }
         site.restart(now);
+        if let Some((_, until_ms)) = site.cut.take_if(|(from_ms, _)| now.ms >= *from_ms) {
+            site.reached_at = until_ms;
+        }
         let jobs = &self.jobs;
         let fits = |worker: &SimWorker, task: &TaskId| {
             let mut free = worker.resources;
@@ -235,8 +241,11 @@
             }
             free.fits(&resources(jobs, task))
         };
+        site.renew_late(now.ms);
         let mut started = site.start_late(now.ms, fits);
         started.extend(site.step_agent(now, &mut self.rng, fits));
+        let acked = site.worker.as_mut().map(SimWorker::take_acked);
+        self.acked_done.extend(acked.unwrap_or_default());
         for (task, run) in started {
             self.handle_start(index, &task, run);
         }
@@ -254,6 +263,12 @@
             self.violations
                 .insert(format!("{task} runs twice at the same time, run {run} on {id}"));
         }
+        let step = self.jobs.get(&task.job).map(|job| &job.steps[task.key.step as usize]);
+        if self.acked_done.contains(task) && step.is_some_and(|step| !step.lasting) {
+            self.violations.insert(format!(
+                "{task} starts after an acknowledged end as done, run {run} on {id}"
+            ));
+        }
         if task.job.starts_with(CRASHING) && task.key.index == 0 {
             let restart = (self.now.ms + 3200, self.rng.u8(..) < 64);
             self.crash(index, Some(restart));
@@ -267,6 +282,19 @@
         self.log(|| format!("{id} crashes, back {restart:?}"));
     }
 
+    /// Crashes a worker so that calls to it hang, and cuts it off from its agent soon after it is back
+    /// under its id.
+    pub fn crash_dark(&mut self, index: usize, restart_ms: u64, cut_ms: u64) {
+        let now_ms = self.now.ms;
+        let site = &mut self.sites[index];
+        site.crash_dark(now_ms, restart_ms, &mut self.rng);
+        site.cut = Some((restart_ms + 2000, restart_ms + 2000 + cut_ms));
+        let id = site.id.clone();
+        self.log(|| {
+            format!("{id} crashes, calls hang, back at {restart_ms}, cut off for {cut_ms}")
+        });
+    }
+
     /// Lets the runs work and end. The members of a gang work while all of them are present.
     fn work(&mut self) {
         let now_ms = self.now.ms;
