Log ends that a worker forgets and incarnations that are held back

Change: event 407 (ends-missing) counts the gap in the numbers of ends that an incarnation lists, and event 406 (incarnation-held) names a worker that gets no work until an update for its earlier incarnation can no longer be carried out. Result: take_missing_ends_cases (jobs) shows which gaps are counted; the first listing after a restart of the agent is none.

--- a/crates/coordination/src/worker_task.rs
+++ b/crates/coordination/src/worker_task.rs
@@ -144,6 +144,7 @@
             control: self.control.clone(),
             core,
             failed_listings: 0,
+            is_held: false,
             leaving: self.leaving.clone(),
             outgoing,
             suspended: Duration::ZERO,
@@ -172,6 +173,8 @@
     core: AgentCore,
     /// Listings that failed since the last successful one.
     failed_listings: u32,
+    /// Whether the present incarnation of the worker gets no work yet.
+    is_held: bool,
     leaving: watch::Sender<usize>,
     outgoing: watch::Sender<WorkerReport>,
     /// Time for which the VM has been suspended so far.
@@ -229,6 +232,7 @@
                 Input::Tick => {}
                 Input::Update(update) => self.handle_update(update),
             }
+            self.log_held();
             let now = self.clock.now();
             if self.core.is_leaving() != is_leaving {
                 is_leaving = !is_leaving;
@@ -324,6 +328,32 @@
         }
     }
 
+    fn log_missing_ends(&mut self) {
+        let count = self.core.take_missing_ends();
+        if count > 0 {
+            let (code, event) = (Event::EndsMissing.code(), Event::EndsMissing.name());
+            let (id, boot) = self.worker_name();
+            tracing::warn!(code, event, id, boot, count);
+        }
+    }
+
+    /// Logs when the present incarnation of the worker begins to be held back.
+    fn log_held(&mut self) {
+        let held = self.core.held_time(self.clock.now());
+        let was_held = std::mem::replace(&mut self.is_held, !held.is_zero());
+        if self.is_held && !was_held {
+            let (code, event) = (Event::IncarnationHeld.code(), Event::IncarnationHeld.name());
+            let (id, boot) = self.worker_name();
+            tracing::warn!(code, event, id, boot, ?held);
+        }
+    }
+
+    /// Returns id and incarnation of the worker.
+    fn worker_name(&self) -> (Option<&str>, Option<u64>) {
+        let status = self.core.status();
+        (status.map(|status| status.id.as_str()), status.map(|status| status.incarnation))
+    }
+
     fn request_listing(&mut self, worker: &WorkerAddress, calls: &mut Calls) {
         let now = self.clock.now();
         let call: RenewalCall = self.core.next_renewal(now);
@@ -367,6 +397,7 @@
             CallOutcome::Listing(number, Ok(listing)) => {
                 self.failed_listings = 0;
                 self.core.handle_listing(now, number, &listing);
+                self.log_missing_ends();
                 if self.core.has_ends() && !self.core.is_update_due(now) {
                     add_delay(ACK_DELAY, calls);
                     return false;
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -474,6 +474,8 @@
         self.last_contact =
             Some(requested_at.map_or(now, |requested_at| now.min(requested_at + LISTING_VALIDITY)));
         self.updates.record_answer(now, number, requested_at);
+        let numbers: Vec<u64> = listing.ended.iter().map(|(number, _)| *number).collect();
+        self.updates.record_ends(&numbers);
         self.unconfirmed_start = self.unconfirmed_start.filter(|call| *call >= number);
         self.has_listing = true;
         self.down = false;
@@ -497,6 +499,17 @@
         self.gone |= after_leave && idle && !self.ends_truncated;
     }
 
+    /// Returns the time for which the current incarnation gets no work, because it may still carry out
+    /// an update for an earlier one.
+    pub fn held_time(&self, now: Instant) -> Duration {
+        self.updates.held_time(now)
+    }
+
+    /// Returns the number of ends that the worker has forgotten unread since the last call.
+    pub fn take_missing_ends(&mut self) -> u64 {
+        self.updates.take_missing_ends()
+    }
+
     /// Reports whether ends wait to be acknowledged. A further listing would repeat them.
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
@@ -592,7 +605,8 @@
         if incarnation <= self.incarnation {
             return;
         }
-        if self.incarnation != 0 {
+        let is_first = self.incarnation == 0;
+        if !is_first {
             self.fencing_earlier = true;
             self.calls.retain(|_, calls| calls.start_uncertain || calls.starting);
             for calls in self.calls.values_mut() {
@@ -626,7 +640,7 @@
         self.running.clear();
         self.known_since = now;
         self.status = None;
-        self.updates.switch_incarnation(now);
+        self.updates.switch_incarnation(now, is_first);
     }
 
     /// Records until when leases may last in the current incarnation because it carries out starts for
--- a/crates/jobs/src/updates.rs
+++ b/crates/jobs/src/updates.rs
@@ -29,6 +29,11 @@
     confirmed: Option<Instant>,
     /// When the leases of the current incarnation were extended.
     extended: Option<Instant>,
+    /// Highest number of an end that the current incarnation has listed; `None` while it is not known
+    /// which ends it listed before.
+    last_end: Option<u64>,
+    /// Number of ends that the current incarnation has forgotten unread.
+    missing_ends: u64,
     /// Number of the renewal call of the open update, and the number that it acknowledges.
     open: Option<(u64, u64)>,
     /// When the current incarnation can be used.
@@ -48,6 +53,27 @@
         self.acked
     }
 
+    /// Returns the time for which the current incarnation cannot be used yet.
+    pub fn held_time(&self, now: Instant) -> Duration {
+        self.safe_from.map_or(Duration::ZERO, |from| from.saturating_duration_since(now))
+    }
+
+    /// Records the numbers of the ends in a listing, which are assigned one after the other.
+    pub fn record_ends(&mut self, numbers: &[u64]) {
+        let (Some(first), Some(last)) = (numbers.iter().min(), numbers.iter().max()) else {
+            return;
+        };
+        if let Some(known) = self.last_end {
+            self.missing_ends += first.saturating_sub(known + 1);
+        }
+        self.last_end = self.last_end.max(Some(*last));
+    }
+
+    /// Returns the number of ends that were forgotten unread since the last call.
+    pub fn take_missing_ends(&mut self) -> u64 {
+        std::mem::take(&mut self.missing_ends)
+    }
+
     /// Reports whether the leases should be extended again.
     pub fn is_extension_due(&self, now: Instant) -> bool {
         self.extended.is_none_or(|extended| now >= extended + EXTENSION_INTERVAL)
@@ -97,12 +123,14 @@
         self.confirmed = None;
     }
 
-    /// Records that a later incarnation is the current one.
-    pub fn switch_incarnation(&mut self, now: Instant) {
+    /// Records that a later incarnation is the current one. `is_first` tells whether no earlier one is
+    /// known, so that this one may have listed ends before.
+    pub fn switch_incarnation(&mut self, now: Instant, is_first: bool) {
         if self.open.is_some() {
             self.unanswered = Some(now);
         }
         let safe_from = self.unanswered.map(|unanswered| unanswered + LATE_CALL_LIMIT);
-        *self = Self { safe_from, unanswered: self.unanswered, ..Self::new() };
+        let last_end = (!is_first).then_some(0);
+        *self = Self { last_end, safe_from, unanswered: self.unanswered, ..Self::new() };
     }
 }
--- a/crates/jobs/tests/updates.rs
+++ b/crates/jobs/tests/updates.rs
@@ -215,6 +215,32 @@
     assert_eq!(rig.core.report(rig.now).worker, None);
 }
 
+/// Guards against ends that a worker forgets unread without a trace, and against a false alarm after a
+/// restart of the agent, which does not know what was acknowledged before.
+#[test]
+fn take_missing_ends_cases() {
+    for (listings, missing) in [
+        (vec![vec![1]], 0),
+        (vec![vec![3]], 2),
+        (vec![vec![1, 2], vec![2, 3]], 0),
+        (vec![vec![1], vec![4]], 2),
+    ] {
+        let mut rig = Rig::new();
+        rig.advance(LISTING * 2);
+        rig.announce(LATER);
+        for numbers in &listings {
+            let call = rig.request();
+            let ended: Vec<(u64, u32)> = numbers.iter().map(|number| (*number, 0)).collect();
+            rig.answer(call, LATER, &ended);
+        }
+        assert_eq!(rig.core.take_missing_ends(), missing, "{listings:?}");
+    }
+    let mut restarted = Rig::new();
+    let call = restarted.request();
+    restarted.answer(call, EARLIER, &[(7, 0)]);
+    assert_eq!(restarted.core.take_missing_ends(), 0);
+}
+
 /// Guards against a lapse that is reported while runs go on: the deadline in a start for the earlier
 /// incarnation is far in the future on the clock of the next one, whose leases then last as long as
 /// it allows.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -71,6 +71,8 @@
     UpstreamEjected = 403, "upstream-ejected", "An upstream was ejected from its pool as an outlier.";
     UpstreamReturned = 404, "upstream-returned", "An ejected upstream passed its probe.";
     SessionReplaced = 405, "session-replaced", "A silent or broken session was replaced by a new connection.";
+    IncarnationHeld = 406, "incarnation-held", "A worker that started again gets no work yet, because it may still carry out a call for its earlier incarnation.";
+    EndsMissing = 407, "ends-missing", "A worker forgot ends of runs that its agent has not read, so that their tasks may run again.";
     LeadershipTaken = 410, "leadership-taken", "This entry has become the leader and has loaded all jobs.";
     LeadershipEnded = 411, "leadership-ended", "This entry is no longer the leader.";
     LeaderSuspected = 412, "leader-suspected", "The leader does not answer or cannot reach the store.";
