Test that no call that waits at a worker extends leases

Cause: the tests of the core do not see which wait the agent's task requests. Change: update_without_wait (coordination) records all renewal calls of an agent beside a leader; an update requests no wait and follows a listing. Result: it fails when the task lets updates wait as long as other listings.

--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -8,4 +8,5 @@
 mod sessions;
 mod store_faults;
 mod takeovers;
+mod updates;
 mod workers;
--- a/crates/coordination/tests/entries/workers.rs
+++ b/crates/coordination/tests/entries/workers.rs
@@ -42,6 +42,8 @@
     down: AtomicBool,
     id: String,
     orders: Mutex<Vec<Order>>,
+    /// Renewal calls with the waits that they request.
+    renewals: Mutex<Vec<(RenewalCall, Duration)>>,
     running: Mutex<Vec<RunReport>>,
 }
 
@@ -70,6 +72,7 @@
             down: AtomicBool::new(false),
             id: id.to_owned(),
             orders: Mutex::default(),
+            renewals: Mutex::default(),
             running: Mutex::default(),
         });
         let longest = Duration::from_secs(6);
@@ -116,6 +119,11 @@
         self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the renewal calls so far, with the waits that they request.
+    pub fn renewals(&self) -> Vec<(RenewalCall, Duration)> {
+        self.renewals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Waits for an order that `matches`.
     pub async fn await_order(&self, matches: impl Fn(&Order) -> bool) {
         while !self.orders().iter().any(&matches) {
@@ -175,6 +183,7 @@
         call: &RenewalCall,
         wait: Duration,
     ) -> Result<Listing, WorkerError> {
+        self.renewals.lock().unwrap_or_else(PoisonError::into_inner).push((*call, wait));
         if self.down.load(Ordering::Relaxed) {
             let detail = "nothing listens".to_owned();
             let id = self.id.clone();
