Evacuate failure domains: close workers, withdraw starts, hold starts on old tables

Cause: operators need to keep starts out of a failure domain within a bound after a request, also while a leader is cut off from the store.

Change: the tables carry the set of evacuated failure domains with a version of its own. Workers there are closed, starts that they do not list are withdrawn, and a leader whose copy of the tables is too old orders no starts.

--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -13,6 +13,9 @@
     pub oldest_version: u64,
     /// Time since `oldest_version` was superseded, in milliseconds; 0 if it is the current version.
     pub oldest_age_ms: u64,
+    /// Evacuated failure domains. Missing in the status of earlier builds.
+    #[serde(default)]
+    pub evacuated: Vec<DomainStatus>,
     /// All upstreams.
     pub upstreams: Vec<UpstreamStatus>,
     /// All workers.
@@ -27,6 +30,19 @@
     pub processes: Vec<ProcessStatus>,
 }
 
+/// One evacuated failure domain.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainStatus {
+    /// Name of the failure domain.
+    pub domain: String,
+    /// Version of the store at which the evacuated failure domains were read.
+    pub version: u64,
+    /// Number of its workers.
+    pub workers: u32,
+    /// Number of runs that still go on there.
+    pub runs: u32,
+}
+
 /// One upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamStatus {
@@ -57,7 +73,7 @@
     pub domain: String,
     /// Rack within the failure domain.
     pub rack: String,
-    /// `serving`, `draining`, `quarantined` or `silent`.
+    /// `serving`, `draining`, `evacuated`, `quarantined` or `silent`.
     pub state: String,
     /// Total number of accelerators.
     pub accelerators: u32,
--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -37,6 +37,7 @@
         let start = Instant::now();
         let limits = Limits {
             checkpoint: Duration::from_secs(1),
+            evacuation: None,
             lapse: Duration::from_secs(9),
             open_jobs: 10_000,
             reclaim: Duration::from_millis(2500 + setup.stop),
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -13,6 +13,7 @@
         return Ok(ExitStatus::Success);
     }
     print_versions(&status, output)?;
+    print_evacuated(&status, output)?;
     print_members(&status, output)?;
     print_teams(&status, output)?;
     print_gangs(&status, output)?;
@@ -45,6 +46,24 @@
     Ok(())
 }
 
+fn print_evacuated(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
+    let rows: Vec<_> = status
+        .evacuated
+        .iter()
+        .map(|domain| {
+            [
+                domain.domain.clone(),
+                domain.version.to_string(),
+                domain.workers.to_string(),
+                domain.runs.to_string(),
+            ]
+        })
+        .collect();
+    let header = ["domain", "store version", "workers", "runs"];
+    output.table("Evacuated failure domains", header, &rows)?;
+    Ok(())
+}
+
 fn print_members(status: &Status, output: &mut Output<'_>) -> Result<(), CliError> {
     let rows: Vec<_> = status
         .upstreams
--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -187,6 +187,7 @@
         boot: orders.incarnation,
         departure_stored: orders.departure_stored,
         ended_through: orders.ended_through,
+        held: orders.held.iter().map(|(task, run)| encode_run_id(task, *run)).collect(),
         keep: orders.keep.iter().map(|(task, run)| encode_run_id(task, *run)).collect(),
         start: orders
             .start
@@ -234,6 +235,7 @@
     Orders {
         departure_stored: update.departure_stored,
         ended_through: update.ended_through,
+        held: runs(update.held),
         incarnation: update.boot,
         keep: runs(update.keep),
         sharing: sharing.collect(),
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -58,8 +58,7 @@
         let (inbox_sender, inbox) = watch::channel(None);
         let (leadership_sender, leadership) = watch::channel(Leadership::default());
         let (tables_sender, tables) = watch::channel(JobTables::default());
-        let (availability_sender, availability) =
-            watch::channel(TablesAvailability { answered: false, confirmed_at: None });
+        let (availability_sender, availability) = watch::channel(TablesAvailability::new());
         let (stop, stopped) = watch::channel(false);
         let (newer_tables, newer_tables_receiver) = mpsc::channel(4);
         let (reported_sender, reported_leader) = watch::channel(ReportedLeader::default());
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -20,6 +20,7 @@
 use crate::leader_context::LeaderContext;
 use crate::leader_message::LeaderMessage;
 use crate::plan_pause::plan_pause;
+use crate::tables_task::TablesAvailability;
 use crate::timestamp::timestamp;
 use crate::waiting_callers::WaitingCallers;
 
@@ -90,6 +91,8 @@
     /// Number of the latest session that has reported for each worker.
     latest_sessions: HashMap<String, u64>,
     sessions: HashMap<u64, Session>,
+    /// When the tables were last confirmed, since the VM started and by the clock of the coordinator.
+    tables_read: Option<(Duration, Instant)>,
     store_called: Instant,
     /// Whether the last updates named this entry as the leader.
     told_leads: bool,
@@ -136,6 +139,7 @@
             held_calls: HeldCalls::new(),
             latest_sessions: HashMap::new(),
             sessions: HashMap::new(),
+            tables_read: None,
             store_called,
             told_leads: true,
             waiting_callers: WaitingCallers::new(),
@@ -156,6 +160,8 @@
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut plan_after = tokio::time::Instant::now();
+        let mut availability = self.context.availability.clone();
+        self.apply_tables(&mut tables, &mut availability);
         loop {
             let plan_due = self.coordinator.is_plan_due();
             tokio::select! {
@@ -209,9 +215,9 @@
                     }
                     self.update_gauges();
                 }
-                Ok(()) = tables.changed() => {
-                    let tables = tables.borrow_and_update().clone();
-                    self.coordinator.set_tables(&tables);
+                Ok(()) = tables.changed() => self.apply_tables(&mut tables, &mut availability),
+                Ok(()) = availability.changed() => {
+                    self.apply_tables(&mut tables, &mut availability);
                 }
                 Ok(()) = stop.changed() => {}
                 () = tokio::time::sleep_until(plan_after), if plan_due => {}
@@ -236,6 +242,39 @@
         }
     }
 
+    /// Applies the current tables, and when they were read.
+    fn apply_tables(
+        &mut self,
+        tables: &mut watch::Receiver<JobTables>,
+        availability: &mut watch::Receiver<TablesAvailability>,
+    ) {
+        // The time is taken first, so that the tables are at least as new.
+        let read_at = availability.borrow_and_update().read_at;
+        if tables.has_changed().unwrap_or(false) {
+            let tables = tables.borrow_and_update().clone();
+            self.coordinator.set_tables(&tables);
+        }
+        let known = self.tables_read.map(|(at, _)| at);
+        let Some(read_at) = read_at.filter(|at| known.is_none_or(|known| *at > known)) else {
+            return;
+        };
+        let now = self.now();
+        let age = boot_time().saturating_sub(read_at);
+        let Some(monotonic) = now.monotonic.checked_sub(age) else { return };
+        self.tables_read = Some((read_at, monotonic));
+        self.coordinator.confirm_tables(Timestamp { monotonic, ..now });
+        self.check_tables();
+    }
+
+    /// Lets the coordinator hold back starts if the tables may be outdated. Their age counts
+    /// suspensions of the VM, during which a failure domain may have been evacuated.
+    fn check_tables(&mut self) {
+        let now = self.now();
+        let aged = self.tables_read.map(|(at, instant)| instant + boot_time().saturating_sub(at));
+        let monotonic = aged.map_or(now.monotonic, |aged| aged.max(now.monotonic));
+        self.coordinator.check_tables(Timestamp { monotonic, ..now });
+    }
+
     /// Sends the next question to the placement policy, if none is open.
     fn query_policy(&mut self) {
         let now = self.now();
@@ -392,6 +431,7 @@
     }
 
     fn send_update(&mut self, number: u64) {
+        self.check_tables();
         let may_extend = self.may_extend();
         let search_spread_ms = self.sessions.len() as u64 * 1000 / SEARCH_RATE;
         let Some(session) = self.sessions.get(&number) else { return };
@@ -618,7 +658,8 @@
     fn update_gauges(&self) {
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
         let steps = self.coordinator.wait_counts();
-        self.context.records.update_gauges(agents, callers, steps, self.epoch);
+        let evacuated = self.coordinator.evacuated_domains();
+        self.context.records.update_gauges(agents, callers, steps, evacuated, self.epoch);
     }
 
     fn record_decisions(&mut self) {
--- a/crates/coordination/src/leader_context.rs
+++ b/crates/coordination/src/leader_context.rs
@@ -11,6 +11,7 @@
 use crate::placement_policy::PlacementPolicy;
 use crate::records::Records;
 use crate::store_health::StoreHealth;
+use crate::tables_task::TablesAvailability;
 
 /// Time limits of the leadership, on which the safety of leases depends.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +24,8 @@
 
 /// Dependencies of a leader, provided by its entry.
 pub struct LeaderContext {
+    /// When the source of the tables last answered this entry.
+    pub availability: watch::Receiver<TablesAvailability>,
     /// Time source.
     pub clock: Arc<dyn Clock>,
     /// Entries that follow this one.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -50,6 +50,6 @@
 pub use records::Records;
 pub use standby::{Standby, ping_interval, standby_rank, takeover_delay};
 pub use store_health::StoreHealth;
-pub use tables_task::{TablesSource, TablesSourceError};
+pub use tables_task::{TablesAnswer, TablesSource, TablesSourceError};
 pub use worker_control::{WorkerAddress, WorkerControl, WorkerError};
 pub use worker_task::{Announcement, WorkerAgent, WorkerAgentSettings};
--- a/crates/coordination/src/operators.rs
+++ b/crates/coordination/src/operators.rs
@@ -4,7 +4,8 @@
 
 use futures::future::join_all;
 use skylarkpulley_admin::{
-    ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus, WorkerStatus,
+    DomainStatus, ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus,
+    WorkerStatus,
 };
 use skylarkpulley_jobs::{Decision, JobTables, Summary};
 use skylarkpulley_proto::v1;
@@ -174,6 +175,7 @@
             entry: self.name.clone(),
             version: tables.version,
             oldest_version: oldest.unwrap_or(tables.version),
+            evacuated: to_domains(summary),
             workers: summary.workers.iter().map(to_worker).collect(),
             teams: to_teams(summary, tables),
             queues: summary.queues.iter().map(to_queue).collect(),
@@ -211,6 +213,17 @@
     u32::try_from(accelerators).unwrap_or(0)
 }
 
+fn to_domains(summary: &Summary) -> Vec<DomainStatus> {
+    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    let domains = summary.evacuated.iter().map(|domain| DomainStatus {
+        domain: domain.domain.clone(),
+        version: summary.evacuated_version,
+        workers: count(domain.workers),
+        runs: count(domain.runs),
+    });
+    domains.collect()
+}
+
 fn to_worker(worker: &skylarkpulley_jobs::WorkerSummary) -> WorkerStatus {
     WorkerStatus {
         pool: worker.pool.clone(),
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -36,12 +36,20 @@
         self.decisions.record(now, event, &decision.id, &detail);
     }
 
-    /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, and
-    /// the steps whose tasks wait.
-    pub fn update_gauges(&self, agents: usize, callers: usize, steps: WaitCounts, epoch: u64) {
+    /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, the
+    /// steps whose tasks wait, and the evacuated failure domains.
+    pub fn update_gauges(
+        &self,
+        agents: usize,
+        callers: usize,
+        steps: WaitCounts,
+        evacuated: usize,
+        epoch: u64,
+    ) {
         let gauges = [
             ("agents", agents),
             ("callers-waiting", callers),
+            ("failure-domains-evacuated", evacuated),
             ("steps-waiting", steps.overdue),
             ("steps-waiting-fitting", steps.fitting),
         ];
@@ -68,5 +76,7 @@
         DecisionKind::Silent => Event::AgentSilent,
         DecisionKind::Unstored => Event::JobUnstored,
         DecisionKind::Waiting => Event::TasksWaiting,
+        DecisionKind::DomainEvacuated => Event::DomainEvacuated,
+        DecisionKind::DomainReturned => Event::DomainReturned,
     }
 }
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -20,7 +20,7 @@
 use crate::placement_policy::PlacementPolicy;
 use crate::service::Shared;
 use crate::standby::{ping_interval, takeover_delay};
-use crate::tables_task::TablesAvailability;
+use crate::tables_task::{TablesAvailability, is_newer, versions};
 
 /// Time between two notifications of a predecessor that does not answer, and between the end of a
 /// leadership and the next look at the leader's record.
@@ -312,7 +312,8 @@
         record: &LeaderRecord,
         reply: &v1::PingReply,
     ) -> Option<FollowEnd> {
-        if reply.tables_version > self.tables.borrow().version {
+        let current = versions(&self.tables.borrow());
+        if is_newer((reply.tables_version, reply.evacuations_version), current) {
             // A full queue means that a fetch is already in progress.
             let _ = self.shared.newer_tables.try_send(record.address.clone());
         }
@@ -374,14 +375,16 @@
     fn ping(&self, epoch: u64) -> v1::PingRequest {
         let current = self.leadership.borrow();
         let leader = if current.epoch == epoch { current.address.clone() } else { String::new() };
+        let (tables_version, evacuations_version) = versions(&self.tables.borrow());
         v1::PingRequest {
             name: self.settings.name.clone(),
             address: self.settings.announced.to_string(),
             epoch,
-            tables_version: self.tables.borrow().version,
+            tables_version,
             store_answers: self.availability.borrow().answered,
             leader,
             cores: self.settings.cores,
+            evacuations_version,
         }
     }
 
@@ -457,6 +460,7 @@
     ) -> Option<(Journal, Leader)> {
         loop {
             let context = LeaderContext {
+                availability: self.availability.clone(),
                 clock: self.clock.clone(),
                 followers: self.shared.followers.clone(),
                 health: self.shared.health.clone(),
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -17,6 +17,7 @@
 use crate::operators::Operators;
 use crate::records::Records;
 use crate::store_health::StoreHealth;
+use crate::tables_task::{is_newer, versions};
 
 /// Number of updates that may wait for one agent. Further ones are dropped; an agent that receives
 /// no updates ends the session.
@@ -120,8 +121,8 @@
             }
             higher
         });
-        let version = self.shared.tables.borrow().version;
-        if request.tables_version > version {
+        let current = versions(&self.shared.tables.borrow());
+        if is_newer((request.tables_version, request.evacuations_version), current) {
             // A full queue means that a fetch is already in progress.
             let _ = self.shared.newer_tables.try_send(request.address);
         }
@@ -132,12 +133,13 @@
             epoch: leadership.epoch,
             leads: leadership.is_local,
             store_age_ms: millis(self.shared.health.confirmation_age()),
-            tables_version: version,
+            tables_version: current.0,
             leaving: self.shared.shutting_down.load(Ordering::Relaxed),
             failing_ms: millis(
                 self.shared.health.failing_for().max(self.shared.health.overdue_for()),
             ),
             standby_rank,
+            evacuations_version: current.1,
         }))
     }
 
--- a/crates/coordination/src/tables_task.rs
+++ b/crates/coordination/src/tables_task.rs
@@ -8,6 +8,7 @@
 use skylarkpulley_telemetry::Event;
 use tokio::sync::{mpsc, watch};
 
+use crate::boot_time::boot_time;
 use crate::peer::PeerClients;
 
 /// Delay before the source is polled again after a failed poll.
@@ -24,12 +25,22 @@
     pub detail: String,
 }
 
+/// Answer of the source of the tables.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TablesAnswer {
+    /// Time after the beginning of the poll at which the answer certainly held; `None` if it does not
+    /// tell whether the tables are the newest ones.
+    pub confirmed_after: Option<Duration>,
+    /// Newer tables or evacuated failure domains, if there are any.
+    pub newer: Option<JobTables>,
+}
+
 /// Source of the tables.
 #[async_trait]
 pub trait TablesSource: Send + Sync {
-    /// Waits for a limited time for tables that are newer than `current_version`. Returns them, or
-    /// `None` when there are none.
-    async fn poll(&self, current_version: u64) -> Result<Option<JobTables>, TablesSourceError>;
+    /// Waits for a limited time for tables that are newer than `current_version`, or for a change of
+    /// the evacuated failure domains.
+    async fn poll(&self, current_version: u64) -> Result<TablesAnswer, TablesSourceError>;
 }
 
 /// Whether the source of the tables answers one entry.
@@ -39,6 +50,25 @@
     pub answered: bool,
     /// When the source last answered.
     pub confirmed_at: Option<Instant>,
+    /// Time since the VM started at which the tables were the newest ones of their source.
+    pub read_at: Option<Duration>,
+}
+
+impl TablesAvailability {
+    /// Returns the availability before the first poll.
+    pub fn new() -> Self {
+        Self { answered: false, confirmed_at: None, read_at: None }
+    }
+}
+
+/// Returns the versions of the tables and of the evacuated failure domains.
+pub fn versions(tables: &JobTables) -> (u64, u64) {
+    (tables.version, tables.evacuated.version)
+}
+
+/// Reports whether either of the versions that another entry has reported is newer than the own one.
+pub fn is_newer(reported: (u64, u64), current: (u64, u64)) -> bool {
+    reported.0 > current.0 || reported.1 > current.1
 }
 
 /// Keeps `tables` at the newest version: polls the source, and fetches the tables from other
@@ -48,38 +78,61 @@
     peers: Arc<PeerClients>,
     tables: watch::Sender<JobTables>,
     availability: watch::Sender<TablesAvailability>,
-    mut newer_addresses: mpsc::Receiver<String>,
+    newer_addresses: mpsc::Receiver<String>,
+) {
+    // A fetch does not interrupt a poll: another entry that has newer tables and cannot be reached
+    // would otherwise keep the source from being read.
+    tokio::join!(
+        poll_source(source.as_ref(), &tables, &availability),
+        fetch_newer(&peers, &tables, newer_addresses),
+    );
+}
+
+async fn poll_source(
+    source: &dyn TablesSource,
+    tables: &watch::Sender<JobTables>,
+    availability: &watch::Sender<TablesAvailability>,
 ) {
     let mut source_reachable = true;
     loop {
         let version = tables.borrow().version;
-        tokio::select! {
-            polled = source.poll(version) => match polled {
-                Ok(newer_tables) => {
-                    log_source_change(&mut source_reachable, true, version, "");
-                    availability.send_replace(TablesAvailability {
-                        answered: true,
-                        confirmed_at: Some(Instant::now()),
-                    });
-                    if let Some(newer_tables) = newer_tables {
-                        apply_tables(&tables, newer_tables, "store");
-                    }
-                }
-                Err(error) => {
-                    log_source_change(&mut source_reachable, false, version, &error.detail);
-                    availability.send_modify(|availability| availability.answered = false);
-                    tokio::time::sleep(POLL_RETRY_DELAY).await;
-                }
-            },
-            Some(address) = newer_addresses.recv() => {
-                if let Some(newer_tables) = fetch(&peers, &address).await {
-                    apply_tables(&tables, newer_tables, &address);
+        let sent_at = boot_time();
+        match source.poll(version).await {
+            Ok(answer) => {
+                log_source_change(&mut source_reachable, true, version, "");
+                // The leader relies on tables that are at least as new as their confirmation.
+                if let Some(newer_tables) = &answer.newer {
+                    apply_tables(tables, newer_tables, "store");
                 }
+                availability.send_modify(|availability| {
+                    availability.answered = true;
+                    availability.confirmed_at = Some(Instant::now());
+                    if let Some(after) = answer.confirmed_after {
+                        availability.read_at = Some(sent_at + after);
+                    }
+                });
+            }
+            Err(error) => {
+                log_source_change(&mut source_reachable, false, version, &error.detail);
+                availability.send_modify(|availability| availability.answered = false);
+                tokio::time::sleep(POLL_RETRY_DELAY).await;
             }
         }
     }
 }
 
+async fn fetch_newer(
+    peers: &PeerClients,
+    tables: &watch::Sender<JobTables>,
+    mut newer_addresses: mpsc::Receiver<String>,
+) {
+    while let Some(address) = newer_addresses.recv().await {
+        if let Some(newer_tables) = fetch(peers, &address).await {
+            apply_tables(tables, &newer_tables, &address);
+        }
+    }
+}
+
 /// Logs a change of whether the source answers. `version` is that of the current tables.
 fn log_source_change(was_reachable: &mut bool, is_reachable: bool, version: u64, detail: &str) {
     if std::mem::replace(was_reachable, is_reachable) == is_reachable {
@@ -89,22 +142,22 @@
     tracing::warn!(code = event.code(), event = event.name(), version, detail);
 }
 
-fn apply_tables(tables: &watch::Sender<JobTables>, newer_tables: JobTables, origin: &str) {
+fn apply_tables(tables: &watch::Sender<JobTables>, newer_tables: &JobTables, origin: &str) {
     tables.send_if_modified(|current| {
-        if newer_tables.version <= current.version {
-            return false;
+        let previous = current.version;
+        let change = current.adopt_newer(newer_tables);
+        if change.tables {
+            let event = Event::ConfigApplied;
+            tracing::info!(
+                code = event.code(),
+                event = event.name(),
+                version = current.version,
+                previous,
+                routes = current.routes.len(),
+                origin
+            );
         }
-        let event = Event::ConfigApplied;
-        tracing::info!(
-            code = event.code(),
-            event = event.name(),
-            version = newer_tables.version,
-            previous = current.version,
-            routes = newer_tables.routes.len(),
-            origin
-        );
-        *current = newer_tables;
-        true
+        change.any()
     });
 }
 
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use skylarkpulley_admin::Client;
 use skylarkpulley_coordination::{
-    Entry, EntrySettings, Records, TablesSource, TablesSourceError, serve_operators,
+    Entry, EntrySettings, Records, TablesAnswer, TablesSource, TablesSourceError, serve_operators,
 };
 use skylarkpulley_jobs::{Guarantee, Job, JobTables, Limits, Step, TeamEntry, WorkerPool};
 use skylarkpulley_store::Transactor;
@@ -18,7 +18,7 @@
 
 #[async_trait]
 impl TablesSource for FixedTables {
-    async fn poll(&self, current_version: u64) -> Result<Option<JobTables>, TablesSourceError> {
+    async fn poll(&self, current_version: u64) -> Result<TablesAnswer, TablesSourceError> {
         if current_version > 0 {
             std::future::pending::<()>().await;
         }
@@ -28,13 +28,14 @@
             keys: Vec::new(),
             name: "north".to_owned(),
         };
-        Ok(Some(JobTables {
+        let tables = JobTables {
             body_limit: 1000,
             pools: [("renders".to_owned(), pool)].into(),
             teams: vec![team],
             version: 7,
             ..JobTables::default()
-        }))
+        };
+        Ok(TablesAnswer { confirmed_after: Some(Duration::ZERO), newer: Some(tables) })
     }
 }
 
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -242,7 +242,7 @@
             self.granted_lease = Some((sent, lease));
         }
         if !std::mem::replace(&mut self.has_orders, true) {
-            self.adopt_starts(sent.unwrap_or(self.known_since), &orders.start);
+            self.adopt_starts(sent.unwrap_or(self.known_since), &orders);
         }
         self.ended = self.ended.split_off(&orders.ended_through.saturating_add(1));
         self.orders = orders;
@@ -270,9 +270,9 @@
 
     /// Treats the starts in the first orders as sent without an answer, because an earlier process
     /// of this agent may have sent them.
-    fn adopt_starts(&mut self, at: Instant, starts: &[StartOrder]) {
-        for order in starts {
-            let key = order.key();
+    fn adopt_starts(&mut self, at: Instant, orders: &Orders) {
+        let starts = orders.start.iter().map(StartOrder::key);
+        for key in starts.chain(orders.held.iter().cloned()) {
             self.calls.entry(key.clone()).or_default().start_uncertain = true;
             self.late_starts.record(key, at);
         }
--- a/crates/jobs/src/closure.rs
+++ b/crates/jobs/src/closure.rs
@@ -15,6 +15,9 @@
     /// It is leaving.
     #[display("draining")]
     Draining,
+    /// Its failure domain is evacuated.
+    #[display("evacuated")]
+    Evacuated,
     /// It has refused a run for want of free resources.
     #[display("full")]
     Full,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod earliest_fit;
 mod entry;
+mod evacuation;
 mod gang_time;
 mod hold;
 mod permits;
@@ -33,7 +34,7 @@
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
 use hold::Hold;
-pub use summary::{QueueSummary, Summary, WorkerSummary};
+pub use summary::{DomainSummary, QueueSummary, Summary, WorkerSummary};
 pub use waiting::WaitCounts;
 use waiting::WaitLog;
 
@@ -58,6 +59,9 @@
 pub struct Limits {
     /// Run time between two checkpoints of a task that records them.
     pub checkpoint: Duration,
+    /// Time after an operator's request from which no task may start in an evacuated failure domain;
+    /// `None` if starts are ordered whatever the age of the tables is.
+    pub evacuation: Option<Duration>,
     /// Time after the last report of a silent worker until its leases have lapsed, clock drift
     /// included.
     pub lapse: Duration,
@@ -81,6 +85,7 @@
     fn default() -> Self {
         Self {
             checkpoint: Duration::from_secs(1),
+            evacuation: None,
             lapse: Duration::from_secs(9),
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
@@ -145,9 +150,13 @@
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
     started_at: Instant,
+    /// Whether no starts are ordered, because the tables may be outdated.
+    starts_held: bool,
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
     tables: JobTables,
+    /// Time at which the tables were the newest ones of their source.
+    tables_confirmed: Option<Instant>,
     unexplained_crashes: VecDeque<UnexplainedCrash>,
     wait_log: WaitLog,
     waiting_jobs: BTreeSet<String>,
@@ -204,12 +213,16 @@
     Unstored,
     /// Tasks that could start have waited for long.
     Waiting,
+    /// A failure domain is evacuated.
+    DomainEvacuated,
+    /// A failure domain is no longer evacuated.
+    DomainReturned,
 }
 
 impl Coordinator {
     /// Returns a coordinator without jobs.
     pub fn new(limits: Limits, tables: JobTables, now: Timestamp) -> Self {
-        Self {
+        let mut coordinator = Self {
             advice: Advice::new(),
             audit_log: audit::AuditLog::default(),
             changed_jobs: BTreeSet::new(),
@@ -229,13 +242,17 @@
             pool_crashes: BTreeMap::new(),
             rejected_jobs: BTreeMap::new(),
             started_at: now.monotonic,
+            starts_held: limits.evacuation.is_some(),
             suspects: BTreeSet::new(),
             tables,
+            tables_confirmed: None,
             unexplained_crashes: VecDeque::new(),
             wait_log: WaitLog::new(),
             waiting_jobs: BTreeSet::new(),
             write_limit: commits::MAX_JOBS_PER_WRITE,
-        }
+        };
+        coordinator.apply_evacuations(&BTreeSet::new());
+        coordinator
     }
 
     /// Restores one job from its rows after a takeover. `progress` holds the rows of the state of
@@ -284,11 +301,15 @@
         Ok(())
     }
 
-    /// Applies a version of the tables. A version that is not higher than the current one is
-    /// ignored.
+    /// Applies a version of the tables and of the evacuated failure domains. A version that is not
+    /// higher than the current one is ignored.
     pub fn set_tables(&mut self, tables: &JobTables) {
-        if tables.version > self.tables.version {
-            self.tables = tables.clone();
+        let evacuated_before = self.tables.evacuated.domains.clone();
+        let change = self.tables.adopt_newer(tables);
+        if change.evacuated {
+            self.apply_evacuations(&evacuated_before);
+        }
+        if change.tables {
             for entry in self.jobs.values_mut() {
                 self.tables.adopt_pool(&mut entry.job);
             }
@@ -476,6 +497,9 @@
                 orders.sharing.push(SharingRun { response, run: *run, task: task.clone() });
             }
             if !ordered.contains(task) {
+                if self.is_held(state, entry, placement) {
+                    orders.held.push((task.clone(), *run));
+                }
                 orders.keep.push((task.clone(), *run));
                 continue;
             }
@@ -512,9 +536,13 @@
     }
 
     /// Returns the tasks whose start is ordered at a worker: their rows are durable, the worker does
-    /// not list them yet, and a message holds them.
+    /// not list them yet, and a message holds them. There are none in an evacuated failure domain, and
+    /// none while the tables may be outdated.
     fn ordered_starts<'a>(&'a self, worker: &'a FleetWorker) -> BTreeSet<&'a TaskId> {
         let mut ordered = BTreeSet::new();
+        if self.starts_held || worker.evacuated {
+            return ordered;
+        }
         let mut bytes = 0;
         for task in worker.runs.keys() {
             let Some(entry) = self.jobs.get(&task.job) else { continue };
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -59,6 +59,7 @@
     /// draining workers, ended jobs and placement.
     pub fn tick(&mut self, now: Timestamp) {
         self.limit_acceptances(now);
+        self.check_tables(now);
         self.close_silent(now);
         self.expire_workers(now);
         self.track_closed(now);
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -65,6 +65,10 @@
         } else if report.listed {
             self.update_runs(now, status, report);
         }
+        self.update_evacuated(&status.id);
+        if report.listed && !report.lapsed {
+            self.withdraw_evacuated_starts(&status.id, true);
+        }
         self.withdraw_excess_starts(&status.id);
         self.record_applied_ends(status, report);
     }
--- a/crates/jobs/src/coordinator/summary.rs
+++ b/crates/jobs/src/coordinator/summary.rs
@@ -3,6 +3,17 @@
 
 use super::{Coordinator, Timestamp};
 
+/// An evacuated failure domain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DomainSummary {
+    /// Name of the failure domain.
+    pub domain: String,
+    /// Number of runs that still go on there.
+    pub runs: usize,
+    /// Number of its workers.
+    pub workers: usize,
+}
+
 /// State of a worker as the coordinator knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WorkerSummary {
@@ -20,7 +31,7 @@
     pub pool: String,
     /// Rack.
     pub rack: String,
-    /// `serving`, `draining`, `quarantined` or `silent`.
+    /// `serving`, `draining`, `evacuated`, `quarantined` or `silent`.
     pub state: &'static str,
 }
 
@@ -44,6 +55,10 @@
 /// State of the queues and the workers, for operators.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Summary {
+    /// Evacuated failure domains.
+    pub evacuated: Vec<DomainSummary>,
+    /// Version of the store at which their set was read.
+    pub evacuated_version: u64,
     /// Queues by route and team.
     pub queues: Vec<QueueSummary>,
     /// Workers by id.
@@ -53,7 +68,12 @@
 impl Coordinator {
     /// Returns the current state of the queues and the workers.
     pub fn summary(&self, now: Timestamp) -> Summary {
-        Summary { queues: self.queue_summaries(now), workers: self.worker_summaries(now) }
+        Summary {
+            evacuated: self.domain_summaries(),
+            evacuated_version: self.tables.evacuated.version,
+            queues: self.queue_summaries(now),
+            workers: self.worker_summaries(now),
+        }
     }
 
     fn worker_summaries(&self, now: Timestamp) -> Vec<WorkerSummary> {
@@ -73,6 +93,8 @@
                     "silent"
                 } else if worker.status.draining {
                     "draining"
+                } else if worker.evacuated {
+                    "evacuated"
                 } else if !worker.health.is_usable(now.monotonic) {
                     "quarantined"
                 } else {
--- a/crates/jobs/src/coordinator/watch.rs
+++ b/crates/jobs/src/coordinator/watch.rs
@@ -96,7 +96,9 @@
             .flat_map(|worker| self.ordered_starts(worker))
             .cloned()
             .collect();
+        let starts_held = self.starts_held;
         for worker in self.fleet.workers.values() {
+            let held = starts_held || worker.evacuated;
             // While ends are left out, a run that is listed nowhere may have ended.
             let observed = worker.has_session && worker.is_reached && !worker.ends_truncated;
             for task in worker.runs.keys() {
@@ -111,6 +113,9 @@
                 let is_ordered = ordered.contains(task);
                 if is_ordered {
                     placement.ordered_at.get_or_insert(now.monotonic);
+                } else if held && !placement.listed {
+                    // Its worker is not to blame while the start is held back.
+                    placement.ordered_at = None;
                 }
                 let unordered = !placement.listed && !is_ordered;
                 if !observed || placement.stopping || unordered || pauses {
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -19,6 +19,8 @@
     pub closed_since: Option<Instant>,
     /// Whether it may have ended further runs that it did not list in the last report.
     pub ends_truncated: bool,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
     /// Time until which it gets no new work, because it refused a run for want of free resources.
     pub full_until: Option<Instant>,
     /// Whether this coordinator has received a report of the worker.
@@ -55,6 +57,7 @@
             applied: None,
             closed_since: None,
             ends_truncated: false,
+            evacuated: false,
             full_until: None,
             has_reported: false,
             has_session: false,
@@ -101,6 +104,9 @@
         if self.status.draining {
             return Some(Closure::Draining);
         }
+        if self.evacuated {
+            return Some(Closure::Evacuated);
+        }
         if self.full_until.is_some_and(|until| now < until) {
             return Some(Closure::Full);
         }
@@ -108,11 +114,12 @@
     }
 
     /// Reports whether new work may soon be placed on the worker: it is open, or has been closed
-    /// only for a short time and does not leave.
+    /// only for a short time, does not leave and is not evacuated.
     pub fn is_expected(&self, now: Instant) -> bool {
         let closed = self.closed_since.map(|since| now.saturating_duration_since(since));
         self.has_reported
             && !self.status.draining
+            && !self.evacuated
             && closed.is_none_or(|closed| closed < RETURN_TIMEOUT)
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod coordinator;
 mod crash_record;
 mod estimates;
+mod evacuations;
 mod eviction;
 mod exposure;
 mod fleet;
@@ -40,11 +41,12 @@
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
 pub use closure::Closure;
 pub use coordinator::{
-    Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
-    View, WaitCounts, WorkerSummary,
+    Coordinator, Decision, DecisionKind, DomainSummary, Limits, QueueSummary, Submission, Summary,
+    Timestamp, View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
 pub use estimates::Estimates;
+pub use evacuations::Evacuations;
 pub use eviction::{Claim, ClaimDecision, decide_claim};
 pub use exposure::Exposure;
 pub use fleet::{Fleet, FleetWorker};
@@ -59,7 +61,9 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
-pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
+pub use tables::{
+    Guarantee, JobRoute, JobTables, TablesChange, TablesError, TeamEntry, WorkerPool,
+};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
 pub use worker::{
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::{Job, RouteKey};
+use crate::{Evacuations, Job, RouteKey};
 
 /// Reason for which a version of the tables cannot be used.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -92,11 +92,30 @@
     pub name: String,
 }
 
+/// Which parts of the tables a newer version has replaced.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TablesChange {
+    /// Whether the set of evacuated failure domains was replaced.
+    pub evacuated: bool,
+    /// Whether the tables themselves were replaced.
+    pub tables: bool,
+}
+
+impl TablesChange {
+    /// Reports whether anything was replaced.
+    pub fn any(self) -> bool {
+        self.evacuated || self.tables
+    }
+}
+
 /// One version of both tables, as the coordinator uses them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobTables {
     /// Largest body of a submission in bytes.
     pub body_limit: usize,
+    /// Evacuated failure domains, with a version of their own.
+    #[serde(default)]
+    pub evacuated: Evacuations,
     /// Pools by name.
     pub pools: BTreeMap<String, WorkerPool>,
     /// Routes.
@@ -116,6 +135,23 @@
             .max_by_key(|route| route.path.len())
     }
 
+    /// Takes over the tables and the evacuated failure domains of `other`, each of them if its
+    /// version is higher. They change independently, so that neither may hold up the other.
+    pub fn adopt_newer(&mut self, other: &Self) -> TablesChange {
+        let change = TablesChange {
+            evacuated: other.evacuated.version > self.evacuated.version,
+            tables: other.version > self.version,
+        };
+        if change.evacuated {
+            self.evacuated = other.evacuated.clone();
+        }
+        if change.tables {
+            let evacuated = std::mem::take(&mut self.evacuated);
+            *self = Self { evacuated, ..other.clone() };
+        }
+        change
+    }
+
     /// Moves a job whose pool does not exist any more to the pool of the route at which it was
     /// submitted.
     pub fn adopt_pool(&self, job: &mut Job) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -179,6 +179,8 @@
     pub departure_stored: bool,
     /// Ends up to this number are durable and need not be reported again.
     pub ended_through: u64,
+    /// Runs of `keep` whose start may have been ordered before, but is not ordered now.
+    pub held: Vec<(TaskId, u32)>,
     /// Incarnation that the orders are for.
     pub incarnation: u64,
     /// Runs that continue.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -65,6 +65,8 @@
     JobGivenUp = 318, "job-given-up", "A job ended as failed because workers crash under one of its tasks.";
     JobUnstored = 319, "job-unstored", "The store rejects the rows of a job; other jobs are stored without it.";
     TasksWaiting = 320, "tasks-waiting", "Tasks that could start have waited for seconds; the detail begins with the reason.";
+    DomainEvacuated = 321, "domain-evacuated", "A failure domain is evacuated: its workers get no new work, and starts there are withdrawn.";
+    DomainReturned = 322, "domain-returned", "A failure domain is no longer evacuated, and its workers get work again.";
     AgentJoined = 400, "agent-joined", "An agent opened a session.";
     AgentSilent = 401, "agent-silent", "An agent sent nothing within the time-out and gets no new work.";
     AgentLeaving = 402, "agent-leaving", "An agent or its upstream is leaving.";
