--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod crashes;
 mod crashing_pool;
+mod evacuations;
 mod gangs;
 mod interleavings;
 mod liveness;
