Apply changed tables while an entry leads

The leader's loop asked whether the tables had changed after the wait for a change had already marked them as seen, so that a running leader kept the tables and evacuated failure domains of its start. On a deployment, 9 runs were started in an evacuated failure domain for this reason. The coordinator now compares the versions each time. The new test waits without end on the code before.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -250,10 +250,8 @@
     ) {
         // The time is taken first, so that the tables are at least as new.
         let read_at = availability.borrow_and_update().read_at;
-        if tables.has_changed().unwrap_or(false) {
-            let tables = tables.borrow_and_update().clone();
-            self.coordinator.set_tables(&tables);
-        }
+        // `changed` has already marked the tables as seen, so the coordinator compares the versions.
+        self.coordinator.set_tables(&tables.borrow_and_update());
         let known = self.tables_read.map(|(at, _)| at);
         let Some(read_at) = read_at.filter(|at| known.is_none_or(|known| *at > known)) else {
             return;
--- a/crates/coordination/tests/entries/operators.rs
+++ b/crates/coordination/tests/entries/operators.rs
@@ -1,13 +1,17 @@
 //! Explanations and status that entries give to operators.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use skylarkpulley_admin::{Client, Status};
 use skylarkpulley_coordination::{JobAnswer, JobCall};
+use skylarkpulley_jobs::{Evacuations, JobTables, Limits};
 use skylarkpulley_store::MemoryTransactor;
 use skylarkpulley_telemetry::Event;
+use tokio::net::TcpListener;
 
-use crate::rig::{job, start, until_ready};
+use crate::rig::{ChangingTables, job, start, start_from, tables, until_ready};
 
 /// Guards against decisions that an operator cannot find because another entry made them, against
 /// an explanation without the reason for which a job waits now, and against a status that only the
@@ -66,6 +70,42 @@
     assert!(at_leader.explain("b").await.is_err(), "nothing is recorded about this id");
 }
 
+/// Guards against a leader that takes in the tables only at its start: changes of the tables and of
+/// the evacuated failure domains while it leads had no effect.
+#[tokio::test]
+async fn status_tables_changed_while_leading() {
+    let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let announced = control.local_addr().expect("an address");
+    let (source, versions) = ChangingTables::new();
+    let store = Arc::new(MemoryTransactor::new());
+    versions.send(tables(7, "north")).await.expect("a reader");
+    let (entry, client) =
+        start_from("entry-1", store, Limits::default(), control, announced, source).await;
+    until_ready(&entry).await;
+    let evacuated = Evacuations::new(["domain-b".to_owned()].into(), 30);
+    versions.send(JobTables { evacuated, ..JobTables::default() }).await.expect("a reader");
+    let domains = |status: &Status| -> Vec<String> {
+        status.evacuated.iter().map(|domain| domain.domain.clone()).collect()
+    };
+    until_status(&client, |status| domains(status) == ["domain-b"]).await;
+    versions.send(tables(8, "south")).await.expect("a reader");
+    until_status(&client, |status| status.teams.iter().any(|team| team.team == "south")).await;
+    let returned = Evacuations::new(BTreeSet::new(), 31);
+    let newer = JobTables { evacuated: returned, ..JobTables::default() };
+    versions.send(newer).await.expect("a reader");
+    until_status(&client, |status| domains(status).is_empty()).await;
+}
+
+/// Waits until the leader's status is as expected.
+async fn until_status(client: &Client, is_expected: impl Fn(&Status) -> bool) {
+    loop {
+        if client.status().await.is_ok_and(|status| is_expected(&status)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against an entry that lets an operator wait, or answers with an outdated state, while no
 /// leader can be reached.
 #[tokio::test]
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -12,6 +12,7 @@
 use skylarkpulley_telemetry::Metrics;
 use skylarkpulley_types::SystemClock;
 use tokio::net::TcpListener;
+use tokio::sync::{Mutex, mpsc};
 
 /// One version of the tables that never changes.
 struct FixedTables;
@@ -22,23 +23,49 @@
         if current_version > 0 {
             std::future::pending::<()>().await;
         }
-        let pool = WorkerPool { guarded: true, name: "renders".to_owned(), spare: false };
-        let team = TeamEntry {
-            guarantee: Guarantee { accelerators: 16 },
-            keys: Vec::new(),
-            name: "north".to_owned(),
-        };
-        let tables = JobTables {
-            body_limit: 1000,
-            pools: [("renders".to_owned(), pool)].into(),
-            teams: vec![team],
-            version: 7,
-            ..JobTables::default()
-        };
+        let tables = tables(7, "north");
         Ok(TablesAnswer { confirmed_after: Some(Duration::ZERO), newer: Some(tables) })
     }
 }
 
+/// Tables that a test changes while entries use them.
+pub struct ChangingTables {
+    versions: Mutex<mpsc::Receiver<JobTables>>,
+}
+
+impl ChangingTables {
+    /// Returns a source of the tables that are sent.
+    pub fn new() -> (Arc<Self>, mpsc::Sender<JobTables>) {
+        let (sender, versions) = mpsc::channel(4);
+        (Arc::new(Self { versions: Mutex::new(versions) }), sender)
+    }
+}
+
+#[async_trait]
+impl TablesSource for ChangingTables {
+    async fn poll(&self, _: u64) -> Result<TablesAnswer, TablesSourceError> {
+        let newer = self.versions.lock().await.recv().await;
+        Ok(TablesAnswer { confirmed_after: Some(Duration::ZERO), newer })
+    }
+}
+
+/// Returns tables with one pool and one team.
+pub fn tables(version: u64, team: &str) -> JobTables {
+    let pool = WorkerPool { guarded: true, name: "renders".to_owned(), spare: false };
+    let team = TeamEntry {
+        guarantee: Guarantee { accelerators: 16 },
+        keys: Vec::new(),
+        name: team.to_owned(),
+    };
+    JobTables {
+        body_limit: 1000,
+        pools: [("renders".to_owned(), pool)].into(),
+        teams: vec![team],
+        version,
+        ..JobTables::default()
+    }
+}
+
 pub fn job(id: &str) -> Box<Job> {
     Box::new(Job {
         accepted_ms: 1,
@@ -81,6 +108,18 @@
     limits: Limits,
     control: TcpListener,
     announced: SocketAddr,
+) -> (Arc<Entry>, Client) {
+    start_from(name, store, limits, control, announced, Arc::new(FixedTables)).await
+}
+
+/// Starts an entry that reads the tables from `source`.
+pub async fn start_from(
+    name: &str,
+    store: Arc<dyn Transactor>,
+    limits: Limits,
+    control: TcpListener,
+    announced: SocketAddr,
+    source: Arc<dyn TablesSource>,
 ) -> (Arc<Entry>, Client) {
     let operators = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = operators.local_addr().expect("an address");
@@ -93,7 +132,7 @@
         name: name.to_owned(),
     };
     let (metrics, page) = Metrics::with_page("entry");
-    let (clock, source) = (Arc::new(SystemClock::new()), Arc::new(FixedTables));
+    let clock = Arc::new(SystemClock::new());
     let records = Records::new(metrics);
     let entry = Entry::start(settings, control, store, source, None, clock, records);
     let entry = Arc::new(entry);
