Limit what unfinished requests may hold

Cause: all listeners took heads, blank lines and bodies without a common limit, so that clients which never complete their requests used up the memory of a process, and a shutdown waited for them for the whole grace time.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,7 +45,7 @@
 pub use leadership::Leadership;
 pub use metered_store::MeteredStore;
 pub use operators::Operators;
-pub use operators_server::serve_operators;
+pub use operators_server::{operators_endpoint, serve_operators};
 pub use placement_policy::{PlacementPolicy, PolicyError};
 pub use records::Records;
 pub use standby::{Standby, ping_interval, standby_rank, takeover_delay};
--- a/crates/coordination/src/operators_server.rs
+++ b/crates/coordination/src/operators_server.rs
@@ -26,10 +26,18 @@
     entry: Arc<Entry>,
     page: Arc<MetricsPage>,
 ) -> std::io::Result<()> {
-    let server = OperatorsServer { entry, page };
+    let server = operators_endpoint(entry, page);
     Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?).run(server).await
 }
 
+/// Returns the endpoint that [`serve_operators`] serves, for a server with limits of its own.
+pub fn operators_endpoint(
+    entry: Arc<Entry>,
+    page: Arc<MetricsPage>,
+) -> impl Endpoint<Output = Response> + 'static {
+    OperatorsServer { entry, page }
+}
+
 impl Endpoint for OperatorsServer {
     type Output = Response;
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -59,7 +59,9 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
-pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
+pub use tables::{
+    ClientLimits, Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool,
+};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
 pub use worker::{
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -92,11 +93,45 @@
     pub name: String,
 }
 
+/// Limits of the tables for the connections of clients. Defaults apply to those that are not set.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ClientLimits {
+    /// Time within which a head has to be complete, in milliseconds.
+    #[serde(default)]
+    pub head_ms: Option<u64>,
+    /// Largest head of a request in bytes.
+    #[serde(default)]
+    pub head_size: Option<usize>,
+    /// Time without a request after which a connection is closed, in milliseconds.
+    #[serde(default)]
+    pub idle_ms: Option<u64>,
+}
+
+impl ClientLimits {
+    /// Returns the largest head of a request in bytes.
+    pub fn head_bytes(&self) -> usize {
+        self.head_size.unwrap_or(65_536)
+    }
+
+    /// Returns the time within which a head has to be complete.
+    pub fn head_timeout(&self) -> Duration {
+        Duration::from_millis(self.head_ms.unwrap_or(10_000))
+    }
+
+    /// Returns the time without a request after which a connection is closed.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_ms.unwrap_or(15_000))
+    }
+}
+
 /// One version of both tables, as the coordinator uses them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobTables {
     /// Largest body of a submission in bytes.
     pub body_limit: usize,
+    /// Limits for the connections of clients.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// Pools by name.
     pub pools: BTreeMap<String, WorkerPool>,
     /// Routes.
