--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -62,7 +62,7 @@
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
 pub use tables::{
-    Guarantee, JobRoute, JobTables, TablesChange, TablesError, TeamEntry, WorkerPool,
+    ClientLimits, Guarantee, JobRoute, JobTables, TablesChange, TablesError, TeamEntry, WorkerPool,
 };
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
