--- a/crates/jobs/src/coordinator/audit.rs
+++ b/crates/jobs/src/coordinator/audit.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use super::entry::{JobEntry, Placement};
-use super::planning::{PoolView, select_candidates, subtract_demand, to_view_indexes};
+use super::pool_view::{PoolView, select_candidates, subtract_demand, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::{Demand, FleetWorker, Resources, StepId, TaskId, TaskKey, Violation, choose_workers};
--- a/crates/jobs/src/coordinator/crashes.rs
+++ b/crates/jobs/src/coordinator/crashes.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use super::entry::Placement;
-use super::planning::{PoolView, select_candidates};
+use super::pool_view::{PoolView, select_candidates};
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{CrashRecord, Demand, LossCause, TaskId, TaskKey, choose_workers};
--- a/crates/jobs/src/coordinator/earliest_fit.rs
+++ b/crates/jobs/src/coordinator/earliest_fit.rs
@@ -2,7 +2,7 @@
 
 use super::gang_time::GangTimes;
 use super::hold::HoldKind;
-use super::planning::{PoolView, reserve, select_candidates, to_view_indexes};
+use super::pool_view::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::{Demand, Resources, choose_workers};
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 mod permits;
 mod planning;
 mod pool_state;
+mod pool_view;
 mod preemption;
 mod racks;
 mod reports;
--- a/crates/jobs/src/coordinator/permits.rs
+++ b/crates/jobs/src/coordinator/permits.rs
@@ -1,4 +1,4 @@
-use super::planning::{PoolView, select_candidates};
+use super::pool_view::{PoolView, select_candidates};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::{Demand, StepId, choose_workers};
--- a/crates/jobs/src/coordinator/pool_state.rs
+++ b/crates/jobs/src/coordinator/pool_state.rs
@@ -2,7 +2,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-use super::planning::PoolView;
+use super::pool_view::PoolView;
 use super::{Coordinator, Timestamp};
 use crate::{Closure, Resources};
 
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -4,7 +4,7 @@
 use super::absences::Absences;
 use super::entry::{JobEntry, Placement};
 use super::hold::HoldKind;
-use super::planning::{PoolView, reserve, select_candidates, to_view_indexes};
+use super::pool_view::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::reclaim::{PreemptibleRun, choose_victims};
