Place work by learned run times and worker speeds

Cause: the second customer's workers differ in speed by 0.6, 1.0 and 1.6 and nothing announces it, so that urgent jobs with an objective of 1.5 times their critical path miss it on the slow ones.

Placement uses it in pools where a worker is slow beyond doubt: urgent work avoids workers on which it would be late, bulk work goes to slow and unknown workers first, and is spread while most workers are unknown. The setting learn_run_times turns the use off.

The slowness is learned by comparison with other runs of the same step, running ones by their progress included, and not with the first end of the step: the runs that end first are the short ones.

--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -38,6 +38,7 @@
         let limits = Limits {
             checkpoint: Duration::from_secs(1),
             lapse: Duration::from_secs(9),
+            learn_run_times: setup.learns,
             open_jobs: 10_000,
             reclaim: Duration::from_millis(2500 + setup.stop),
             retention: Duration::from_secs(1000),
--- a/crates/bench/src/jobs_replay/load.rs
+++ b/crates/bench/src/jobs_replay/load.rs
@@ -258,3 +258,67 @@
     let normal: f64 = (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0;
     (sigma * normal - sigma * sigma / 2.0).exp()
 }
+
+/// Rates and widths of the users' second customer, as its request sheet states them.
+const SECOND_CUSTOMER_KINDS: [JobKind; 3] = [
+    JobKind {
+        class: 0,
+        cores: 7500,
+        estimate_sigma: 0.7,
+        length: 2100.0,
+        length_sigma: 0.5,
+        memory: 12_000,
+        rate: 0.72,
+        slack: 1.5,
+        target: 250,
+        width: 5.0,
+    },
+    JobKind {
+        class: 1,
+        cores: 26_000,
+        estimate_sigma: 0.7,
+        length: 5800.0,
+        length_sigma: 0.3,
+        memory: 50_000,
+        rate: 0.45,
+        slack: 3.0,
+        target: 1000,
+        width: 8.0,
+    },
+    JobKind {
+        class: 2,
+        cores: 5600,
+        estimate_sigma: 0.7,
+        length: 5200.0,
+        length_sigma: 0.3,
+        memory: 8000,
+        rate: 0.34,
+        slack: 3.0,
+        target: 3000,
+        width: 39.0,
+    },
+];
+
+/// Generates the load of the second customer, in the order of arrival. Urgent jobs and those of
+/// class 1 are gangs; the estimates are wrong by a factor of two.
+pub fn generate_second_customer(teams: usize, seed: u64) -> Vec<JobPlan> {
+    let (kinds, period) = (&SECOND_CUSTOMER_KINDS, ARRIVAL_PERIOD);
+    generate_jobs(
+        kinds,
+        period,
+        seed,
+        |_, _| 1.0,
+        |kind, at, rng| {
+            let mut job = generate_job(kind, at, rng);
+            job.gang = kind.class < 2;
+            job.team = rng.usize(0..teams);
+            if job.gang {
+                let length = job.lengths[0] as f64;
+                for member in &mut job.lengths {
+                    *member = (length * lognormal(0.2, rng)).max(100.0) as Millis;
+                }
+            }
+            job
+        },
+    )
+}
--- a/crates/bench/src/jobs_replay/mod.rs
+++ b/crates/bench/src/jobs_replay/mod.rs
@@ -11,7 +11,7 @@
 
 pub use baseline::{Baseline, Rule};
 pub use coordinated::Coordinated;
-pub use load::{JobPlan, Load, generate, generate_wide};
+pub use load::{JobPlan, Load, generate, generate_second_customer, generate_wide};
 pub use pool::{EndedRun, Order, Policy, Pool, Run, replay};
 pub use score::Score;
 pub use setup::Setup;
--- a/crates/bench/src/jobs_replay/score.rs
+++ b/crates/bench/src/jobs_replay/score.rs
@@ -17,6 +17,8 @@
     pub earned: f64,
     /// Sum of the values that all jobs would have earned by meeting their objectives.
     pub potential: f64,
+    /// Number of jobs of class 0.
+    pub urgent: usize,
     /// Number of jobs of class 0 that missed their objective.
     pub urgent_late: usize,
     /// Core-seconds of lost work, which stopped tasks must repeat; an accelerator counts as 8
@@ -32,6 +34,7 @@
         let objective = longest as f64 * job.slack + job.target as f64;
         let completion_time = end.map_or(f64::INFINITY, |end| (end - job.arrival) as f64);
         self.potential += ON_TIME_VALUE[class];
+        self.urgent += usize::from(job.class == 0);
         if completion_time <= objective {
             self.earned += ON_TIME_VALUE[class];
             return;
@@ -46,6 +49,7 @@
     pub fn add(&mut self, other: &Self) {
         self.earned += other.earned;
         self.potential += other.potential;
+        self.urgent += other.urgent;
         self.urgent_late += other.urgent_late;
         self.waste += other.waste;
     }
--- a/crates/bench/src/jobs_replay/setup.rs
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -3,11 +3,17 @@
 /// Speeds of the workers of a mixed pool, in turn.
 const MIXED_SPEEDS: [f64; 7] = [1.0, 0.8, 1.25, 1.0, 0.8, 1.25, 1.0];
 
+/// Speeds of the workers of the users' second customer, in turn: by measurement, a run takes 0.6, 1.0
+/// or 1.6 times the usual time.
+const UNEQUAL_SPEEDS: [f64; 3] = [1.0 / 0.6, 1.0, 1.0 / 1.6];
+
 /// Size and faults of the pool in a replay.
 #[derive(Clone, Debug)]
 pub struct Setup {
     /// Accelerators that are guaranteed to each team.
     pub guarantee: i64,
+    /// Whether the coordinator uses learned run times and speeds of workers.
+    pub learns: bool,
     /// Share of the starts that are lost. The worker's agent repeats them.
     pub lost_starts: f64,
     /// Workers that share a rack.
@@ -34,6 +40,7 @@
     pub fn small() -> Self {
         Self {
             guarantee: 24,
+            learns: true,
             lost_starts: 0.0,
             rack: 3,
             speeds: vec![1.0],
@@ -49,6 +56,24 @@
         Self { guarantee: 48, rack: 12, stop: 200, teams: 24, workers: 240, ..Self::small() }
     }
 
+    /// Returns the pool of the users' second customer with equal workers.
+    pub fn second_customer() -> Self {
+        // Racks of eight, so that each has workers of all speeds.
+        Self { guarantee: 24, rack: 8, stop: 900, teams: 10, workers: 74, ..Self::small() }
+    }
+
+    /// Returns the setup with the speeds of the second customer's workers.
+    pub fn with_unequal_speeds(mut self) -> Self {
+        self.speeds = UNEQUAL_SPEEDS.to_vec();
+        self
+    }
+
+    /// Returns the setup without the use of learned run times.
+    pub fn without_learning(mut self) -> Self {
+        self.learns = false;
+        self
+    }
+
     /// Returns the setup with this share of lost starts.
     pub fn with_lost_starts(mut self, share: f64) -> Self {
         self.lost_starts = share;
--- /dev/null
+++ b/crates/bench/tests/run_times.rs
@@ -0,0 +1,46 @@
+//! Tests of placement by learned run times and speeds of workers, with the load of the users'
+//! second customer.
+
+use skylarkpulley_bench::jobs_replay::{
+    Coordinated, JobPlan, Score, Setup, generate_second_customer, replay,
+};
+
+const SEEDS: u64 = 4;
+
+/// Replays the load of the second customer, whose jobs `change` changes, with several seeds.
+fn replay_changed(setup: &Setup, change: impl Fn(&mut JobPlan)) -> Score {
+    let mut total = Score::default();
+    for seed in 1..=SEEDS {
+        let mut jobs = generate_second_customer(setup.teams, seed);
+        jobs.iter_mut().for_each(&change);
+        total.add(&replay(setup, &jobs, &mut Coordinated::new(setup), seed));
+    }
+    println!("learns {} {} {total:?}", setup.learns, total.earned_share());
+    total
+}
+
+/// Checks that with unequal workers fewer urgent jobs are late with learning than without, by at
+/// least a third.
+fn assert_fewer_late(change: impl Fn(&mut JobPlan)) {
+    let setup = Setup::second_customer().with_unequal_speeds();
+    let without = replay_changed(&setup.clone().without_learning(), &change);
+    let with = replay_changed(&setup, &change);
+    assert!(with.urgent_late * 3 <= without.urgent_late * 2, "{with:?} {without:?}");
+    assert!(with.earned_share() > without.earned_share(), "{with:?} {without:?}");
+}
+
+/// Guards against urgent jobs that are late on slow workers while faster ones are free.
+#[test]
+fn second_customer_unequal() {
+    assert_fewer_late(|_| {});
+}
+
+/// Guards against harm on workers of equal speed.
+#[test]
+fn second_customer_equal() {
+    let setup = Setup::second_customer();
+    let without = replay_changed(&setup.clone().without_learning(), |_| {});
+    let with = replay_changed(&setup, |_| {});
+    assert!(with.urgent_late <= without.urgent_late, "{with:?} {without:?}");
+    assert!(with.earned_share() >= without.earned_share(), "{with:?} {without:?}");
+}
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -1,9 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use crate::progress::COMPLETE_PERCENT;
 use crate::{
     CrashRecord, CrashRow, EndKind, Exposure, ExposureRow, Job, JobState, ProgressRow, Resources,
-    TaskId, TaskKey, TaskRow, WorkerRow,
+    RunTime, TaskId, TaskKey, TaskRow, WorkerRow,
 };
 
 /// A run that may be alive on a worker.
@@ -30,12 +31,16 @@
     pub ordered_at: Option<Instant>,
     /// Progress in percent.
     pub percent: u8,
+    /// Whether its run time was counted.
+    pub observed: bool,
     /// Permit of the placement policy.
     pub permit: String,
     pub placed_at: Instant,
     /// Since when the run works, and its progress in percent then; `None` until all members of its
     /// gang are listed.
     pub progress_start: Option<(Instant, u8)>,
+    /// Progress in percent below 100 that was listed last, and when it was reached.
+    pub sample: Option<(Instant, u8)>,
     /// Whether the run has survived its start.
     pub proven: bool,
     /// Whether an earlier coordinator placed the run.
@@ -67,6 +72,8 @@
     /// then.
     pub last_loss: Option<(Instant, usize)>,
     pub placement: Option<Placement>,
+    /// Time of its last run, once it is known.
+    pub run_time: Option<RunTime>,
     pub run: u32,
 }
 
@@ -142,12 +149,14 @@
                 listed_at: None,
                 lost: false,
                 ordered_at: None,
+                observed: false,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
                 progress_start: None,
                 proven: false,
                 restored: true,
+                sample: None,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
@@ -321,6 +330,9 @@
         if percent > placement.percent {
             placement.percent = percent;
             placement.last_progress = now;
+            if percent < COMPLETE_PERCENT {
+                placement.sample = Some((now, percent));
+            }
         }
         if placement.listed {
             return;
--- a/crates/jobs/src/coordinator/gang_time.rs
+++ b/crates/jobs/src/coordinator/gang_time.rs
@@ -46,9 +46,7 @@
 
     fn member_time(&self, now: Timestamp, entry: &JobEntry, key: &TaskKey) -> Duration {
         let Some(placement) = entry.placement(key) else { return Duration::ZERO };
-        let estimate = entry.job.steps.get(key.step as usize).map_or(0, |step| step.estimate_ms);
-        let expected =
-            Duration::from_millis(self.estimates.correct(entry.job.route_id(), estimate));
+        let expected = self.expected_run_time(now, entry, key.step, &placement.worker);
         let (since, start_percent) = placement.progress_start.unwrap_or((placement.placed_at, 0));
         remaining_time(now.monotonic, since, start_percent, placement.percent, expected)
     }
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod gang_time;
 mod hold;
+mod pace;
 mod permits;
 mod planning;
 mod pool_state;
@@ -15,6 +16,7 @@
 mod preemption;
 mod racks;
 mod reports;
+mod run_observations;
 mod summary;
 mod uncounted;
 mod unit_rules;
@@ -27,13 +29,14 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, FleetWorker, Job, JobAccess,
-    JobState, JobTables, Orders, RouteKey, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Fleet, FleetWorker, Job, JobAccess, JobState,
+    JobTables, Orders, RouteKey, RowsError, RunTimes, SharingRun, StartOrder, TaskId, TaskKey,
     decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
 use hold::Hold;
+use run_observations::step_kind;
 pub use summary::{QueueSummary, Summary, WorkerSummary};
 pub use waiting::WaitCounts;
 use waiting::WaitLog;
@@ -62,6 +65,9 @@
     /// Time after the last report of a silent worker until its leases have lapsed, clock drift
     /// included.
     pub lapse: Duration,
+    /// Whether decisions use the model of run times and of the speeds of workers. Otherwise run times
+    /// are corrected by route.
+    pub learn_run_times: bool,
     /// Maximum number of open jobs of one pool; further ones are refused.
     pub open_jobs: usize,
     /// Time within which a guaranteed job must start.
@@ -83,6 +89,7 @@
         Self {
             checkpoint: Duration::from_secs(1),
             lapse: Duration::from_secs(9),
+            learn_run_times: true,
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
             retention: Duration::from_secs(120),
@@ -127,7 +134,6 @@
     decisions: Vec<Decision>,
     /// Workers that have left, by id, while their agents have sessions.
     departures: BTreeMap<String, Departure>,
-    estimates: Estimates,
     fleet: Fleet,
     /// Number of stored rows beyond the first, of each job whose state takes more than one row.
     further_rows: BTreeMap<String, usize>,
@@ -145,6 +151,7 @@
     pool_crashes: BTreeMap<String, VecDeque<Instant>>,
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
+    run_times: RunTimes,
     started_at: Instant,
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
@@ -217,7 +224,6 @@
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
             departures: BTreeMap::new(),
-            estimates: Estimates::new(),
             fleet: Fleet::new(),
             further_rows: BTreeMap::new(),
             holds: Vec::new(),
@@ -229,6 +235,7 @@
             predecessor_end: now.monotonic + limits.takeover,
             pool_crashes: BTreeMap::new(),
             rejected_jobs: BTreeMap::new(),
+            run_times: RunTimes::new(limits.learn_run_times),
             started_at: now.monotonic,
             suspects: BTreeSet::new(),
             tables,
@@ -548,7 +555,7 @@
 
     /// Returns the expected time of the critical path of a job, in milliseconds.
     fn expected_critical_path(&self, job: &Job) -> u64 {
-        job.critical_path_of(|step| self.estimates.correct(job.route_id(), step.estimate_ms))
+        job.critical_path_of(|step| self.run_times.median_ms(&step_kind(job, step)))
     }
 
     fn record_decision(&mut self, id: &str, kind: DecisionKind, detail: String) {
@@ -593,6 +600,7 @@
 
     /// Releases the resources of a run whose end is certain, and records how it ended.
     fn end_run(&mut self, now: Timestamp, task: &TaskId, kind: Option<EndKind>, checkpoint: &str) {
+        self.observe_end(now, task, kind);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = entry.take_placement(&task.key) else { return };
         let resources = entry.resources(task.key.step);
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -70,6 +70,7 @@
                 views.insert(pool.clone(), view);
             }
             let Some(view) = views.get_mut(&pool) else { continue };
+            self.rate_candidates(unit, view);
             self.place_unit(now, unit, view, &guaranteed);
         }
         self.holds = views.into_values().flat_map(|view| view.holds).collect();
@@ -118,6 +119,8 @@
         let allowed = self.with_permits(now, unit, &demand, view, allowed);
         let allowed = self.without_failed_worker(now, unit, keys, &demand, view, allowed);
         let allowed = self.without_interference(unit, &demand, view, allowed);
+        let allowed = self.with_pace(now, unit, &demand, view, allowed, guaranteed);
+        let allowed = self.with_exploration(unit, keys, &demand, view, allowed);
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
         if let Some(chosen) = self.choose_now(now, unit, &demand, view, &allowed) {
@@ -385,12 +388,14 @@
                 listed_at: None,
                 lost: false,
                 ordered_at: None,
+                observed: false,
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
                 progress_start: None,
                 proven: false,
                 restored: false,
+                sample: None,
                 run,
                 stopping: false,
                 version,
--- a/crates/jobs/src/coordinator/pool_view.rs
+++ b/crates/jobs/src/coordinator/pool_view.rs
@@ -1,10 +1,12 @@
 use super::earliest_fit::RunEndTime;
 use super::hold::{Hold, HoldKind};
+use super::pace::PaceUse;
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
-use crate::{Candidate, Demand, Resources, StepId};
+use crate::{Candidate, Demand, Normal, Resources, StepId};
 
 /// Workers of one pool during one round of planning.
+#[derive(Clone)]
 pub(super) struct PoolView {
     pub(super) candidates: Vec<Candidate>,
     /// Resources that are free once the runs that are ordered to stop have ended.
@@ -14,7 +16,11 @@
     /// When the runs on the candidates are expected to end by themselves, the earliest first.
     /// `None` until a claim needs them, and after runs were ordered to stop.
     pub(super) run_ends: Option<Vec<RunEndTime>>,
+    /// Which use is made of the speeds of the workers.
+    pub(super) pace_use: PaceUse,
     pub(super) reservations: usize,
+    /// Logarithm of the slowness of each candidate; empty if it is not used.
+    pub(super) slowness: Vec<Normal>,
     /// Resources that lasting tasks did not hold at the start of the round.
     pub(super) temporary: Vec<Resources>,
 }
@@ -26,7 +32,9 @@
             future_free: Vec::new(),
             holds: Vec::new(),
             run_ends: None,
+            pace_use: PaceUse::default(),
             reservations: 0,
+            slowness: Vec::new(),
             temporary: Vec::new(),
         };
         for (id, worker) in &self.fleet.workers {
@@ -47,13 +55,19 @@
             view.candidates.push(Candidate {
                 free: worker.free(),
                 id: id.as_str().into(),
+                late: 0,
+                pace: 0,
                 penalty: worker.health.penalty(),
                 rack: worker.status.rack.as_str().into(),
                 same_step: 0,
             });
+            if self.run_times.is_used() {
+                view.slowness.push(self.run_times.slowness(id, now.monotonic));
+            }
             view.future_free.push(future_free);
             view.temporary.push(temporary);
         }
+        view.pace_use = PaceUse::new(&view.slowness);
         view
     }
 }
--- a/crates/jobs/src/coordinator/preemption.rs
+++ b/crates/jobs/src/coordinator/preemption.rs
@@ -7,9 +7,23 @@
 use super::pool_view::{PoolView, reserve, select_candidates, to_view_indexes};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
-use crate::reclaim::{PreemptibleRun, choose_victims};
+use crate::reclaim::{PreemptibleRun, PreemptionPlan, choose_victims};
 use crate::{Candidate, Claim, ClaimDecision, Demand, TaskId, decide_claim};
 
+/// How resources become free for a claim.
+enum Preemption {
+    /// Runs end in time by themselves, on these candidates if they are known.
+    Wait(Option<Vec<usize>>),
+    /// Other work is stopped.
+    Stop {
+        claim: Claim,
+        plan: PreemptionPlan,
+        runs: Vec<PreemptibleRun>,
+        /// One task of each group of runs.
+        groups: Vec<TaskId>,
+    },
+}
+
 impl Coordinator {
     /// Stops other work for `unit` if its rank allows it, or reserves the resources of runs that
     /// end in time. Returns `true` if resources become free for the unit.
@@ -22,35 +36,16 @@
         allowed: &[usize],
         guaranteed: &BTreeSet<String>,
     ) -> bool {
-        let is_guaranteed = unit.rank.tier == 0;
-        if !Claim::may_stop(unit.rank.class, is_guaranteed) {
+        let Some(preemption) = self.preemption(now, unit, demand, view, allowed, guaranteed) else {
             return false;
-        }
-        let fit = self.earliest_fit(now, unit, demand, view, allowed);
-        let claim = Claim {
-            free_after: fit.as_ref().map(|(after, _)| *after),
-            guaranteed: is_guaranteed,
-            slack_ms: unit.rank.start_ms.cast_signed() - now.wall_ms.cast_signed(),
-            waited: unit.waited,
         };
-        let max_lost_work = match decide_claim(&claim, self.limits.stop, self.limits.reclaim) {
-            ClaimDecision::Wait => {
-                if let Some((_, chosen)) = fit {
-                    let chosen = to_view_indexes(allowed, &chosen);
-                    reserve(view, unit, HoldKind::RunEnds, demand, &chosen);
-                }
-                return true;
+        let Preemption::Stop { claim, plan, runs, groups } = preemption else {
+            if let Preemption::Wait(Some(chosen)) = preemption {
+                let chosen = to_view_indexes(allowed, &chosen);
+                reserve(view, unit, HoldKind::RunEnds, demand, &chosen);
             }
-            ClaimDecision::Stop { max_lost_work } => max_lost_work,
-        };
-        let candidates = self.count_same_step(unit, demand, select_candidates(view, allowed, true));
-        let (preemptible_runs, groups) = self.preemptible_runs(now, unit, &candidates, guaranteed);
-        let Some(plan) = choose_victims(demand, &candidates, &preemptible_runs) else {
-            return false;
+            return true;
         };
-        if plan.lost_work > max_lost_work {
-            return false;
-        }
         view.run_ends = None;
         for group in &plan.groups {
             let reason = format!(
@@ -63,7 +58,7 @@
             );
             self.stop_run(&groups[*group], &reason);
         }
-        for run in preemptible_runs.iter().filter(|run| plan.groups.contains(&run.group)) {
+        for run in runs.iter().filter(|run| plan.groups.contains(&run.group)) {
             view.future_free[allowed[run.candidate]].add(&run.resources);
         }
         let chosen = to_view_indexes(allowed, &plan.chosen);
@@ -71,6 +66,51 @@
         true
     }
 
+    /// Reports whether resources would become free for the unit on these candidates by stops, or by
+    /// runs that end in time.
+    pub(super) fn can_preempt(
+        &self,
+        now: Timestamp,
+        unit: &Unit,
+        demand: &Demand,
+        view: &mut PoolView,
+        allowed: &[usize],
+        guaranteed: &BTreeSet<String>,
+    ) -> bool {
+        let preemption = self.preemption(now, unit, demand, view, allowed, guaranteed);
+        preemption.is_some_and(|preemption| !matches!(preemption, Preemption::Wait(None)))
+    }
+
+    fn preemption(
+        &self,
+        now: Timestamp,
+        unit: &Unit,
+        demand: &Demand,
+        view: &mut PoolView,
+        allowed: &[usize],
+        guaranteed: &BTreeSet<String>,
+    ) -> Option<Preemption> {
+        let is_guaranteed = unit.rank.tier == 0;
+        if !Claim::may_stop(unit.rank.class, is_guaranteed) {
+            return None;
+        }
+        let fit = self.earliest_fit(now, unit, demand, view, allowed);
+        let claim = Claim {
+            free_after: fit.as_ref().map(|(after, _)| *after),
+            guaranteed: is_guaranteed,
+            slack_ms: unit.rank.start_ms.cast_signed() - now.wall_ms.cast_signed(),
+            waited: unit.waited,
+        };
+        let max_lost_work = match decide_claim(&claim, self.limits.stop, self.limits.reclaim) {
+            ClaimDecision::Wait => return Some(Preemption::Wait(fit.map(|(_, chosen)| chosen))),
+            ClaimDecision::Stop { max_lost_work } => max_lost_work,
+        };
+        let candidates = self.count_same_step(unit, demand, select_candidates(view, allowed, true));
+        let (runs, groups) = self.preemptible_runs(now, unit, &candidates, guaranteed);
+        let plan = choose_victims(demand, &candidates, &runs)?;
+        (plan.lost_work <= max_lost_work).then_some(Preemption::Stop { claim, plan, runs, groups })
+    }
+
     /// Returns the runs that `unit` may stop, and one task of each group.
     fn preemptible_runs(
         &self,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -353,7 +353,7 @@
         };
         if placement.full_run && !step.lasting && !counted {
             let run_time = now.monotonic.saturating_duration_since(started_at);
-            self.estimates.observe(entry.job.route_id(), step.estimate_ms, run_time);
+            self.run_times.observe_complete(entry.job.route_id(), step.estimate_ms, run_time);
         }
     }
 
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::entry::JobEntry;
-use super::{Coordinator, Timestamp};
+use super::{Coordinator, Timestamp, step_kind};
 use crate::TaskKey;
 use crate::order::{Claimant, Rank, guaranteed_jobs};
 
@@ -96,7 +96,7 @@
         let done: u64 = (0_u32..)
             .zip(&entry.job.steps)
             .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
-            .map(|(_, spec)| self.estimates.correct(entry.job.route_id(), spec.estimate_ms))
+            .map(|(_, spec)| self.run_times.median_ms(&step_kind(&entry.job, spec)))
             .sum();
         entry.job.objective_ms(critical_path).saturating_sub(critical_path.saturating_sub(done))
     }
--- a/crates/jobs/src/coordinator/wait_reason.rs
+++ b/crates/jobs/src/coordinator/wait_reason.rs
@@ -15,6 +15,9 @@
     /// Serving and filling tasks would share a worker.
     #[display("interference")]
     Interference,
+    /// The speeds of the workers.
+    #[display("pace")]
+    Pace,
     /// Tasks that may have crashed a worker start alone.
     #[display("isolation")]
     Isolation,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,7 +12,6 @@
 mod closure;
 mod coordinator;
 mod crash_record;
-mod estimates;
 mod eviction;
 mod exposure;
 mod fleet;
@@ -29,6 +28,7 @@
 mod reclaim;
 mod row;
 mod run_calls;
+mod run_times;
 mod tables;
 mod task;
 mod updates;
@@ -44,7 +44,6 @@
     View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
-pub use estimates::Estimates;
 pub use eviction::{Claim, ClaimDecision, decide_claim};
 pub use exposure::Exposure;
 pub use fleet::{Fleet, FleetWorker};
@@ -59,6 +58,7 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
+pub use run_times::{Estimates, LogNormal, Normal, Quantile, RunTime, RunTimes, StepKind};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -10,6 +10,12 @@
     pub free: Resources,
     /// Id of the worker.
     pub id: Arc<str>,
+    /// Probability in tenths that the tasks miss their objective on it because it is slow; workers
+    /// with a lower one are preferred.
+    pub late: u8,
+    /// Preference by its speed, the lowest first: fast workers for work that is short of time, slow
+    /// and unknown ones for other work.
+    pub pace: i8,
     /// Penalty from its health; workers with a lower one are preferred.
     pub penalty: u32,
     /// Rack of the worker.
@@ -69,7 +75,9 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct RackScore {
     far: bool,
+    late: u8,
     penalty: u32,
+    pace: i8,
     free_accelerators: i64,
 }
 
@@ -85,7 +93,10 @@
         let Some(chosen) = pack(demand, candidates, members) else { continue };
         let penalty = chosen.iter().map(|index| candidates[*index].penalty).sum();
         let far = demand.near_rack.as_deref().is_some_and(|near| near != rack);
-        let score = RackScore { far, penalty, free_accelerators };
+        // A gang is as fast as its slowest member.
+        let late = chosen.iter().map(|index| candidates[*index].late).max().unwrap_or(0);
+        let pace = chosen.iter().map(|index| candidates[*index].pace).max().unwrap_or(0);
+        let score = RackScore { far, late, penalty, pace, free_accelerators };
         if best.as_ref().is_none_or(|(other, _)| score < *other) {
             best = Some((score, chosen));
         }
@@ -100,7 +111,7 @@
         let free = &candidate.free;
         let most_cores = if demand.fills { -free.cores } else { 0 };
         let room = (free.accelerators, free.cores, free.memory);
-        (far, candidate.penalty, most_cores, room, *index)
+        (far, candidate.late, candidate.penalty, most_cores, candidate.pace, room, *index)
     });
     let mut chosen = Vec::new();
     for index in order {
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 /// Progress of a run that has done all of its work.
-const COMPLETE_PERCENT: u8 = 100;
+pub(crate) const COMPLETE_PERCENT: u8 = 100;
 
 /// Progress in percent since the start of a run from which its remaining time is estimated from
 /// its speed.
--- a/crates/jobs/src/estimates.rs
+++ b/crates/jobs/src/run_times/estimates.rs
@@ -18,7 +18,7 @@
 
 /// Sums over the logarithms of estimated (x) and actual (y) run times of one route.
 #[derive(Clone, Copy, Debug, Default)]
-struct RouteRuns {
+pub(super) struct RouteRuns {
     count: f64,
     x: f64,
     xx: f64,
@@ -27,24 +27,25 @@
 }
 
 impl RouteRuns {
-    fn observe(&mut self, x: f64, y: f64) {
-        if self.count >= MAX_RUNS {
-            let keep = 1.0 - 1.0 / MAX_RUNS;
+    /// Adds a run with a weight. From a total weight of `max_weight` on, older runs lose weight.
+    pub(super) fn observe(&mut self, x: f64, y: f64, weight: f64, max_weight: f64) {
+        if self.count >= max_weight {
+            let keep = 1.0 - weight / max_weight;
             self.count *= keep;
             self.x *= keep;
             self.xx *= keep;
             self.xy *= keep;
             self.y *= keep;
         }
-        self.count += 1.0;
-        self.x += x;
-        self.xx += x * x;
-        self.xy += x * y;
-        self.y += y;
+        self.count += weight;
+        self.x += weight * x;
+        self.xx += weight * x * x;
+        self.xy += weight * x * y;
+        self.y += weight * y;
     }
 
     /// Returns the expected logarithm of the run time for an estimate with the logarithm `x`.
-    fn predict(&self, x: f64) -> f64 {
+    pub(super) fn predict(&self, x: f64) -> f64 {
         if self.count == 0.0 {
             return x;
         }
@@ -79,7 +80,7 @@
             return;
         }
         let (x, y) = ((estimate_ms as f64).ln(), (run_time.as_secs_f64() * 1000.0).ln());
-        self.routes.entry(route.to_owned()).or_default().observe(x, y);
+        self.routes.entry(route.to_owned()).or_default().observe(x, y, 1.0, MAX_RUNS);
     }
 
     /// Returns the expected run time in milliseconds.
--- /dev/null
+++ b/crates/jobs/src/run_times/worker_model.rs
@@ -0,0 +1,76 @@
+use std::time::{Duration, Instant};
+
+use super::{NOISE_VARIANCE, Normal};
+
+/// Prior variance of the logarithm of a worker's slowness: workers that are slower by a factor of
+/// 1.6 deviate by one standard deviation.
+const PRIOR_VARIANCE: f64 = 0.45 * 0.45;
+
+/// Growth of the variance in a second. In a minute without runs the standard deviation of a
+/// worker that is known exactly grows to 0.15, so that a change is followed within minutes.
+const DRIFT: f64 = 0.0225 / 60.0;
+
+/// Number of standard deviations beyond which an observation counts no more.
+const MAX_DEVIATIONS: f64 = 2.5;
+
+/// Below this standard deviation the slowness of a worker counts as known: one run beside others of
+/// its step suffices.
+const KNOWN_DEVIATION: f64 = 0.3;
+
+/// Difference from the usual speed that placement takes into account.
+const MIN_DIFFERENCE: f64 = 0.2;
+
+impl Normal {
+    /// Returns the slowness of a worker about which nothing is known.
+    pub fn unknown_slowness() -> Self {
+        Self { mean: 0.0, variance: PRIOR_VARIANCE }
+    }
+
+    /// Reports whether the slowness of a worker is known well enough that it needs no exploration.
+    pub fn is_known_slowness(&self) -> bool {
+        self.variance < KNOWN_DEVIATION * KNOWN_DEVIATION
+    }
+
+    /// Reports whether the worker is slower than usual beyond doubt.
+    pub fn is_slow(&self) -> bool {
+        self.mean - 2.0 * self.deviation() > MIN_DIFFERENCE
+    }
+}
+
+/// Slowness of one worker, at the time of its last observation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WorkerModel {
+    pub(super) slowness: Normal,
+    pub(super) updated_at: Instant,
+}
+
+impl WorkerModel {
+    pub(super) fn slowness_at(&self, now: Instant) -> Normal {
+        let age = now.saturating_duration_since(self.updated_at);
+        widened(&self.slowness, DRIFT * age.as_secs_f64())
+    }
+
+    /// Observes a run with the logarithm `y` of its time, of a step with the given work.
+    pub(super) fn observe(&mut self, y: f64, work: &Normal, now: Instant) {
+        let slowness = self.slowness_at(now);
+        let variance = work.variance + NOISE_VARIANCE;
+        let limit = MAX_DEVIATIONS * (slowness.variance + variance).sqrt();
+        let innovation = (y - work.mean - slowness.mean).clamp(-limit, limit);
+        let observation = Normal { mean: slowness.mean + innovation, variance };
+        self.slowness = slowness.combined(&observation);
+        self.updated_at = now;
+    }
+
+    /// Widens the distribution after a restart of the worker.
+    pub(super) fn widen(&mut self) {
+        self.slowness = widened(&self.slowness, PRIOR_VARIANCE / 2.0);
+    }
+
+    pub(super) fn is_older_than(&self, age: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.updated_at) > age
+    }
+}
+
+fn widened(slowness: &Normal, variance: f64) -> Normal {
+    Normal { mean: slowness.mean, variance: (slowness.variance + variance).min(PRIOR_VARIANCE) }
+}
