Learn worker speeds from the members of running gangs

Cause: traffic is thin, and a gang told the speed of its workers only at its end. Members report progress at the rate of their own worker with a noise of 2 to 5 %, and were read with the noise of independent tasks (25 %).

Change: once the speeds of all members are measured with a deviation of 0.11 or less (0.5 s, 6 points), each member is an observation of its worker, relative to the other members. The observation is provisional: one at twice the progress and the one at the end replace it. Members that advance together count as equally fast workers only on routes where members have differed; otherwise the slowest one may pace them.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -33,6 +33,8 @@
     pub percent: u8,
     /// Whether its run time was counted.
     pub observed: bool,
+    /// Number of points of progress at the last observation of its gang's speeds; 0 before the first.
+    pub observed_points: u8,
     /// Permit of the placement policy.
     pub permit: String,
     pub placed_at: Instant,
@@ -150,6 +152,7 @@
                 lost: false,
                 ordered_at: None,
                 observed: false,
+                observed_points: 0,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -389,6 +389,7 @@
                 lost: false,
                 ordered_at: None,
                 observed: false,
+                observed_points: 0,
                 percent: 0,
                 permit: permit.unwrap_or_default().to_owned(),
                 placed_at: now.monotonic,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -431,6 +431,11 @@
                 placement.attempted = true;
             }
         }
+        for run in &report.running {
+            if self.is_current(status, &run.task, run.run) {
+                self.observe_running(now, &run.task);
+            }
+        }
         self.stop_vanished(now, status, report);
     }
 
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -4,7 +4,7 @@
 use super::entry::{JobEntry, Placement};
 use super::{Coordinator, Timestamp};
 use crate::progress::COMPLETE_PERCENT;
-use crate::{EndKind, Job, RunTime, Step, StepKind, TaskId, TaskKey};
+use crate::{EndKind, Job, MemberSpeed, Normal, RunTime, Step, StepKind, TaskId, TaskKey};
 
 /// Progress in percent from which the time of a run follows from its speed. Reports are up to a
 /// second apart, which is a small part of the time that a run takes for this much.
@@ -13,9 +13,20 @@
 /// Maximum number of runs of one step that a run is compared with. More change the result little.
 const MAX_COMPARED: usize = 64;
 
-/// Logarithmic difference between the members of a gang from which each of them shows its own
-/// progress. Below it, they advance together, and the slowest determines the speed.
-const MIN_DIFFERENCE: f64 = 0.05;
+/// Shortest time after which the progress of a run tells its speed.
+const MIN_MEASURED: Duration = Duration::from_millis(300);
+
+/// Deviation of the logarithm of a measured speed up to which the members of a running gang are
+/// observed. A worker that takes 1.6 times the usual time deviates by four times as much. With
+/// [`TIMING_DEVIATION`] it is reached after 0.5 to 0.6 s and 6 points or more.
+const MAX_SPEED_DEVIATION: f64 = 0.11;
+
+/// Deviation in percentage points of a listed percentage, which is rounded down to an integer.
+const ROUNDING_DEVIATION: f64 = 0.3;
+
+/// Deviation in seconds of the time at which a percentage was reached: reports are some 100 ms apart,
+/// and are delayed by some 10 ms.
+const TIMING_DEVIATION: f64 = 0.05;
 
 /// Returns what the model of run times knows a step by.
 pub(super) fn step_kind<'a>(job: &'a Job, step: &Step) -> StepKind<'a> {
@@ -42,7 +53,80 @@
     Some(elapsed.as_secs_f64() * 1000.0 * f64::from(COMPLETE_PERCENT) / points)
 }
 
+/// Returns the points of progress that a run has shown, and in which time.
+fn measured(run: &Placement) -> Option<(f64, Duration)> {
+    let (since, start) = run.progress_start?;
+    let (at, percent) = run.sample?;
+    // The listed percentage is rounded down.
+    let points = f64::from(percent) + 0.5 - f64::from(start);
+    let elapsed = at.saturating_duration_since(since);
+    (points > 0.5 && elapsed >= MIN_MEASURED).then_some((points, elapsed))
+}
+
+/// Returns the speed of a member of a gang, with the variance that rounding and the times of reports
+/// leave.
+pub(super) fn member_speed(run: &Placement) -> Option<MemberSpeed> {
+    let (points, elapsed) = measured(run)?;
+    let whole = elapsed.as_secs_f64() * 1000.0 * f64::from(COMPLETE_PERCENT) / points;
+    let rounding = ROUNDING_DEVIATION / points;
+    let timing = TIMING_DEVIATION / elapsed.as_secs_f64();
+    let log_ms = Normal { mean: whole.ln(), variance: rounding * rounding + timing * timing };
+    Some(MemberSpeed { log_ms, worker: run.worker.clone() })
+}
+
+/// Identifies a run of a gang in the model of run times.
+pub(super) fn gang_run(job: &str, key: &TaskKey, run: u32) -> String {
+    format!("{job}/{}/{}/{run}", key.occurrence, key.step)
+}
+
 impl Coordinator {
+    /// Returns the speeds of the members of a gang, if all of them run and have shown their speeds
+    /// with enough accuracy.
+    pub(super) fn gang_speeds(&self, entry: &JobEntry, key: &TaskKey) -> Option<Vec<MemberSpeed>> {
+        let speed = |member: &TaskKey| {
+            let run = entry.placement(member).filter(|run| !run.lost)?;
+            member_speed(run).filter(|speed| speed.log_ms.variance.sqrt() <= MAX_SPEED_DEVIATION)
+        };
+        entry.members(key).iter().map(speed).collect()
+    }
+
+    /// Learns from the members of a running gang, once the speeds of all of them are measured, and
+    /// again when they have made twice as much progress.
+    ///
+    /// Load pattern: a deployment runs some ten jobs in its first seconds, and urgent ones miss their
+    /// objective on slow workers before the first gangs have ended.
+    pub(super) fn observe_running(&mut self, now: Timestamp, task: &TaskId) {
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(step) = entry.job.steps.get(task.key.step as usize) else { return };
+        let Some(placement) = entry.placement(&task.key) else { return };
+        let Some((points, _)) = measured(placement) else { return };
+        let is_due = points >= 2.0 * f64::from(placement.observed_points);
+        if !step.gang || step.count < 2 || step.lasting || step.fills || !is_due {
+            return;
+        }
+        if placement.observed || placement.stopping {
+            return;
+        }
+        let Some(speeds) = self.gang_speeds(entry, &task.key) else { return };
+        let workers: Vec<&str> = speeds.iter().map(|speed| speed.worker.as_str()).collect();
+        if self.is_far(step, &workers) {
+            return;
+        }
+        let kind = step_kind(&entry.job, step);
+        let run = gang_run(&task.job, &task.key, placement.run);
+        self.run_times.observe_members(now.monotonic, &kind, &run, &speeds);
+        let members = entry.members(&task.key);
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        for member in members {
+            if let Some(placement) = entry.placement_mut(&member)
+                && let Some((points, _)) = measured(placement)
+            {
+                // At most 100 points.
+                placement.observed_points = points as u8;
+            }
+        }
+    }
+
     /// Returns the expected run time of a step on a worker.
     pub(super) fn expected_run_time(
         &self,
@@ -68,19 +152,35 @@
         let Some(step) = entry.job.steps.get(task.key.step as usize) else { return };
         let Some(placement) = entry.placement(&task.key) else { return };
         let counts = !step.lasting && !step.fills && kind != Some(EndKind::Failed);
-        if !counts || placement.observed || placement.lost {
-            return;
-        }
         let done = kind == Some(EndKind::Done);
-        if step.gang {
-            self.observe_gang(now, task, done);
-        } else {
-            self.observe_single(now, task, done);
+        if counts && !placement.observed && !placement.lost {
+            if step.gang {
+                self.observe_gang(now, task, done);
+            } else {
+                self.observe_single(now, task, done);
+            }
+        }
+        self.settle_gang(now, task);
+    }
+
+    /// Makes the last observation of a gang that ends final.
+    fn settle_gang(&mut self, now: Timestamp, task: &TaskId) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(number) = entry.placement(&task.key).map(|placement| placement.run) else {
+            return;
+        };
+        let run = gang_run(&task.job, &task.key, number);
+        for member in entry.members(&task.key) {
+            let Some(placement) = entry.placement_mut(&member) else { continue };
+            if placement.observed_points > 0 {
+                placement.observed_points = 0;
+                self.run_times.settle_run(now.monotonic, &run, &placement.worker);
+            }
         }
     }
 
     /// Reports whether runs of a step are slow because of where they are.
-    fn is_far(&self, step: &Step, workers: &[&str]) -> bool {
+    pub(super) fn is_far(&self, step: &Step, workers: &[&str]) -> bool {
         let rack = |id: &&str| Some(self.fleet.workers.get(*id)?.status.rack.as_str());
         let racks: BTreeSet<Option<&str>> = workers.iter().map(rack).collect();
         let far = |near: &String| racks.iter().any(|rack| *rack != Some(near));
@@ -128,6 +228,7 @@
     fn observe_gang(&mut self, now: Timestamp, task: &TaskId, done: bool) {
         let Some(entry) = self.jobs.get(&task.job) else { return };
         let Some(step) = entry.job.steps.get(task.key.step as usize) else { return };
+        let Some(placement) = entry.placement(&task.key) else { return };
         let members = entry.members(&task.key);
         let placements: Vec<&Placement> =
             members.iter().filter_map(|key| entry.placement(key)).collect();
@@ -135,18 +236,11 @@
         if self.is_far(step, &workers) || placements.iter().any(|run| run.lost) {
             return;
         }
-        let time = |run: &&Placement| {
-            let log_ms = run_time_ms(now, run, false)?.ln();
-            Some(RunTime { log_ms, worker: run.worker.clone() })
-        };
-        let runs: Vec<RunTime> = placements.iter().filter_map(time).collect();
-        let by_time = |a: &&RunTime, b: &&RunTime| a.log_ms.total_cmp(&b.log_ms);
-        let range = runs.iter().max_by(by_time).zip(runs.iter().min_by(by_time));
-        let longest = range
-            .filter(|(longest, shortest)| longest.log_ms - shortest.log_ms > MIN_DIFFERENCE)
-            .map(|(longest, _)| longest.worker.clone());
+        let speeds = self.gang_speeds(entry, &task.key).unwrap_or_default();
+        let by_time = |a: &&MemberSpeed, b: &&MemberSpeed| a.log_ms.mean.total_cmp(&b.log_ms.mean);
+        let longest = speeds.iter().max_by(by_time).map(|speed| speed.worker.clone());
         let slowness = |worker: &str| self.run_times.slowness(worker, now.monotonic).mean;
-        let slowest = longest.clone().or_else(|| {
+        let slowest = longest.or_else(|| {
             let slowest = workers.iter().max_by(|a, b| slowness(a).total_cmp(&slowness(b)));
             slowest.map(|worker| (*worker).to_owned())
         });
@@ -156,19 +250,20 @@
         });
         let kind = step_kind(&entry.job, step);
         let expected = self.run_times.expect(&kind);
+        let run = gang_run(&task.job, &task.key, placement.run);
+        let by_member = !speeds.is_empty()
+            && self.run_times.observe_members(now.monotonic, &kind, &run, &speeds);
+        for speed in &speeds {
+            self.run_times.settle_run(now.monotonic, &run, &speed.worker);
+        }
         if let (Some(log_ms), Some(worker)) = (whole, slowest) {
-            let usual = log_ms - slowness(&worker);
-            self.run_times.observe_work(now.monotonic, &kind, usual, 1.0);
-            if longest.is_none() {
+            let slowness = self.run_times.slowness(&worker, now.monotonic).mean;
+            self.run_times.observe_work(now.monotonic, &kind, log_ms - slowness, 1.0);
+            if !by_member {
                 let run = RunTime { log_ms, worker };
                 self.run_times.observe_speed(now.monotonic, &run, &[], expected.as_ref());
             }
         }
-        if longest.is_some() {
-            for run in &runs {
-                self.run_times.observe_speed(now.monotonic, run, &runs, None);
-            }
-        }
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         for key in members {
             if let Some(placement) = entry.placement_mut(&key) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -58,7 +58,9 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
-pub use run_times::{Estimates, LogNormal, Normal, Quantile, RunTime, RunTimes, StepKind};
+pub use run_times::{
+    Estimates, LogNormal, MemberSpeed, Normal, Quantile, RunTime, RunTimes, StepKind, usual_work,
+};
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
--- a/crates/jobs/src/run_times/mod.rs
+++ b/crates/jobs/src/run_times/mod.rs
@@ -5,6 +5,7 @@
 //! `docs/design/run-times.md` weighs the alternatives.
 
 mod estimates;
+mod gang_speeds;
 mod normal;
 mod route;
 mod worker_model;
@@ -13,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 pub use estimates::Estimates;
+pub use gang_speeds::{MemberSpeed, usual_work};
 pub use normal::{LogNormal, Normal, Quantile};
 use route::{RouteModel, TeamModel};
 use worker_model::WorkerModel;
@@ -166,7 +168,7 @@
             work = Some(work.map_or(prior, |work| work.combined(&prior)));
         }
         let Some(work) = work else { return };
-        let unknown = WorkerModel { slowness: Normal::unknown_slowness(), updated_at: now };
+        let unknown = WorkerModel::new(now);
         let model = self.workers.entry(run.worker.clone()).or_insert(unknown);
         model.observe(run.log_ms, &work, now);
     }
--- a/crates/jobs/src/run_times/route.rs
+++ b/crates/jobs/src/run_times/route.rs
@@ -56,6 +56,8 @@
     /// Weight and sum of the logarithms of all run times, for steps without an estimate.
     all: (f64, f64),
     all_deviations: Deviations,
+    /// Whether members of a gang have shown different progress.
+    pub(super) members_differ: bool,
     pub(super) used_at: Instant,
 }
 
@@ -66,6 +68,7 @@
             estimated_deviations: Deviations::default(),
             all: (0.0, 0.0),
             all_deviations: Deviations::default(),
+            members_differ: false,
             used_at: now,
         }
     }
--- a/crates/jobs/src/run_times/worker_model.rs
+++ b/crates/jobs/src/run_times/worker_model.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::{NOISE_VARIANCE, Normal};
@@ -38,21 +39,55 @@
 }
 
 /// Slowness of one worker, at the time of its last observation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct WorkerModel {
-    pub(super) slowness: Normal,
-    pub(super) updated_at: Instant,
+    /// Observations of runs that still go on, by run. A later one of the same run replaces it.
+    provisional: BTreeMap<String, Normal>,
+    /// Slowness without the provisional observations.
+    slowness: Normal,
+    updated_at: Instant,
 }
 
 impl WorkerModel {
+    pub(super) fn new(now: Instant) -> Self {
+        let slowness = Normal::unknown_slowness();
+        Self { provisional: BTreeMap::new(), slowness, updated_at: now }
+    }
+
     pub(super) fn slowness_at(&self, now: Instant) -> Normal {
+        self.slowness_without(None, now)
+    }
+
+    /// Returns the slowness without the provisional observation of one run.
+    pub(super) fn slowness_without(&self, run: Option<&str>, now: Instant) -> Normal {
+        let others = self.provisional.iter().filter(|(id, _)| Some(id.as_str()) != run);
+        others.fold(self.settled_at(now), |slowness, (_, other)| slowness.combined(other))
+    }
+
+    fn settled_at(&self, now: Instant) -> Normal {
         let age = now.saturating_duration_since(self.updated_at);
         widened(&self.slowness, DRIFT * age.as_secs_f64())
     }
 
+    /// Observes the slowness in a run that still goes on.
+    pub(super) fn observe_provisional(&mut self, run: &str, observation: &Normal, now: Instant) {
+        let prior = self.slowness_without(Some(run), now);
+        let limit = MAX_DEVIATIONS * (prior.variance + observation.variance).sqrt();
+        let innovation = (observation.mean - prior.mean).clamp(-limit, limit);
+        let clipped = Normal { mean: prior.mean + innovation, variance: observation.variance };
+        self.provisional.insert(run.to_owned(), clipped);
+    }
+
+    /// Makes the provisional observation of a run that has ended final.
+    pub(super) fn settle(&mut self, run: &str, now: Instant) {
+        let Some(observation) = self.provisional.remove(run) else { return };
+        self.slowness = self.settled_at(now).combined(&observation);
+        self.updated_at = now;
+    }
+
     /// Observes a run with the logarithm `y` of its time, of a step with the given work.
     pub(super) fn observe(&mut self, y: f64, work: &Normal, now: Instant) {
-        let slowness = self.slowness_at(now);
+        let slowness = self.settled_at(now);
         let variance = work.variance + NOISE_VARIANCE;
         let limit = MAX_DEVIATIONS * (slowness.variance + variance).sqrt();
         let innovation = (y - work.mean - slowness.mean).clamp(-limit, limit);
