Restart urgent runs that slow workers would make late

Cause: two thirds of the urgent gangs are late because one member is on a slow worker, while most of the pool is free.

Change: a running class 0 gang or task whose expected end is after its objective is stopped as a whole and placed again, if the slow members are slow beyond doubt and a new start on other workers meets the objective with a probability of one half or more. The work is the weighted median of what the members and the expectation show, so that a wrong estimate restarts nothing. Two findings 100 ms apart are needed, with newer progress of the slow members. Only first runs are restarted, so that the stored run number limits it to once over takeovers. Not for lasting or filling steps, steps far from their data, cancelled jobs, or while an earlier leader may extend leases.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use super::restarts::Restart;
 use crate::progress::COMPLETE_PERCENT;
 use crate::{
     CrashRecord, CrashRow, EndKind, Exposure, ExposureRow, Job, JobState, ProgressRow, Resources,
@@ -18,6 +19,8 @@
     /// Whether the run began without a checkpoint, and under this coordinator.
     pub full_run: bool,
     pub incarnation: u64,
+    /// Since when the run, or its gang if it is the first member, is expected to be late.
+    pub late_since: Option<Instant>,
     /// When `percent` last rose.
     pub last_progress: Instant,
     /// Whether the worker has listed the run.
@@ -74,6 +77,8 @@
     /// then.
     pub last_loss: Option<(Instant, usize)>,
     pub placement: Option<Placement>,
+    /// Why and where it starts again, if it is the first member of its gang or a single task.
+    pub restart: Option<Restart>,
     /// Time of its last run, once it is known.
     pub run_time: Option<RunTime>,
     pub run: u32,
@@ -147,6 +152,7 @@
                 full_run: false,
                 incarnation: worker.incarnation,
                 last_progress: now,
+                late_since: None,
                 listed: false,
                 listed_at: None,
                 lost: false,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 mod preemption;
 mod racks;
 mod reports;
+mod restarts;
 mod run_observations;
 mod summary;
 mod uncounted;
@@ -152,6 +153,8 @@
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
     run_times: RunTimes,
+    /// When a pool was last searched for faster workers for a late run.
+    searched_at: Option<Instant>,
     started_at: Instant,
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
@@ -236,6 +239,7 @@
             pool_crashes: BTreeMap::new(),
             rejected_jobs: BTreeMap::new(),
             run_times: RunTimes::new(limits.learn_run_times),
+            searched_at: None,
             started_at: now.monotonic,
             suspects: BTreeSet::new(),
             tables,
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -119,8 +119,14 @@
         let allowed = self.with_permits(now, unit, &demand, view, allowed);
         let allowed = self.without_failed_worker(now, unit, keys, &demand, view, allowed);
         let allowed = self.without_interference(unit, &demand, view, allowed);
-        let allowed = self.with_pace(now, unit, &demand, view, allowed, guaranteed);
-        let allowed = self.with_exploration(unit, keys, &demand, view, allowed);
+        let restart = self.workers_of_restart(unit, keys, &demand, view, &allowed);
+        let allowed = match restart {
+            Some(workers) => workers,
+            None => {
+                let allowed = self.with_pace(now, unit, &demand, view, allowed, guaranteed);
+                self.with_exploration(unit, keys, &demand, view, allowed)
+            }
+        };
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
         if let Some(chosen) = self.choose_now(now, unit, &demand, view, &allowed) {
@@ -384,6 +390,7 @@
                 full_run: task.checkpoint.is_empty(),
                 incarnation: worker.status.incarnation,
                 last_progress: now.monotonic,
+                late_since: None,
                 listed: false,
                 listed_at: None,
                 lost: false,
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -19,7 +19,7 @@
 /// Deviation of the logarithm of a measured speed up to which the members of a running gang are
 /// observed. A worker that takes 1.6 times the usual time deviates by four times as much. With
 /// [`TIMING_DEVIATION`] it is reached after 0.5 to 0.6 s and 6 points or more.
-const MAX_SPEED_DEVIATION: f64 = 0.11;
+pub(super) const MEASURED_DEVIATION: f64 = 0.11;
 
 /// Deviation in percentage points of a listed percentage, which is rounded down to an integer.
 const ROUNDING_DEVIATION: f64 = 0.3;
@@ -85,7 +85,7 @@
     pub(super) fn gang_speeds(&self, entry: &JobEntry, key: &TaskKey) -> Option<Vec<MemberSpeed>> {
         let speed = |member: &TaskKey| {
             let run = entry.placement(member).filter(|run| !run.lost)?;
-            member_speed(run).filter(|speed| speed.log_ms.variance.sqrt() <= MAX_SPEED_DEVIATION)
+            member_speed(run).filter(|speed| speed.log_ms.variance.sqrt() <= MEASURED_DEVIATION)
         };
         entry.members(key).iter().map(speed).collect()
     }
