Test restarts of urgent gangs and what running gangs tell

Cause: restarts must pay, happen once, and never follow from a late report, from rounding or from a wrong estimate.

Change: tests that play a gang on workers of given speeds; a field of Limits that turns restarts off, which the replay uses for a comparison; the slowness of a worker is readable.

--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -41,6 +41,7 @@
             learn_run_times: setup.learns,
             open_jobs: 10_000,
             reclaim: Duration::from_millis(2500 + setup.stop),
+            restart_late: setup.restarts,
             retention: Duration::from_secs(1000),
             row_bytes: 65_536,
             stop: Duration::from_millis(setup.stop),
--- a/crates/bench/src/jobs_replay/setup.rs
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -18,6 +18,8 @@
     pub lost_starts: f64,
     /// Workers that share a rack.
     pub rack: usize,
+    /// Whether urgent runs that would be late start again elsewhere.
+    pub restarts: bool,
     /// Speeds of the workers, in turn.
     pub speeds: Vec<f64>,
     /// Maximum time that a worker takes to stop a run.
@@ -43,6 +45,7 @@
             learns: true,
             lost_starts: 0.0,
             rack: 3,
+            restarts: true,
             speeds: vec![1.0],
             stop: 900,
             takeovers: Vec::new(),
@@ -74,6 +77,12 @@
         self
     }
 
+    /// Returns the setup without restarts of urgent runs that would be late.
+    pub fn without_restarts(mut self) -> Self {
+        self.restarts = false;
+        self
+    }
+
     /// Returns the setup with this share of lost starts.
     pub fn with_lost_starts(mut self, share: f64) -> Self {
         self.lost_starts = share;
--- a/crates/bench/tests/run_times.rs
+++ b/crates/bench/tests/run_times.rs
@@ -15,7 +15,12 @@
         jobs.iter_mut().for_each(&change);
         total.add(&replay(setup, &jobs, &mut Coordinated::new(setup), seed));
     }
-    println!("learns {} {} {total:?}", setup.learns, total.earned_share());
+    println!(
+        "learns {} restarts {} {} {total:?}",
+        setup.learns,
+        setup.restarts,
+        total.earned_share()
+    );
     total
 }
 
@@ -35,6 +40,27 @@
     assert_fewer_late(|_| {});
 }
 
+/// Gives all members of a gang the same work, as measured on a running deployment, and urgent jobs
+/// twice the work: a restart takes more than a second, so that it pays for the longer ones only.
+fn long_equal_members(job: &mut JobPlan) {
+    if job.gang {
+        let factor = if job.class == 0 { 2 } else { 1 };
+        let work = job.lengths[0] * factor;
+        job.lengths.fill(work);
+    }
+}
+
+/// Guards against urgent gangs that are late because one member is on a slow worker, while other
+/// workers are free.
+#[test]
+fn second_customer_restarts() {
+    let setup = Setup::second_customer().with_unequal_speeds();
+    let without = replay_changed(&setup.clone().without_restarts(), long_equal_members);
+    let with = replay_changed(&setup, long_equal_members);
+    assert!(with.urgent_late < without.urgent_late, "{with:?} {without:?}");
+    assert!(with.earned_share() > without.earned_share(), "{with:?} {without:?}");
+}
+
 /// Guards against harm on workers of equal speed.
 #[test]
 fn second_customer_equal() {
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -73,6 +73,9 @@
     pub open_jobs: usize,
     /// Time within which a guaranteed job must start.
     pub reclaim: Duration,
+    /// Whether urgent runs that slow workers would make late start again elsewhere. Needs
+    /// `learn_run_times`.
+    pub restart_late: bool,
     /// Time for which an ended job is kept.
     pub retention: Duration,
     /// Maximum size of a stored row in bytes.
@@ -93,6 +96,7 @@
             learn_run_times: true,
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
+            restart_late: true,
             retention: Duration::from_secs(120),
             row_bytes: 65_536,
             stop: Duration::from_millis(900),
--- a/crates/jobs/src/coordinator/restarts.rs
+++ b/crates/jobs/src/coordinator/restarts.rs
@@ -64,7 +64,8 @@
     /// Load pattern: two thirds of the urgent gangs are late because one member is on a slow worker,
     /// while most of the pool is free.
     pub(super) fn restart_if_late(&mut self, now: Timestamp, task: &TaskId) {
-        if !self.run_times.is_used() || self.has_predecessor(now) {
+        let is_on = self.limits.restart_late && self.run_times.is_used();
+        if !is_on || self.has_predecessor(now) {
             // An earlier leader may extend the leases of the run, and its stop may take longer.
             return;
         }
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -80,6 +80,11 @@
 }
 
 impl Coordinator {
+    /// Returns the logarithm of the slowness of a worker; 0 is usual.
+    pub fn worker_slowness(&self, worker: &str, now: Timestamp) -> Normal {
+        self.run_times.slowness(worker, now.monotonic)
+    }
+
     /// Returns the speeds of the members of a gang, if all of them run and have shown their speeds
     /// with enough accuracy.
     pub(super) fn gang_speeds(&self, entry: &JobEntry, key: &TaskKey) -> Option<Vec<MemberSpeed>> {
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -10,6 +10,7 @@
 mod liveness;
 mod losses;
 mod preferences;
+mod restarts;
 mod rig;
 mod routes;
 mod row_sizes;
