--- a/crates/bench/src/jobs_replay/setup.rs
+++ b/crates/bench/src/jobs_replay/setup.rs
@@ -18,6 +18,8 @@
     pub lost_starts: f64,
     /// Workers that share a rack.
     pub rack: usize,
+    /// Interval between two reports of a worker.
+    pub report_interval: Millis,
     /// Whether urgent runs that would be late start again elsewhere.
     pub restarts: bool,
     /// Speeds of the workers, in turn.
@@ -45,6 +47,7 @@
             learns: true,
             lost_starts: 0.0,
             rack: 3,
+            report_interval: 1000,
             restarts: true,
             speeds: vec![1.0],
             stop: 900,
@@ -77,6 +80,12 @@
         self
     }
 
+    /// Returns the setup with reports as often as agents send them.
+    pub fn with_frequent_reports(mut self) -> Self {
+        self.report_interval = 200;
+        self
+    }
+
     /// Returns the setup without restarts of urgent runs that would be late.
     pub fn without_restarts(mut self) -> Self {
         self.restarts = false;
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -390,6 +390,7 @@
                 full_run: task.checkpoint.is_empty(),
                 incarnation: worker.status.incarnation,
                 last_progress: now.monotonic,
+                judged_at: None,
                 late_since: None,
                 listed: false,
                 listed_at: None,
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -114,12 +114,11 @@
         }
         let Some(speeds) = self.gang_speeds(entry, &task.key) else { return };
         let workers: Vec<&str> = speeds.iter().map(|speed| speed.worker.as_str()).collect();
-        if self.is_far(step, &workers) {
-            return;
+        if !self.is_far(step, &workers) {
+            let kind = step_kind(&entry.job, step);
+            let run = gang_run(&task.job, &task.key, placement.run);
+            self.run_times.observe_members(now.monotonic, &kind, &run, &speeds);
         }
-        let kind = step_kind(&entry.job, step);
-        let run = gang_run(&task.job, &task.key, placement.run);
-        self.run_times.observe_members(now.monotonic, &kind, &run, &speeds);
         let members = entry.members(&task.key);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         for member in members {
--- a/crates/jobs/tests/coordinator/restarts.rs
+++ b/crates/jobs/tests/coordinator/restarts.rs
@@ -243,6 +243,18 @@
     assert_eq!(play.restarts().len(), 1, "{:?}", play.decisions);
 }
 
+/// Guards against restarts of single tasks that have more work than expected, on workers that
+/// nothing else is known about.
+#[test]
+fn restart_single_unknown() {
+    for estimate in [500, 4000, 8000] {
+        let mut play = Play::new(&[1.0; 4], 8000);
+        let alone = Step { estimate_ms: estimate, ..step(1, 8) };
+        play.run(Job { slack: 1.5, target_ms: 250, ..job("single", 0, alone) });
+        assert!(play.restarts().is_empty(), "{estimate} {:?}", play.restarts());
+    }
+}
+
 /// Guards against restarts of gangs on equal workers because their estimate is wrong.
 #[test]
 fn restart_equal_workers() {
