Look for late urgent runs once a tick

Cause: members report one after the other, so that a look at the first report of a round met old progress of the slow members, and the second finding, which needs newer progress, came a round later.

Change: reports note the urgent gangs with new progress, and the tick looks at each of them once.

--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -19,8 +19,6 @@
     /// Whether the run began without a checkpoint, and under this coordinator.
     pub full_run: bool,
     pub incarnation: u64,
-    /// When the run, or its gang if it is the first member, was last checked for being late.
-    pub judged_at: Option<Instant>,
     /// Since when the run, or its gang if it is the first member, is expected to be late.
     pub late_since: Option<Instant>,
     /// When `percent` last rose.
@@ -154,7 +152,6 @@
                 full_run: false,
                 incarnation: worker.incarnation,
                 last_progress: now,
-                judged_at: None,
                 late_since: None,
                 listed: false,
                 listed_at: None,
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -154,6 +154,8 @@
     predecessor_end: Instant,
     /// When workers of each pool crashed, for as long as [`crashes::CRASHES_KEPT`].
     pool_crashes: BTreeMap<String, VecDeque<Instant>>,
+    /// Urgent runs, by the first member of each gang, that have made progress since the last tick.
+    progressed: BTreeSet<TaskId>,
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
     run_times: RunTimes,
@@ -241,6 +243,7 @@
             plan_due: true,
             predecessor_end: now.monotonic + limits.takeover,
             pool_crashes: BTreeMap::new(),
+            progressed: BTreeSet::new(),
             rejected_jobs: BTreeMap::new(),
             run_times: RunTimes::new(limits.learn_run_times),
             searched_at: None,
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -52,6 +52,7 @@
         self.remove_ended_jobs(now);
         self.retry_rejected(now);
         self.clear_crash_records(now);
+        self.restart_late_runs(now);
         self.place(now);
     }
 
@@ -390,7 +391,6 @@
                 full_run: task.checkpoint.is_empty(),
                 incarnation: worker.status.incarnation,
                 last_progress: now.monotonic,
-                judged_at: None,
                 late_since: None,
                 listed: false,
                 listed_at: None,
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -434,7 +434,7 @@
         for run in &report.running {
             if self.is_current(status, &run.task, run.run) {
                 self.observe_running(now, &run.task);
-                self.restart_if_late(now, &run.task);
+                self.note_progress(now, &run.task);
             }
         }
         self.stop_vanished(now, status, report);
--- a/crates/jobs/src/coordinator/restarts.rs
+++ b/crates/jobs/src/coordinator/restarts.rs
@@ -17,10 +17,6 @@
 /// newer progress, so that one late report stops nothing.
 const CONFIRM_AFTER: Duration = Duration::from_millis(100);
 
-/// Shortest time between two checks of a run or gang. Each member reports several times a second, and
-/// a check looks at all members.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Shortest time between two searches of a pool for faster workers. A search looks at all workers.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -67,15 +63,12 @@
     ///
     /// Load pattern: two thirds of the urgent gangs are late because one member is on a slow worker,
     /// while most of the pool is free.
-    pub(super) fn restart_if_late(&mut self, now: Timestamp, task: &TaskId) {
+    fn restart_if_late(&mut self, now: Timestamp, task: &TaskId) {
         let is_on = self.limits.restart_late && self.run_times.is_used();
         if !is_on || self.has_predecessor(now) {
             // An earlier leader may extend the leases of the run, and its stop may take longer.
             return;
         }
-        if !self.begin_judging(now, task) {
-            return;
-        }
         let Some((entry, step)) = self.restartable(task) else { return };
         let Some(late) = self.late_run(now, entry, step, &task.key) else {
             self.set_late_since(task, None);
@@ -115,25 +108,26 @@
         self.stop_run(task, &reason);
     }
 
-    /// Reports whether a run, with its gang, is to be checked now: it is urgent and has made progress,
-    /// and the last check is not recent.
-    fn begin_judging(&mut self, now: Timestamp, task: &TaskId) -> bool {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return false };
+    /// Notes that an urgent run has made progress, so that it is checked at the next tick. A gang is
+    /// checked once however many of its members have reported.
+    pub(super) fn note_progress(&mut self, now: Timestamp, task: &TaskId) {
+        let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.job.class == 0) else {
+            return;
+        };
         let is_fresh = |run: &Placement| {
             run.run == 1 && !run.stopping && run.sample.is_some_and(|(at, _)| at == now.monotonic)
         };
-        if entry.job.class > 0 || !entry.placement(&task.key).is_some_and(is_fresh) {
-            return false;
+        if entry.placement(&task.key).is_some_and(is_fresh) {
+            let index = if entry.is_gang(task.key.step) { 0 } else { task.key.index };
+            self.progressed.insert(TaskId::new(&task.job, TaskKey { index, ..task.key }));
         }
-        let index = if entry.is_gang(task.key.step) { 0 } else { task.key.index };
-        let Some(first) = entry.placement_mut(&TaskKey { index, ..task.key }) else { return false };
-        let is_recent = first
-            .judged_at
-            .is_some_and(|at| now.monotonic.saturating_duration_since(at) < JUDGE_INTERVAL);
-        if !is_recent {
-            first.judged_at = Some(now.monotonic);
+    }
+
+    /// Restarts the runs that are expected to be late, among those that have made progress.
+    pub(super) fn restart_late_runs(&mut self, now: Timestamp) {
+        for task in std::mem::take(&mut self.progressed) {
+            self.restart_if_late(now, &task);
         }
-        !is_recent
     }
 
     fn set_late_since(&mut self, task: &TaskId, since: Option<Instant>) {
