Test that a successor restarts a gang no second time

Cause: only the stored run number tells a successor of a restart.

Change: a test takes over between the stop and the new start.

--- a/crates/jobs/tests/coordinator/restarts.rs
+++ b/crates/jobs/tests/coordinator/restarts.rs
@@ -244,6 +244,28 @@
     assert_eq!(play.restarts().len(), 1, "{:?}", play.decisions);
 }
 
+/// Guards against another restart by a successor, which knows of the first one only by the number of
+/// the run: it takes over after the stop and starts the gang itself.
+#[test]
+fn restart_once_takeover() {
+    let mut play = Play::new(&[1.0, 1.0, 1.6, 1.0, 1.0, 1.6, 1.6, 1.6], 30_000);
+    play.rig.submit(gang("moved", 30_000));
+    while play.restarts().is_empty() || !play.runs.is_empty() {
+        play.advance();
+        let stops_next = |run: &Run| run.stop_at.is_some_and(|at| at <= play.elapsed + INTERVAL);
+        if !play.runs.is_empty() && play.runs.values().all(stops_next) {
+            play.rig.take_over();
+            break;
+        }
+    }
+    for _ in 0..100 {
+        play.advance();
+    }
+    assert!(play.runs.values().all(|run| run.number == 2), "{:?}", play.decisions);
+    assert_eq!(play.runs.len(), 5);
+    assert_eq!(play.restarts().len(), 1, "{:?}", play.decisions);
+}
+
 /// Guards against restarts of single tasks that have more work than expected, on workers that
 /// nothing else is known about.
 #[test]
