--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -14,9 +14,6 @@
 /// Time of day at the start of a replay.
 const START_WALL_MS: u64 = 1_000_000;
 
-/// Interval between two reports of a worker.
-const REPORT_INTERVAL: Millis = 1000;
-
 /// The coordinator of `skylarkpulley-jobs` as a policy.
 pub struct Coordinated {
     core: Coordinator,
@@ -39,8 +36,10 @@
             checkpoint: Duration::from_secs(1),
             evacuation: None,
             lapse: Duration::from_secs(9),
+            learn_run_times: setup.learns,
             open_jobs: 10_000,
             reclaim: Duration::from_millis(2500 + setup.stop),
+            restart_late: setup.restarts,
             retention: Duration::from_secs(1000),
             row_bytes: 65_536,
             stop: Duration::from_millis(setup.stop),
@@ -186,7 +185,7 @@
         }
         for worker in 0..pool.size() {
             if ended.iter().any(|end| end.run.worker == worker)
-                || now.is_multiple_of(REPORT_INTERVAL)
+                || now.is_multiple_of(self.setup.report_interval)
                 || pool.runs.iter().any(|run| run.worker == worker && is_news(run, now))
             {
                 self.report(now, worker, &pool.runs);
--- a/crates/jobs/src/coordinator/entry.rs
+++ b/crates/jobs/src/coordinator/entry.rs
@@ -1,9 +1,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use super::restarts::Restart;
+use crate::progress::COMPLETE_PERCENT;
 use crate::{
     CrashRecord, CrashRow, EndKind, Exposure, ExposureRow, Job, JobState, ProgressRow, Resources,
-    TaskId, TaskKey, TaskRow, WorkerRow,
+    RunTime, TaskId, TaskKey, TaskRow, WorkerRow,
 };
 
 /// A run that may be alive on a worker.
@@ -17,6 +19,8 @@
     /// Whether the run began without a checkpoint, and under this coordinator.
     pub full_run: bool,
     pub incarnation: u64,
+    /// Since when the run, or its gang if it is the first member, is expected to be late.
+    pub late_since: Option<Instant>,
     /// When `percent` last rose.
     pub last_progress: Instant,
     /// Whether the worker has listed the run.
@@ -30,12 +34,18 @@
     pub ordered_at: Option<Instant>,
     /// Progress in percent.
     pub percent: u8,
+    /// Whether its run time was counted.
+    pub observed: bool,
+    /// Number of points of progress at the last observation of its gang's speeds; 0 before the first.
+    pub observed_points: u8,
     /// Permit of the placement policy.
     pub permit: String,
     pub placed_at: Instant,
     /// Since when the run works, and its progress in percent then; `None` until all members of its
     /// gang are listed.
     pub progress_start: Option<(Instant, u8)>,
+    /// Progress in percent below 100 that was listed last, and when it was reached.
+    pub sample: Option<(Instant, u8)>,
     /// Whether the run has survived its start.
     pub proven: bool,
     /// Whether an earlier coordinator placed the run.
@@ -67,6 +77,10 @@
     /// then.
     pub last_loss: Option<(Instant, usize)>,
     pub placement: Option<Placement>,
+    /// Why and where it starts again, if it is the first member of its gang or a single task.
+    pub restart: Option<Restart>,
+    /// Time of its last run, once it is known.
+    pub run_time: Option<RunTime>,
     pub run: u32,
 }
 
@@ -138,16 +152,20 @@
                 full_run: false,
                 incarnation: worker.incarnation,
                 last_progress: now,
+                late_since: None,
                 listed: false,
                 listed_at: None,
                 lost: false,
                 ordered_at: None,
+                observed: false,
+                observed_points: 0,
                 percent: 0,
                 permit: String::new(),
                 placed_at: now,
                 progress_start: None,
                 proven: false,
                 restored: true,
+                sample: None,
                 run: task_row.run,
                 stopping: row.cancelled || row.failed,
                 version: 1,
@@ -321,6 +339,9 @@
         if percent > placement.percent {
             placement.percent = percent;
             placement.last_progress = now;
+            if percent < COMPLETE_PERCENT {
+                placement.sample = Some((now, percent));
+            }
         }
         if placement.listed {
             return;
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -9,12 +9,16 @@
 mod evacuation;
 mod gang_time;
 mod hold;
+mod pace;
 mod permits;
 mod planning;
 mod pool_state;
+mod pool_view;
 mod preemption;
 mod racks;
 mod reports;
+mod restarts;
+mod run_observations;
 mod summary;
 mod uncounted;
 mod unit_rules;
@@ -27,13 +31,14 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, FleetWorker, Job, JobAccess,
-    JobState, JobTables, Orders, RouteKey, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
+    Advice, AdviceAnswer, AdviceCall, EndKind, Fleet, FleetWorker, Job, JobAccess, JobState,
+    JobTables, Orders, RouteKey, RowsError, RunTimes, SharingRun, StartOrder, TaskId, TaskKey,
     decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
 use hold::Hold;
+use run_observations::step_kind;
 pub use summary::{DomainSummary, QueueSummary, Summary, WorkerSummary};
 pub use waiting::WaitCounts;
 use waiting::WaitLog;
@@ -65,10 +70,16 @@
     /// Time after the last report of a silent worker until its leases have lapsed, clock drift
     /// included.
     pub lapse: Duration,
+    /// Whether decisions use the model of run times and of the speeds of workers. Otherwise run times
+    /// are corrected by route.
+    pub learn_run_times: bool,
     /// Maximum number of open jobs of one pool; further ones are refused.
     pub open_jobs: usize,
     /// Time within which a guaranteed job must start.
     pub reclaim: Duration,
+    /// Whether urgent runs that slow workers would make late start again elsewhere. Needs
+    /// `learn_run_times`.
+    pub restart_late: bool,
     /// Time for which an ended job is kept.
     pub retention: Duration,
     /// Maximum size of a stored row in bytes.
@@ -87,8 +98,10 @@
             checkpoint: Duration::from_secs(1),
             evacuation: None,
             lapse: Duration::from_secs(9),
+            learn_run_times: true,
             open_jobs: 100,
             reclaim: Duration::from_secs(3),
+            restart_late: true,
             retention: Duration::from_secs(120),
             row_bytes: 65_536,
             stop: Duration::from_millis(900),
@@ -131,7 +144,6 @@
     decisions: Vec<Decision>,
     /// Workers that have left, by id, while their agents have sessions.
     departures: BTreeMap<String, Departure>,
-    estimates: Estimates,
     fleet: Fleet,
     /// Number of stored rows beyond the first, of each job whose state takes more than one row.
     further_rows: BTreeMap<String, usize>,
@@ -147,8 +159,13 @@
     predecessor_end: Instant,
     /// When workers of each pool crashed, for as long as [`crashes::CRASHES_KEPT`].
     pool_crashes: BTreeMap<String, VecDeque<Instant>>,
+    /// Urgent runs, by the first member of each gang, that have made progress since the last tick.
+    progressed: BTreeSet<TaskId>,
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
+    run_times: RunTimes,
+    /// When a pool was last searched for faster workers for a late run.
+    searched_at: Option<Instant>,
     started_at: Instant,
     /// Whether no starts are ordered, because the tables may be outdated.
     starts_held: bool,
@@ -229,7 +246,6 @@
             changed_workers: BTreeSet::new(),
             decisions: Vec::new(),
             departures: BTreeMap::new(),
-            estimates: Estimates::new(),
             fleet: Fleet::new(),
             further_rows: BTreeMap::new(),
             holds: Vec::new(),
@@ -240,7 +256,10 @@
             plan_due: true,
             predecessor_end: now.monotonic + limits.takeover,
             pool_crashes: BTreeMap::new(),
+            progressed: BTreeSet::new(),
             rejected_jobs: BTreeMap::new(),
+            run_times: RunTimes::new(limits.learn_run_times),
+            searched_at: None,
             started_at: now.monotonic,
             starts_held: limits.evacuation.is_some(),
             suspects: BTreeSet::new(),
@@ -575,7 +594,7 @@
 
     /// Returns the expected time of the critical path of a job, in milliseconds.
     fn expected_critical_path(&self, job: &Job) -> u64 {
-        job.critical_path_of(|step| self.estimates.correct(job.route_id(), step.estimate_ms))
+        job.critical_path_of(|step| self.run_times.median_ms(&step_kind(job, step)))
     }
 
     fn record_decision(&mut self, id: &str, kind: DecisionKind, detail: String) {
@@ -620,6 +639,7 @@
 
     /// Releases the resources of a run whose end is certain, and records how it ended.
     fn end_run(&mut self, now: Timestamp, task: &TaskId, kind: Option<EndKind>, checkpoint: &str) {
+        self.observe_end(now, task, kind);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = entry.take_placement(&task.key) else { return };
         let resources = entry.resources(task.key.step);
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -357,7 +357,7 @@
         };
         if placement.full_run && !step.lasting && !counted {
             let run_time = now.monotonic.saturating_duration_since(started_at);
-            self.estimates.observe(entry.job.route_id(), step.estimate_ms, run_time);
+            self.run_times.observe_complete(entry.job.route_id(), step.estimate_ms, run_time);
         }
     }
 
@@ -435,6 +435,12 @@
                 placement.attempted = true;
             }
         }
+        for run in &report.running {
+            if self.is_current(status, &run.task, run.run) {
+                self.observe_running(now, &run.task);
+                self.note_progress(now, &run.task);
+            }
+        }
         self.stop_vanished(now, status, report);
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,7 +12,6 @@
 mod closure;
 mod coordinator;
 mod crash_record;
-mod estimates;
 mod evacuations;
 mod eviction;
 mod exposure;
@@ -30,6 +29,7 @@
 mod reclaim;
 mod row;
 mod run_calls;
+mod run_times;
 mod tables;
 mod task;
 mod updates;
@@ -45,7 +45,6 @@
     Timestamp, View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
-pub use estimates::Estimates;
 pub use evacuations::Evacuations;
 pub use eviction::{Claim, ClaimDecision, decide_claim};
 pub use exposure::Exposure;
@@ -61,6 +60,9 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
+pub use run_times::{
+    Estimates, LogNormal, MemberSpeed, Normal, Quantile, RunTime, RunTimes, StepKind, usual_work,
+};
 pub use tables::{
     ClientLimits, Guarantee, JobRoute, JobTables, TablesChange, TablesError, TeamEntry, WorkerPool,
 };
