Keep learned speeds over a takeover, and show them to operators

Cause: a new leader knew no speeds, and operators could not see them.

Change: a run is compared with what was known about the other workers before their runs.

Not built: the histogram of expectation errors, the restart of class 0 runs, the 0.8 quantile for backfill.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -33,7 +33,8 @@
 pub use explain::{ExplainLine, Explanation};
 pub use job::{JobState, JobView};
 pub use status::{
-    GangStatus, ProcessStatus, QueueStatus, Status, TeamStatus, UpstreamStatus, WorkerStatus,
+    GangStatus, ProcessStatus, QueueStatus, Status, TeamStatus, UpstreamStatus, WorkerSlowness,
+    WorkerStatus,
 };
 pub use submit::{Durability, Preemption, SubmitReply, SubmitRequest};
 pub use view::{EditRecord, TablesView};
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -67,6 +67,18 @@
     pub borrowed: u32,
     /// Accelerators reserved for guarantees that are not claimed.
     pub reserved: u32,
+    /// What is known about its speed; absent if nothing is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowness: Option<WorkerSlowness>,
+}
+
+/// Learned slowness of a worker.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerSlowness {
+    /// Time that runs take there, in percent of the usual time.
+    pub percent: u32,
+    /// Standard deviation of the logarithm of the slowness, in hundredths.
+    pub deviation: u32,
 }
 
 /// One team in one pool.
--- a/crates/bench/src/jobs_replay/coordinated.rs
+++ b/crates/bench/src/jobs_replay/coordinated.rs
@@ -3,7 +3,7 @@
 
 use skylarkpulley_jobs::{
     Coordinator, EndKind, Guarantee, Job, JobTables, Limits, RowKind, RunEnd, RunReport, Step,
-    TaskId, TaskKey, TeamEntry, Timestamp, WorkerPool, WorkerReport, WorkerStatus,
+    TaskId, TaskKey, TeamEntry, Timestamp, WorkerPace, WorkerPool, WorkerReport, WorkerStatus,
 };
 
 use super::pool::{DECISION_INTERVAL, WORKER_RESOURCES};
@@ -25,6 +25,8 @@
     /// Number of the last end of each worker.
     end_numbers: BTreeMap<usize, u64>,
     limits: Limits,
+    /// What the agents keep about the speeds of their workers.
+    paces: BTreeMap<usize, WorkerPace>,
     rows: BTreeMap<(RowKind, String), Vec<u8>>,
     setup: Setup,
     start: Instant,
@@ -62,6 +64,7 @@
             end_queues: BTreeMap::new(),
             end_numbers: BTreeMap::new(),
             limits,
+            paces: BTreeMap::new(),
             rows: BTreeMap::new(),
             setup: setup.clone(),
             start,
@@ -106,7 +109,12 @@
             resources: WORKER_RESOURCES,
             ..WorkerStatus::default()
         };
-        let acknowledged = self.core.orders(&status.id).ended_through;
+        let orders = self.core.orders(&status.id);
+        let acknowledged = orders.ended_through;
+        // The agent returns what it was told, also to a later leader.
+        if let Some(pace) = orders.pace {
+            self.paces.insert(worker, pace);
+        }
         let end_queue = self.end_queues.entry(worker).or_default();
         end_queue.retain(|(number, _)| *number > acknowledged);
         let listed = runs.iter().filter(|run| run.worker == worker && run.is_present(now));
@@ -120,6 +128,7 @@
             ended: end_queue.iter().map(|(_, end)| end.clone()).collect(),
             ended_through: end_queue.last().map_or(0, |(number, _)| *number),
             listed: true,
+            pace: self.paces.get(&worker).copied(),
             running: running.collect(),
             worker: Some(status),
             ..WorkerReport::default()
--- a/crates/bench/tests/run_times.rs
+++ b/crates/bench/tests/run_times.rs
@@ -44,3 +44,20 @@
     assert!(with.urgent_late <= without.urgent_late, "{with:?} {without:?}");
     assert!(with.earned_share() >= without.earned_share(), "{with:?} {without:?}");
 }
+
+/// Guards against harm by estimates that are wrong by a factor of eight.
+#[test]
+fn second_customer_wrong_estimates() {
+    assert_fewer_late(|job| {
+        job.estimate = if job.arrival % 2 == 0 { job.estimate * 8 } else { job.estimate / 8 }
+    });
+}
+
+/// Guards against a new leader that has to learn all speeds again.
+#[test]
+fn second_customer_takeover() {
+    let setup = Setup::second_customer().with_unequal_speeds().with_takeovers(&[20_000, 40_000]);
+    let without = replay_changed(&setup.clone().without_learning(), |_| {});
+    let with = replay_changed(&setup, |_| {});
+    assert!(with.urgent_late < without.urgent_late, "{with:?} {without:?}");
+}
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -89,6 +89,22 @@
         "reserved",
     ];
     output.table("Workers", header, &rows)?;
+    let rows: Vec<_> = status
+        .workers
+        .iter()
+        .filter_map(|member| {
+            let slowness = member.slowness?;
+            Some([
+                member.pool.clone(),
+                member.name.clone(),
+                format!("{}.{:02}", slowness.percent / 100, slowness.percent % 100),
+                format!("{}.{:02}", slowness.deviation / 100, slowness.deviation % 100),
+            ])
+        })
+        .collect();
+    if !rows.is_empty() {
+        output.table("Slowness of workers", ["pool", "worker", "slowness", "deviation"], &rows)?;
+    }
     Ok(())
 }
 
--- a/crates/coordination/src/convert.rs
+++ b/crates/coordination/src/convert.rs
@@ -2,7 +2,7 @@
 
 use skylarkpulley_jobs::{
     EndKind, Orders, RefusalKind, Resources, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder,
-    TaskId, WorkerReport, WorkerStatus,
+    TaskId, WorkerPace, WorkerReport, WorkerStatus,
 };
 use skylarkpulley_proto::v1;
 
@@ -22,6 +22,7 @@
         lapsed: report.lapsed,
         left: report.left,
         listed: report.listed,
+        pace: report.pace.as_ref().map(encode_pace),
         refused: report.refused.iter().map(encode_refusal).collect(),
         running: report
             .running
@@ -38,6 +39,14 @@
     }
 }
 
+fn encode_pace(pace: &WorkerPace) -> v1::WorkerPace {
+    v1::WorkerPace { boot: pace.incarnation, mean: pace.mean, variance: pace.variance }
+}
+
+fn decode_pace(pace: &v1::WorkerPace) -> WorkerPace {
+    WorkerPace { incarnation: pace.boot, mean: pace.mean, variance: pace.variance }
+}
+
 fn encode_end(end: &RunEnd) -> v1::TaskEnd {
     let kind = match end.kind {
         EndKind::Done => v1::TaskEndKind::Done,
@@ -100,6 +109,7 @@
         lapsed: update.lapsed,
         left: update.left,
         listed: update.listed,
+        pace: update.pace.as_ref().map(decode_pace),
         refused: update.refused.into_iter().filter_map(decode_refusal).collect(),
         running: update.running.into_iter().filter_map(decode_run).collect(),
         unreached: update.unreached,
@@ -199,6 +209,7 @@
                 permit: order.permit.clone(),
             })
             .collect(),
+        pace: orders.pace.as_ref().map(encode_pace),
         sharing: orders
             .sharing
             .iter()
@@ -236,6 +247,7 @@
         ended_through: update.ended_through,
         incarnation: update.boot,
         keep: runs(update.keep),
+        pace: update.pace.as_ref().map(decode_pace),
         sharing: sharing.collect(),
         start: start.collect(),
         stop: runs(update.stop),
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -618,7 +618,8 @@
     fn update_gauges(&self) {
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
         let steps = self.coordinator.wait_counts();
-        self.context.records.update_gauges(agents, callers, steps, self.epoch);
+        let slow = self.coordinator.slow_workers(self.now());
+        self.context.records.update_gauges(agents, callers, steps, slow, self.epoch);
     }
 
     fn record_decisions(&mut self) {
--- a/crates/coordination/src/operators.rs
+++ b/crates/coordination/src/operators.rs
@@ -4,7 +4,8 @@
 
 use futures::future::join_all;
 use skylarkpulley_admin::{
-    ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus, WorkerStatus,
+    ExplainLine, Explanation, ProcessStatus, QueueStatus, Status, TeamStatus, WorkerSlowness,
+    WorkerStatus,
 };
 use skylarkpulley_jobs::{Decision, JobTables, Summary};
 use skylarkpulley_proto::v1;
@@ -222,6 +223,7 @@
         guaranteed: accelerator_count(worker.guaranteed),
         borrowed: accelerator_count(worker.borrowed),
         reserved: 0,
+        slowness: worker.slowness.map(|(percent, deviation)| WorkerSlowness { percent, deviation }),
     }
 }
 
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -37,13 +37,21 @@
     }
 
     /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, and
-    /// the steps whose tasks wait.
-    pub fn update_gauges(&self, agents: usize, callers: usize, steps: WaitCounts, epoch: u64) {
+    /// the steps whose tasks wait, and the slow workers.
+    pub fn update_gauges(
+        &self,
+        agents: usize,
+        callers: usize,
+        steps: WaitCounts,
+        slow: usize,
+        epoch: u64,
+    ) {
         let gauges = [
             ("agents", agents),
             ("callers-waiting", callers),
             ("steps-waiting", steps.overdue),
             ("steps-waiting-fitting", steps.fitting),
+            ("workers-slow", slow),
         ];
         for (name, value) in gauges {
             self.metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -272,6 +272,7 @@
             guaranteed: sum_accelerators(true),
             borrowed: sum_accelerators(false),
             reserved: state.reservations.iter().map(|reservation| reservation.accelerators).sum(),
+            slowness: None,
         });
     }
 }
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -8,7 +8,7 @@
 use crate::updates::Updates;
 use crate::{
     AgentAction, AgentLimits, Listing, Orders, Pacer, RefusalKind, RenewalCall, RunEnd, RunRefusal,
-    RunReport, SharingRun, StartAnswer, StartOrder, TaskId, WorkerReport, WorkerStatus,
+    RunReport, SharingRun, StartAnswer, StartOrder, TaskId, WorkerPace, WorkerReport, WorkerStatus,
 };
 
 /// Delay before a call that was not answered is sent again. Longer than a round trip, and short
@@ -97,6 +97,8 @@
     /// Number of changes of speed that are open.
     open_paces: usize,
     orders: Orders,
+    /// What the leaders have learned about the speed of the worker, and its labels then.
+    pace: Option<(WorkerPace, Vec<String>)>,
     pacer: Pacer,
     refused: BTreeMap<RunKey, RefusalKind>,
     running: BTreeMap<RunKey, RunReport>,
@@ -139,6 +141,7 @@
             name: name.to_owned(),
             open_paces: 0,
             orders: Orders::default(),
+            pace: None,
             pacer: Pacer::new(),
             refused: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -235,6 +238,9 @@
             return true;
         }
         self.departure_stored |= orders.departure_stored;
+        if let (Some(pace), Some(status)) = (orders.pace, &self.status) {
+            self.pace = Some((pace, status.labels.clone()));
+        }
         if let Some(sent) = sent
             && !lease.is_zero()
             && self.granted_lease.is_none_or(|(at, length)| sent + lease > at + length)
@@ -543,6 +549,7 @@
             lapsed,
             left,
             listed: reportable,
+            pace: self.known_pace(),
             refused: self
                 .refused
                 .iter()
@@ -558,6 +565,13 @@
         }
     }
 
+    /// Returns what is known about the speed of the worker. A machine that is labelled otherwise than
+    /// when it was learned may be another one.
+    fn known_pace(&self) -> Option<WorkerPace> {
+        let (pace, labels) = self.pace.as_ref()?;
+        self.status.as_ref().is_some_and(|status| status.labels == *labels).then_some(*pace)
+    }
+
     /// Returns the worker's status, also while it is not reported.
     pub fn status(&self) -> Option<&WorkerStatus> {
         self.status.as_ref()
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -466,6 +466,7 @@
         let mut orders = Orders {
             ended_through: state.acked,
             incarnation: state.status.incarnation,
+            pace: self.run_times.pace(worker, state.status.incarnation),
             worker: worker.to_owned(),
             ..Orders::default()
         };
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -52,6 +52,7 @@
         self.remove_ended_jobs(now);
         self.retry_rejected(now);
         self.clear_crash_records(now);
+        self.run_times.remove_gone(now.monotonic, |id| self.fleet.workers.contains_key(id));
         self.place(now);
     }
 
@@ -359,6 +360,7 @@
         chosen: &[usize],
     ) {
         let version = self.mark_changed(&unit.job);
+        let expected_ms = self.expected_ms(unit);
         let Some(entry) = self.jobs.get_mut(&unit.job) else { return };
         let run = keys
             .iter()
@@ -366,6 +368,7 @@
             .max()
             .unwrap_or(0)
             + 1;
+        let late = chosen.iter().map(|index| view.candidates[*index].late).max().unwrap_or(0);
         let mut placements = Vec::new();
         for (key, index) in keys.iter().zip(chosen) {
             let candidate = &mut view.candidates[*index];
@@ -409,12 +412,13 @@
         }
         let workers: Vec<&str> = placements.iter().map(|(_, worker)| worker.as_str()).collect();
         let detail = format!(
-            "step {}, run {run}, rank {}/{}, waited {} ms, on {}",
+            "step {}, run {run}, rank {}/{}, waited {} ms, on {}, expected {expected_ms} ms, late with probability {:.1}",
             keys.first().map_or(0, |key| key.step),
             unit.rank.tier,
             unit.rank.class,
             unit.waited.as_millis(),
-            workers.join(" ")
+            workers.join(" "),
+            f64::from(late) / 10.0
         );
         self.record_decision(&unit.job, DecisionKind::Placed, detail);
     }
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -51,6 +51,9 @@
             .map(|lease| now.monotonic + lease);
         worker.last_report = now.monotonic;
         worker.status = status.clone();
+        if let Some(pace) = &report.pace {
+            self.run_times.adopt_pace(&status.id, pace, status.incarnation, now.monotonic);
+        }
         if is_down {
             self.note_crash(now, &status.pool);
         }
@@ -168,6 +171,8 @@
                 return true;
             }
             Some(current) => {
+                let same_labels = current.labels == status.labels;
+                self.run_times.replace_worker(&status.id, &status.id, same_labels);
                 let cause = LossCause::of_departure(current);
                 let lost = self.end_fenced_runs(now, &status.id, cause);
                 self.fleet.workers.remove(&status.id);
@@ -180,12 +185,27 @@
     }
 
     fn add_worker(&mut self, now: Timestamp, status: &WorkerStatus) {
+        self.keep_pace(status);
         self.end_earlier_incarnations(now, status);
         self.departures.remove(&status.id);
         let worker = FleetWorker::new(&status.id, status.incarnation, now.monotonic);
         self.fleet.workers.insert(status.id.clone(), worker);
     }
 
+    /// Keeps what is known about the speed of a worker whose address a new one has taken over.
+    fn keep_pace(&mut self, status: &WorkerStatus) {
+        let earlier = self.fleet.workers.iter().find(|(id, worker)| {
+            **id != status.id
+                && !status.address.is_empty()
+                && worker.status.address == status.address
+                && worker.status.incarnation < status.incarnation
+        });
+        if let Some((id, worker)) = earlier {
+            let same_labels = worker.status.labels == status.labels;
+            self.run_times.replace_worker(id, &status.id, same_labels);
+        }
+    }
+
     /// Ends the runs of an incarnation of which no copy of the start can be carried out any more.
     /// Returns the others.
     fn end_fenced_runs(&mut self, now: Timestamp, id: &str, cause: LossCause) -> Vec<TaskId> {
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::entry::{JobEntry, Placement};
+use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::progress::COMPLETE_PERCENT;
 use crate::{EndKind, Job, RunTime, Step, StepKind, TaskId, TaskKey};
@@ -61,6 +62,16 @@
         usual.mul_f64(slowness.mean.exp())
     }
 
+    /// Returns the median of the expected run time of a unit's tasks on a usual worker.
+    pub(super) fn expected_ms(&self, unit: &Unit) -> u64 {
+        let entry = self.jobs.get(&unit.job);
+        let step = unit.keys.first().zip(entry).and_then(|(key, entry)| {
+            let step = entry.job.steps.get(key.step as usize)?;
+            Some(step_kind(&entry.job, step))
+        });
+        step.map_or(0, |kind| self.run_times.median_ms(&kind))
+    }
+
     /// Learns from a run that ends now. Each run counts once, also if it is stopped or lost, so that
     /// short and long runs count alike. Runs that failed do not count.
     pub(super) fn observe_end(&mut self, now: Timestamp, task: &TaskId, kind: Option<EndKind>) {
@@ -87,6 +98,11 @@
         step.near_rack.as_ref().is_some_and(far) || (step.same_rack && racks.len() > 1)
     }
 
+    fn run_time(&self, now: Timestamp, run: &Placement, time_ms: f64) -> RunTime {
+        let slowness = self.run_times.slowness(&run.worker, now.monotonic);
+        RunTime { log_ms: time_ms.ln(), slowness, worker: run.worker.clone() }
+    }
+
     fn observe_single(&mut self, now: Timestamp, task: &TaskId, done: bool) {
         let Some(entry) = self.jobs.get(&task.job) else { return };
         let Some(step) = entry.job.steps.get(task.key.step as usize) else { return };
@@ -95,7 +111,7 @@
         if self.is_far(step, &[&placement.worker]) {
             return;
         }
-        let run = RunTime { log_ms: time.ln(), worker: placement.worker.clone() };
+        let run = self.run_time(now, placement, time);
         let siblings = (0..step.count).filter(|index| *index != task.key.index);
         let siblings = siblings.filter_map(|index| entry.tasks.get(&TaskKey { index, ..task.key }));
         let ended = siblings.clone().any(|sibling| sibling.run_time.is_some());
@@ -103,15 +119,14 @@
             let Some(other) = &sibling.placement else { return sibling.run_time.clone() };
             let time = run_time_ms(now, other, false)?;
             let near = !self.is_far(step, &[&other.worker]);
-            near.then(|| RunTime { log_ms: time.ln(), worker: other.worker.clone() })
+            near.then(|| self.run_time(now, other, time))
         });
         let others: Vec<RunTime> = others.take(MAX_COMPARED).collect();
         let kind = step_kind(&entry.job, step);
         let expected = self.run_times.expect(&kind);
-        let slowness = self.run_times.slowness(&run.worker, now.monotonic);
         // All further runs of a step together weigh as much as the first one.
         let weight = if ended { 1.0 / f64::from(step.count) } else { 1.0 };
-        self.run_times.observe_work(now.monotonic, &kind, run.log_ms - slowness.mean, weight);
+        self.run_times.observe_work(now.monotonic, &kind, run.log_ms - run.slowness.mean, weight);
         self.run_times.observe_speed(now.monotonic, &run, &others, expected.as_ref());
         let entry = self.jobs.get_mut(&task.job);
         if let Some(state) = entry.and_then(|entry| entry.tasks.get_mut(&task.key)) {
@@ -135,10 +150,7 @@
         if self.is_far(step, &workers) || placements.iter().any(|run| run.lost) {
             return;
         }
-        let time = |run: &&Placement| {
-            let log_ms = run_time_ms(now, run, false)?.ln();
-            Some(RunTime { log_ms, worker: run.worker.clone() })
-        };
+        let time = |run: &&Placement| Some(self.run_time(now, run, run_time_ms(now, run, false)?));
         let runs: Vec<RunTime> = placements.iter().filter_map(time).collect();
         let by_time = |a: &&RunTime, b: &&RunTime| a.log_ms.total_cmp(&b.log_ms);
         let range = runs.iter().max_by(by_time).zip(runs.iter().min_by(by_time));
@@ -160,7 +172,8 @@
             let usual = log_ms - slowness(&worker);
             self.run_times.observe_work(now.monotonic, &kind, usual, 1.0);
             if longest.is_none() {
-                let run = RunTime { log_ms, worker };
+                let slowness = self.run_times.slowness(&worker, now.monotonic);
+                let run = RunTime { log_ms, slowness, worker };
                 self.run_times.observe_speed(now.monotonic, &run, &[], expected.as_ref());
             }
         }
--- a/crates/jobs/src/coordinator/summary.rs
+++ b/crates/jobs/src/coordinator/summary.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::{Coordinator, Timestamp};
+use crate::Normal;
 
 /// State of a worker as the coordinator knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -20,6 +21,9 @@
     pub pool: String,
     /// Rack.
     pub rack: String,
+    /// Time that runs take there, in percent of the usual time, and the standard deviation of its
+    /// logarithm in hundredths; `None` if nothing is known.
+    pub slowness: Option<(u32, u32)>,
     /// `serving`, `draining`, `quarantined` or `silent`.
     pub state: &'static str,
 }
@@ -86,12 +90,27 @@
                     id: id.clone(),
                     pool: worker.status.pool.clone(),
                     rack: worker.status.rack.clone(),
+                    slowness: self.known_slowness(now, id),
                     state,
                 }
             })
             .collect()
     }
 
+    fn known_slowness(&self, now: Timestamp, worker: &str) -> Option<(u32, u32)> {
+        let slowness = self.run_times.slowness(worker, now.monotonic);
+        let is_known = slowness != Normal::unknown_slowness();
+        // Casts from floats saturate.
+        let hundredths = |value: f64| (value * 100.0).round() as u32;
+        is_known.then(|| (hundredths(slowness.mean.exp()), hundredths(slowness.deviation())))
+    }
+
+    /// Returns the number of workers that are slow beyond doubt.
+    pub fn slow_workers(&self, now: Timestamp) -> usize {
+        let slowness = |id: &String| self.run_times.slowness(id, now.monotonic);
+        self.fleet.workers.keys().filter(|id| slowness(id).is_slow()).count()
+    }
+
     fn queue_summaries(&self, now: Timestamp) -> Vec<QueueSummary> {
         let mut queues: BTreeMap<(&str, &str), QueueSummary> = BTreeMap::new();
         for entry in self.jobs.values().filter(|entry| !entry.is_ended()) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -64,5 +64,5 @@
 pub use violation::Violation;
 pub use worker::{
     EndKind, Orders, RefusalKind, RunEnd, RunRefusal, RunReport, SharingRun, StartOrder,
-    WorkerReport, WorkerStatus,
+    WorkerPace, WorkerReport, WorkerStatus,
 };
--- a/crates/jobs/src/run_times/mod.rs
+++ b/crates/jobs/src/run_times/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::WorkerPace;
 pub use estimates::Estimates;
 pub use normal::{LogNormal, Normal, Quantile};
 use route::{RouteModel, TeamModel};
@@ -57,6 +58,8 @@
 pub struct RunTime {
     /// Logarithm of the run time in milliseconds.
     pub log_ms: f64,
+    /// What was known about the worker before this run. Its own observation must not count twice.
+    pub slowness: Normal,
     /// Id of the worker.
     pub worker: String,
 }
@@ -149,10 +152,9 @@
     ) {
         let mut work: Option<Normal> = None;
         for other in others.iter().filter(|other| other.worker != run.worker) {
-            let slowness = self.slowness(&other.worker, now);
             let observation = Normal {
-                mean: other.log_ms - slowness.mean,
-                variance: slowness.variance + NOISE_VARIANCE,
+                mean: other.log_ms - other.slowness.mean,
+                variance: other.slowness.variance + NOISE_VARIANCE,
             };
             work = Some(work.map_or(observation, |work| work.combined(&observation)));
         }
@@ -193,6 +195,31 @@
         self.workers.insert(id.to_owned(), model);
     }
 
+    /// Returns what is known about the speed of a worker, for its agent to keep.
+    pub fn pace(&self, worker: &str, incarnation: u64) -> Option<WorkerPace> {
+        let slowness = self.workers.get(worker)?.slowness;
+        // Both are far below 2^31 thousandths.
+        let mean = (slowness.mean * 1000.0).round() as i32;
+        let variance = (slowness.variance * 1000.0).ceil() as u32;
+        Some(WorkerPace { incarnation, mean, variance })
+    }
+
+    /// Takes in what an earlier leader has learned about a worker, unless this one knows it.
+    pub fn adopt_pace(&mut self, worker: &str, pace: &WorkerPace, incarnation: u64, now: Instant) {
+        if self.workers.contains_key(worker) {
+            return;
+        }
+        let limit = MAX_CORRECTION.ln();
+        let mean = (f64::from(pace.mean) / 1000.0).clamp(-limit, limit);
+        let prior = Normal::unknown_slowness().variance;
+        let variance = (f64::from(pace.variance) / 1000.0).clamp(0.001, prior);
+        let mut model = WorkerModel { slowness: Normal { mean, variance }, updated_at: now };
+        if pace.incarnation != incarnation {
+            model.widen();
+        }
+        self.workers.insert(worker.to_owned(), model);
+    }
+
     /// Drops the workers that are gone for long; `is_present` reports whether one is not.
     pub fn remove_gone(&mut self, now: Instant, is_present: impl Fn(&str) -> bool) {
         self.workers
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -101,6 +101,17 @@
     pub task: TaskId,
 }
 
+/// What the leader has learned about the speed of a worker, as its agent keeps it for the next leader.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WorkerPace {
+    /// Incarnation of the worker under which it was learned.
+    pub incarnation: u64,
+    /// Mean of the logarithm of the slowness, in thousandths.
+    pub mean: i32,
+    /// Variance of the logarithm of the slowness, in thousandths.
+    pub variance: u32,
+}
+
 /// Everything that an agent reports about its worker.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WorkerReport {
@@ -123,6 +134,8 @@
     pub left: bool,
     /// Whether `running` was read from this incarnation of the worker.
     pub listed: bool,
+    /// What a leader has learned about the speed of the worker; `None` if nothing is known.
+    pub pace: Option<WorkerPace>,
     /// Starts that were refused.
     pub refused: Vec<RunRefusal>,
     /// Runs that the worker lists.
@@ -183,6 +196,8 @@
     pub incarnation: u64,
     /// Runs that continue.
     pub keep: Vec<(TaskId, u32)>,
+    /// What is known about the speed of the worker, for the next leader.
+    pub pace: Option<WorkerPace>,
     /// Runs of `keep` and `start` that serve or fill; empty if none fills.
     pub sharing: Vec<SharingRun>,
     /// Runs to start.
