Merge learned speeds over a takeover

The speeds that agents keep include the observations of runs that still go on, since urgent gangs are the main source early in a deployment.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -34,7 +34,7 @@
 pub use job::{JobState, JobView};
 pub use status::{
     DomainStatus, GangStatus, ProcessStatus, QueueStatus, Status, TeamStatus, UpstreamStatus,
-    WorkerStatus,
+    WorkerSlowness, WorkerStatus,
 };
 pub use submit::{Durability, Preemption, SubmitReply, SubmitRequest};
 pub use view::{EditRecord, TablesView};
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -657,7 +657,8 @@
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
         let steps = self.coordinator.wait_counts();
         let evacuated = self.coordinator.evacuated_domains();
-        self.context.records.update_gauges(agents, callers, steps, evacuated, self.epoch);
+        let slow = self.coordinator.slow_workers(self.now());
+        self.context.records.update_gauges(agents, callers, steps, evacuated, slow, self.epoch);
     }
 
     fn record_decisions(&mut self) {
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -37,13 +37,14 @@
     }
 
     /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, the
-    /// steps whose tasks wait, and the evacuated failure domains.
+    /// steps whose tasks wait, the evacuated failure domains, and the slow workers.
     pub fn update_gauges(
         &self,
         agents: usize,
         callers: usize,
         steps: WaitCounts,
         evacuated: usize,
+        slow: usize,
         epoch: u64,
     ) {
         let gauges = [
@@ -52,6 +53,7 @@
             ("failure-domains-evacuated", evacuated),
             ("steps-waiting", steps.overdue),
             ("steps-waiting-fitting", steps.fitting),
+            ("workers-slow", slow),
         ];
         for (name, value) in gauges {
             self.metrics.gauge(name, u64::try_from(value).unwrap_or(u64::MAX));
--- a/crates/jobs/src/run_times/worker_model.rs
+++ b/crates/jobs/src/run_times/worker_model.rs
@@ -54,6 +54,17 @@
         Self { provisional: BTreeMap::new(), slowness, updated_at: now }
     }
 
+    /// Returns a worker with a slowness that an earlier leader has learned.
+    pub(super) fn with_slowness(slowness: Normal, now: Instant) -> Self {
+        Self { slowness, ..Self::new(now) }
+    }
+
+    /// Returns the slowness at the time of the last observation, runs that still go on included.
+    pub(super) fn latest(&self) -> Normal {
+        let observations = self.provisional.values();
+        observations.fold(self.slowness, |slowness, other| slowness.combined(other))
+    }
+
     pub(super) fn slowness_at(&self, now: Instant) -> Normal {
         self.slowness_without(None, now)
     }
