Order contended pools by shares and refuse what cannot gain

Cause: by latest start alone, the backlog of one team goes ahead of every job that the others submit later, and a job that can only end after three times its objective is accepted and takes resources all the same.

--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -1,4 +1,5 @@
 mod absences;
+mod admitting;
 mod audit;
 #[cfg(test)]
 mod audit_tests;
@@ -14,6 +15,8 @@
 mod preemption;
 mod racks;
 mod reports;
+mod run_time;
+mod sharing;
 mod summary;
 mod uncounted;
 mod unit_rules;
@@ -27,12 +30,13 @@
 
 use crate::{
     Advice, AdviceAnswer, AdviceCall, EndKind, Estimates, Fleet, FleetWorker, Job, JobAccess,
-    JobState, JobTables, Orders, RouteKey, RowsError, SharingRun, StartOrder, TaskId, TaskKey,
-    decode_progress, progress_key,
+    JobState, JobTables, KnownWorkers, Orders, RouteKey, RowsError, Shares, SharingRun, StartOrder,
+    TaskId, TaskKey, decode_progress, progress_key,
 };
 use crashes::UnexplainedCrash;
 use entry::{JobEntry, Placement};
 use hold::Hold;
+pub use sharing::ShareCounts;
 pub use summary::{QueueSummary, Summary, WorkerSummary};
 pub use waiting::WaitCounts;
 use waiting::WaitLog;
@@ -133,6 +137,8 @@
     /// Resources that the last round of planning has reserved.
     holds: Vec<Hold>,
     jobs: BTreeMap<String, JobEntry>,
+    /// Workers that admission takes for present.
+    known_workers: KnownWorkers,
     /// When a worker of each pool last crashed or was found down.
     last_crashes: BTreeMap<String, Instant>,
     limits: Limits,
@@ -144,6 +150,10 @@
     pool_crashes: BTreeMap<String, VecDeque<Instant>>,
     /// Jobs whose rows the store rejects, and when they are written again.
     rejected_jobs: BTreeMap<String, Instant>,
+    /// Refused submissions since the last call of [`Coordinator::take_refusals`], by team and route.
+    refusals: BTreeMap<(String, String), u64>,
+    /// Shares of the teams in each pool with waiting work, after the last round of planning.
+    shares: BTreeMap<String, Shares>,
     started_at: Instant,
     /// Tasks that may have crashed a worker and whose job has not ended.
     suspects: BTreeSet<TaskId>,
@@ -221,13 +231,16 @@
             further_rows: BTreeMap::new(),
             holds: Vec::new(),
             jobs: BTreeMap::new(),
+            known_workers: KnownWorkers::new(),
             last_crashes: BTreeMap::new(),
             limits,
             open_write: None,
             plan_due: true,
             predecessor_end: now.monotonic + limits.takeover,
             pool_crashes: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             rejected_jobs: BTreeMap::new(),
+            shares: BTreeMap::new(),
             started_at: now.monotonic,
             suspects: BTreeSet::new(),
             tables,
@@ -312,17 +325,22 @@
         if self.jobs.contains_key(&job.id) {
             return Submission::Accepted { version: ACCEPTED_VERSION };
         }
-        let open = self
-            .jobs
-            .values()
-            .filter(|entry| entry.job.pool == job.pool && !entry.is_ended() && entry.job.class > 0);
-        if job.class > 0 && open.count() >= self.limits.open_jobs {
-            let retry = self.limits.reclaim;
-            let reason =
-                format!("the pool has reached its limit of {} open jobs", self.limits.open_jobs);
-            self.record_decision(&job.id, DecisionKind::Refused, reason.clone());
+        let entry = JobEntry::new(job, now.monotonic);
+        if let Some((cause, retry)) = self.refusal(now, &entry) {
+            let reason = cause.to_string();
+            let job = &entry.job;
+            let detail = format!(
+                "{reason}; retry after {} ms; route {}, team {}, class {}",
+                retry.as_millis(),
+                job.route,
+                job.team,
+                job.class
+            );
+            self.record_decision(&job.id, DecisionKind::Refused, detail);
+            *self.refusals.entry((job.team.clone(), job.route.clone())).or_default() += 1;
             return Submission::Refused { reason, retry };
         }
+        let job = &entry.job;
         let id = job.id.clone();
         let detail = format!(
             "route {}, team {}, class {}, {} steps, {} accelerators at once, critical path {} ms, objective {} ms",
@@ -332,10 +350,10 @@
             job.steps.len(),
             job.accelerators(),
             job.critical_path_ms(),
-            job.objective_ms(self.expected_critical_path(&job))
+            job.objective_ms(self.expected_critical_path(job))
         );
         self.record_decision(&id, DecisionKind::Accepted, detail);
-        self.jobs.insert(id.clone(), JobEntry::new(job, now.monotonic));
+        self.jobs.insert(id.clone(), entry);
         self.waiting_jobs.insert(id.clone());
         let version = self.mark_changed(&id);
         self.plan_due = true;
@@ -545,11 +563,6 @@
         }
     }
 
-    /// Returns the expected time of the critical path of a job, in milliseconds.
-    fn expected_critical_path(&self, job: &Job) -> u64 {
-        job.critical_path_of(|step| self.estimates.correct(job.route_id(), step.estimate_ms))
-    }
-
     fn record_decision(&mut self, id: &str, kind: DecisionKind, detail: String) {
         self.decisions.push(Decision { detail, id: id.to_owned(), kind });
     }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -4,6 +4,7 @@
 use super::earliest_fit::RunEndTime;
 use super::entry::Placement;
 use super::hold::{Hold, HoldKind};
+use super::sharing::Round;
 use super::units::Unit;
 use super::{Coordinator, DecisionKind, Timestamp};
 use crate::{
@@ -73,11 +74,14 @@
     /// Places waiting work.
     pub fn place(&mut self, now: Timestamp) {
         self.plan_due = false;
+        self.known_workers.observe(&self.fleet, now.monotonic);
         self.advice.clear_wanted();
         let guaranteed = self.guaranteed();
-        let units = self.waiting_units(now, &guaranteed);
+        let mut units = self.waiting_units(now, &guaranteed);
         let mut views: BTreeMap<String, PoolView> = BTreeMap::new();
-        for unit in &units {
+        let mut round = Round::new(&units);
+        while let Some((index, handled)) = round.next(&mut units, |unit| self.is_over_share(unit)) {
+            let unit = &units[index];
             let Some(entry) = self.jobs.get(&unit.job) else { continue };
             let pool = entry.job.pool.clone();
             if !views.contains_key(&pool) {
@@ -85,7 +89,10 @@
                 views.insert(pool.clone(), view);
             }
             let Some(view) = views.get_mut(&pool) else { continue };
-            self.place_unit(now, unit, view, &guaranteed);
+            let handled = self.place_unit(now, unit, handled, view, &guaranteed);
+            if handled < unit.keys.len() {
+                round.defer(unit, index, handled);
+            }
         }
         self.holds = views.into_values().flat_map(|view| view.holds).collect();
         self.check_waiting(now, &units);
@@ -133,26 +140,34 @@
         view
     }
 
+    /// Places the tasks of a unit after the first `handled` ones. Returns the number of tasks that
+    /// have been handled, which is not all if the team has passed its share.
     fn place_unit(
         &mut self,
         now: Timestamp,
         unit: &Unit,
+        handled: usize,
         view: &mut PoolView,
         guaranteed: &BTreeSet<String>,
-    ) {
-        let Some(first) = unit.keys.first() else { return };
+    ) -> usize {
+        let all = unit.keys.len();
+        let Some(first) = unit.keys.first() else { return all };
         let gang = self.jobs.get(&unit.job).is_some_and(|entry| entry.is_gang(first.step));
         if gang {
             self.place_group(now, unit, &unit.keys, view, guaranteed);
-            return;
+            return all;
         }
         // Tasks with reserved resources do not delay the others: their stops run in parallel.
-        for key in &unit.keys {
+        for (index, key) in unit.keys.iter().enumerate().skip(handled) {
+            if index > handled && !unit.rank.over_share && self.is_over_share(unit) {
+                return index;
+            }
             let outcome = self.place_group(now, unit, std::slice::from_ref(key), view, guaranteed);
             if outcome == Outcome::Blocked {
-                return;
+                return all;
             }
         }
+        all
     }
 
     /// Places tasks that start together, or reserves resources for them.
@@ -454,6 +469,7 @@
             self.fleet.occupy(worker, task, run, &demand.resources);
             self.changed_workers.insert(worker.clone());
         }
+        self.add_share_use(&unit.job, &demand.resources, placements.len());
         let workers: Vec<&str> = placements.iter().map(|(_, worker)| worker.as_str()).collect();
         let detail = format!(
             "step {}, run {run}, rank {}/{}, waited {} ms, on {}",
--- a/crates/jobs/src/coordinator/unit_rules.rs
+++ b/crates/jobs/src/coordinator/unit_rules.rs
@@ -83,12 +83,13 @@
             |hold| format!("{} on {}", hold.kind, shown(&hold.workers)),
         );
         let mut line = format!(
-            "{reason}; {outcome}; {} tasks wait{}, rank {}/{}, accepted or due {} ms ago, each \
+            "{reason}; {outcome}; {} tasks wait{}, rank {}/{}{}, accepted or due {} ms ago, each \
              {accelerators} accelerators {cores} millicores {memory} MB; pool {}: {state}",
             unit.keys.len(),
             if gang { ", gang" } else { "" },
             unit.rank.tier,
             unit.rank.class,
+            self.yield_reason(unit),
             unit.waited.as_millis(),
             entry.job.pool,
         );
--- a/crates/jobs/src/coordinator/units.rs
+++ b/crates/jobs/src/coordinator/units.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::entry::JobEntry;
+use super::run_time::RunTime;
 use super::{Coordinator, Timestamp};
 use crate::TaskKey;
 use crate::order::{Claimant, Rank, guaranteed_jobs};
@@ -57,6 +58,10 @@
         for id in not_waiting {
             self.waiting_jobs.remove(&id);
         }
+        self.shares = self.pool_shares(now, &units);
+        for unit in &mut units {
+            self.mark_unit(unit);
+        }
         units.sort_by(|a, b| (a.rank, &a.job, &a.keys).cmp(&(b.rank, &b.job, &b.keys)));
         units
     }
@@ -81,7 +86,13 @@
                 units.push(Unit {
                     job: entry.job.id.clone(),
                     keys,
-                    rank: Rank { tier, class: entry.job.class, start_ms },
+                    rank: Rank {
+                        tier,
+                        class: entry.job.class,
+                        expired: false,
+                        over_share: false,
+                        start_ms,
+                    },
                     waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms)),
                 });
             }
@@ -96,7 +107,7 @@
         let done: u64 = (0_u32..)
             .zip(&entry.job.steps)
             .filter(|(step, _)| is_step_done(entry, occurrence, *step as usize))
-            .map(|(_, spec)| self.estimates.correct(entry.job.route_id(), spec.estimate_ms))
+            .map(|(_, spec)| self.run_time_ms(&entry.job, spec, RunTime::Expected))
             .sum();
         entry.job.objective_ms(critical_path).saturating_sub(critical_path.saturating_sub(done))
     }
--- a/crates/jobs/src/coordinator/waiting.rs
+++ b/crates/jobs/src/coordinator/waiting.rs
@@ -150,7 +150,8 @@
         let Some(entry) = self.jobs.get(job) else { return Vec::new() };
         let tier = u8::from(!self.guaranteed().contains(job));
         let queued = self.waiting_jobs.contains(job) && !entry.is_final();
-        let units = if queued { self.units_of(entry, now, tier) } else { Vec::new() };
+        let mut units = if queued { self.units_of(entry, now, tier) } else { Vec::new() };
+        units.iter_mut().for_each(|unit| self.mark_unit(unit));
         let mut pools = BTreeMap::new();
         let mut decisions = Vec::new();
         for (step, subject) in self.subjects(now, units, std::iter::once(entry)) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! orders for workers. Orders become visible only after the row that records them is durable. The
 //! safety argument is in `docs/platform.md`.
 
+mod admission;
 mod advice;
 mod agent;
 mod agent_calls;
@@ -29,19 +30,23 @@
 mod reclaim;
 mod row;
 mod run_calls;
+mod shares;
 mod tables;
 mod task;
 mod updates;
 mod violation;
 mod worker;
 
+pub use admission::{
+    KnownWorkers, MAX_LATENESS, RefusalCause, WorkAhead, earliest_start, retry_after,
+};
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::{AgentCore, MAX_OPEN_CALLS};
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
 pub use closure::Closure;
 pub use coordinator::{
-    Coordinator, Decision, DecisionKind, Limits, QueueSummary, Submission, Summary, Timestamp,
-    View, WaitCounts, WorkerSummary,
+    Coordinator, Decision, DecisionKind, Limits, QueueSummary, ShareCounts, Submission, Summary,
+    Timestamp, View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
 pub use estimates::Estimates;
@@ -59,6 +64,7 @@
 pub use row::{
     CrashRow, ExposureRow, ProgressRow, RowChange, RowKind, RowsError, TaskRow, WorkerRow,
 };
+pub use shares::Shares;
 pub use tables::{Guarantee, JobRoute, JobTables, TablesError, TeamEntry, WorkerPool};
 pub use task::{TaskId, TaskIdError, TaskKey};
 pub use violation::Violation;
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -8,13 +8,18 @@
 /// Guaranteed claims come first, then the classes in the order that teams paid for, and within a
 /// class the work that must start soonest to meet its objective. Work that has missed its objective
 /// is not put last: when it was, it often was not served at all, which costs more than its
-/// lateness.
+/// lateness. Only while several teams compete for a pool that is too small, work that can gain
+/// nothing any more comes last within its class, and before it the work of teams over their share.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     /// 0 for work within its team's guarantee, 1 for other work.
     pub tier: u8,
     /// Priority class.
     pub class: u8,
+    /// Whether it can no longer end within three times its objective.
+    pub expired: bool,
+    /// Whether its team uses more than its share of a contended pool.
+    pub over_share: bool,
     /// Latest start that meets the objective, milliseconds since 1970.
     pub start_ms: u64,
 }
