Test the order of contended pools and the refusals

Cause: the shares at one moment let a team with its fair share take the next worker too; on two workers, the last of three other teams started after all 20 jobs of a flood. Change: half of the tasks that start next count as used. Tests replay floods, a wide job, late work, claims and refusals.

--- a/crates/jobs/src/coordinator/sharing.rs
+++ b/crates/jobs/src/coordinator/sharing.rs
@@ -118,8 +118,16 @@
 
     /// Reports whether a unit yields because its team is over its share.
     pub(super) fn is_over_share(&self, unit: &Unit) -> bool {
-        let Some(shares) = self.deciding_shares(unit) else { return false };
-        self.jobs.get(&unit.job).is_some_and(|entry| shares.is_over(&entry.job.team))
+        let (Some(shares), Some(entry), Some(first)) =
+            (self.deciding_shares(unit), self.jobs.get(&unit.job), unit.keys.first())
+        else {
+            return false;
+        };
+        let count = if entry.is_gang(first.step) { unit.keys.len() } else { 1 };
+        let need = entry.resources(first.step);
+        let mut next = Resources::default();
+        (0..count).for_each(|_| next.add(&need));
+        shares.is_over(&entry.job.team, &next)
     }
 
     /// Reports whether a unit can no longer end within three times its objective, and yields
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -2,9 +2,8 @@
 
 use crate::{JobTables, Resources};
 
-/// Factor by which a team may exceed its fair share before its work yields. Without it, two teams
-/// with equal shares would alternate with each task that is placed, and a gang of one worker would
-/// put its team over its share on a small pool.
+/// Factor by which a team may exceed its fair share before its work yields. Without it, teams with
+/// nearly equal shares would alternate with each task that is placed.
 const TOLERANCE: f64 = 1.25;
 
 /// Resources that one team uses, and its weight.
@@ -78,9 +77,14 @@
         self.teams.get(team).map_or(0.0, |team| self.share_of(team))
     }
 
-    /// Reports whether the work of `team` yields to that of others.
-    pub fn is_over(&self, team: &str) -> bool {
-        self.decide() && self.share(team) > TOLERANCE
+    /// Reports whether work of `team` whose next tasks start together and need `next` yields to that
+    /// of others. Half of these tasks count as used, but at most half a fair share: on a pool of few
+    /// workers, a team with its fair share would otherwise take the next worker too, while a gang that
+    /// needs more than a fair share must not yield for ever.
+    pub fn is_over(&self, team: &str, next: &Resources) -> bool {
+        let Some(state) = self.teams.get(team).filter(|_| self.decide()) else { return false };
+        let next_use = TeamUse { used: *next, ..*state };
+        self.share_of(state) + (self.share_of(&next_use) / 2.0).min(0.5) > TOLERANCE
     }
 
     /// Returns the lowest and the highest share of any team; `None` without teams.
--- a/crates/jobs/tests/coordinator/main.rs
+++ b/crates/jobs/tests/coordinator/main.rs
@@ -3,6 +3,7 @@
 
 mod advice;
 mod capacity;
+mod contention;
 mod crashes;
 mod crashing_pool;
 mod gangs;
