Count refusals by team and route, and show shares as gauges

Cause: operators could not see which team is refused, or how unequal the shares are. Change: labelled counters on the metrics page, at most 100 series, then under "other"; gauges of contended pools and of the lowest and highest share. The test of the flood plays the order by latest start as well.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -619,6 +619,7 @@
         let (agents, callers) = (self.sessions.len(), self.waiting_callers.len());
         let steps = self.coordinator.wait_counts();
         self.context.records.update_gauges(agents, callers, steps, self.epoch);
+        self.context.records.update_shares(self.coordinator.share_counts());
     }
 
     fn record_decisions(&mut self) {
@@ -626,6 +627,7 @@
         for decision in self.coordinator.take_decisions() {
             self.context.records.record(now, &decision, self.epoch);
         }
+        self.context.records.count_refusals(&self.coordinator.take_refusals());
     }
 }
 
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
-use skylarkpulley_jobs::{Decision, DecisionKind, WaitCounts};
+use skylarkpulley_jobs::{Decision, DecisionKind, ShareCounts, WaitCounts};
 use skylarkpulley_telemetry::{Decisions, Event, Metrics};
 
 /// Number of decisions that an entry keeps for `explain`. At about 300 bytes each, they take 3 MB
@@ -36,6 +37,23 @@
         self.decisions.record(now, event, &decision.id, &detail);
     }
 
+    /// Counts refused submissions by team and route.
+    pub fn count_refusals(&self, refusals: &BTreeMap<(String, String), u64>) {
+        for ((team, route), count) in refusals {
+            let labels = [("team", team.as_str()), ("route", route.as_str())];
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            self.metrics.add_labelled("job-refusals", &labels, count);
+        }
+    }
+
+    /// Updates the gauges of the teams' shares.
+    pub fn update_shares(&self, shares: ShareCounts) {
+        let contended = u64::try_from(shares.contended).unwrap_or(u64::MAX);
+        self.metrics.gauge("pools-contended", contended);
+        self.metrics.gauge("share-highest-percent", shares.highest_percent);
+        self.metrics.gauge("share-lowest-percent", shares.lowest_percent);
+    }
+
     /// Updates the gauges of the leader of `epoch`: its agents, the callers that wait for it, and
     /// the steps whose tasks wait.
     pub fn update_gauges(&self, agents: usize, callers: usize, steps: WaitCounts, epoch: u64) {
--- a/crates/jobs/tests/coordinator/contention.rs
+++ b/crates/jobs/tests/coordinator/contention.rs
@@ -73,27 +73,41 @@
     order
 }
 
+/// Submits 20 whole-worker jobs of `flood` and a moment later one job of each other team; `team`
+/// maps the name of a job to its team.
+fn submit_flood(rig: &mut Rig, team: impl Fn(&'static str) -> &'static str) {
+    for number in 0..20 {
+        rig.submit(of_team(&format!("flood-{number:02}"), 1, team("flood"), step(1, 8)));
+    }
+    rig.advance_reporting(100, &[]);
+    for name in &TEAMS[1..] {
+        rig.submit(of_team(name, 1, team(name), step(1, 8)));
+    }
+}
+
+/// Returns the round in which the worst-served of the three jobs beside a flood starts.
+fn worst_round(order: &[String]) -> Option<usize> {
+    let position = |name: &&str| order.iter().position(|id| id == name);
+    TEAMS[1..].iter().filter_map(position).max().map(|last| last / 2 + 1)
+}
+
 /// Guards against a backlog of one team that goes ahead of every job that the others submit later.
 /// Load: one team submits 20 jobs of a class at once, three others one each a moment later. By latest
-/// start alone, the worst-served of the others waits for all 20, and starts in round 12.
+/// start alone, which is the order if all are of one team, the worst-served waits for all 20.
 #[test]
 fn flood_delays_itself() {
     let mut rig = full_rig("flood");
-    for number in 0..20 {
-        rig.submit(of_team(&format!("flood-{number:02}"), 1, "flood", step(1, 8)));
-    }
-    rig.advance_reporting(100, &[]);
-    for team in &TEAMS[1..] {
-        rig.submit(of_team(team, 1, team, step(1, 8)));
-    }
+    submit_flood(&mut rig, |_| "flood");
+    assert_eq!(worst_round(&play(&mut rig)), Some(12));
+    let mut rig = full_rig("flood");
+    submit_flood(&mut rig, |name| name);
     let counts = rig.core.share_counts();
     assert_eq!((counts.contended, counts.lowest_percent, counts.highest_percent), (1, 0, 400));
     let lines = rig.core.explain_waiting(rig.now, "flood-00");
     assert!(lines[0].detail.contains("its team is over its share (400 % of it)"), "{lines:?}");
     let order = play(&mut rig);
     assert_eq!(order.len(), 23, "no accepted job is dropped");
-    let last = TEAMS[1..].iter().filter_map(|team| order.iter().position(|id| id == team)).max();
-    assert!(last.is_some_and(|last| last / 2 < 3), "worst-served team: {order:?}");
+    assert!(worst_round(&order) <= Some(3), "{order:?}");
     assert_eq!(rig.core.share_counts(), ShareCounts::default());
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -55,6 +55,17 @@
         let _ = self.client.count(name, amount);
     }
 
+    /// Adds `amount` to the counter `name` of the given labels.
+    pub fn add_labelled(&self, name: &str, labels: &[(&str, &str)], amount: i64) {
+        let values: Vec<String> = labels.iter().map(|(_, value)| plain(value)).collect();
+        let mut counter = self.client.count_with_tags(name, amount);
+        for ((label, _), value) in labels.iter().zip(&values) {
+            counter = counter.with_tag(label, value);
+        }
+        // Best effort, as in `count`.
+        let _ = counter.try_send();
+    }
+
     /// Sets the gauge `name`.
     pub fn gauge(&self, name: &str, value: u64) {
         let _ = self.client.gauge(name, value);
@@ -71,3 +82,8 @@
         Self::new()
     }
 }
+
+/// Replaces the characters that separate the parts of a metric in the statsd format.
+fn plain(value: &str) -> String {
+    value.replace([':', '|', ',', '#', '@', '\n'], "_")
+}
--- a/crates/telemetry/src/metrics_page.rs
+++ b/crates/telemetry/src/metrics_page.rs
@@ -14,6 +14,13 @@
 /// generates names by mistake cannot exhaust the memory.
 const MAX_SERIES: usize = 200;
 
+/// Maximum number of series with labels on one page. Further ones are counted under the value
+/// `other` of each label, so that the counts by team leave room for the other metrics.
+const MAX_LABELLED: usize = 100;
+
+/// Value of the labels of all series beyond [`MAX_LABELLED`].
+const OTHER: &str = "other";
+
 #[derive(Debug)]
 enum Series {
     Counter(IntCounter),
@@ -47,15 +54,27 @@
     fn record(&self, metric: &str) -> Option<()> {
         let (name, value_and_kind) = metric.split_once(':')?;
         let (value, kind) = value_and_kind.split_once('|')?;
+        let (kind, tags) = kind.split_once("|#").unwrap_or((kind, ""));
         let kind = kind.split('|').next()?;
+        let mut labels: Vec<(&str, &str)> =
+            tags.split(',').filter_map(|tag| tag.split_once(':')).collect();
         let mut series = self.series.lock().unwrap_or_else(PoisonError::into_inner);
-        if !series.contains_key(name) {
+        let mut key = series_key(name, &labels);
+        if !series.contains_key(&key) && !labels.is_empty() {
+            let labelled = series.keys().filter(|key| key.contains('{')).count();
+            if labelled >= MAX_LABELLED {
+                labels.iter_mut().for_each(|label| label.1 = OTHER);
+                key = series_key(name, &labels);
+            }
+        }
+        if !series.contains_key(&key) {
             if series.len() >= MAX_SERIES {
                 return None;
             }
-            series.insert(name.to_owned(), self.register(name, kind)?);
+            let registered = self.register(name, kind, &labels)?;
+            series.insert(key.clone(), registered);
         }
-        match series.get(name)? {
+        match series.get(&key)? {
             Series::Counter(counter) => counter.inc_by(value.parse().ok()?),
             Series::Gauge(gauge) => gauge.set(value.parse().ok()?),
             Series::Timer(timer) => timer.observe(value.parse::<f64>().ok()? / 1000.0),
@@ -63,12 +82,16 @@
         Some(())
     }
 
-    fn register(&self, name: &str, kind: &str) -> Option<Series> {
+    fn register(&self, name: &str, kind: &str, labels: &[(&str, &str)]) -> Option<Series> {
         let name = name.replace(['.', '-'], "_");
         let help = "see docs/metrics.md";
         match kind {
             "c" => {
-                let counter = IntCounter::with_opts(Opts::new(name + "_total", help)).ok()?;
+                let mut opts = Opts::new(name + "_total", help);
+                for (label, value) in labels {
+                    opts = opts.const_label(*label, *value);
+                }
+                let counter = IntCounter::with_opts(opts).ok()?;
                 self.registry.register(Box::new(counter.clone())).ok()?;
                 Some(Series::Counter(counter))
             }
@@ -89,6 +112,15 @@
     }
 }
 
+/// Returns the name under which a page keeps a series.
+fn series_key(name: &str, labels: &[(&str, &str)]) -> String {
+    if labels.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{name}{labels:?}").replacen('[', "{", 1)
+    }
+}
+
 /// Records metrics on a page.
 #[derive(Debug)]
 pub(crate) struct PageSink {
