--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -45,7 +45,7 @@
     RangeAssigned = 212, "range-assigned", "A key range has a new owner or witness.";
     RangeSealed = 213, "range-sealed", "A key range lost its owner and its witness; a key without a record gets the outcome unknown.";
     JobSubmitted = 300, "job-submitted", "A job was accepted.";
-    JobRefused = 301, "job-refused", "A job was refused; the detail says what would make it fit.";
+    JobRefused = 301, "job-refused", "A job was refused and never runs; the detail says why, and after which time to return or what would make it fit.";
     JobPlaced = 302, "job-placed", "Workers were chosen for a job, and capacity is reserved for all its members.";
     JobStarted = 303, "job-started", "All members of a job are running.";
     JobEnded = 304, "job-ended", "A job finished, failed or was cancelled.";
