Multiply resources by counts, and test the order of an uncontended pool

Change: Resources::times; the test compares the placements with the order of submission while one team holds half of the pool. A claim within its guarantee is accepted while other jobs are refused as too late.

--- a/crates/jobs/src/coordinator/admitting.rs
+++ b/crates/jobs/src/coordinator/admitting.rs
@@ -155,13 +155,10 @@
         } else {
             None
         };
-        let mut resources = Resources::default();
-        let need = entry.resources(step_number);
-        unit.keys.iter().for_each(|_| resources.add(&need));
         Some(WorkAhead {
             run_ms: self.run_time_ms(&entry.job, step, RunTime::Lower),
             longest_ms: self.run_time_ms(&entry.job, step, RunTime::Upper),
-            resources,
+            resources: entry.resources(step_number).times(unit.keys.len()),
             until_ms,
         })
     }
--- a/crates/jobs/src/coordinator/sharing.rs
+++ b/crates/jobs/src/coordinator/sharing.rs
@@ -89,10 +89,8 @@
                 continue;
             };
             let Some(shares) = pools.get_mut(&entry.job.pool) else { continue };
-            let need = entry.resources(first.step);
-            for _ in &unit.keys {
-                shares.add_waiting(&entry.job.team, &need);
-            }
+            let need = entry.resources(first.step).times(unit.keys.len());
+            shares.add_waiting(&entry.job.team, &need);
         }
         for worker in open() {
             let Some(shares) = pools.get_mut(&worker.status.pool) else { continue };
@@ -124,10 +122,7 @@
             return false;
         };
         let count = if entry.is_gang(first.step) { unit.keys.len() } else { 1 };
-        let need = entry.resources(first.step);
-        let mut next = Resources::default();
-        (0..count).for_each(|_| next.add(&need));
-        shares.is_over(&entry.job.team, &next)
+        shares.is_over(&entry.job.team, &entry.resources(first.step).times(count))
     }
 
     /// Reports whether a unit can no longer end within three times its objective, and yields
@@ -152,9 +147,7 @@
     pub(super) fn add_share_use(&mut self, job: &str, resources: &Resources, count: usize) {
         let Some(entry) = self.jobs.get(job) else { return };
         let Some(shares) = self.shares.get_mut(&entry.job.pool) else { return };
-        for _ in 0..count {
-            shares.add_use(&entry.job.team, resources);
-        }
+        shares.add_use(&entry.job.team, &resources.times(count));
     }
 
     /// Returns why a unit yields to others of its class; empty if it does not.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -33,6 +33,16 @@
         self.memory -= other.memory;
     }
 
+    /// Returns the resources of `count` tasks that need these each.
+    pub fn times(&self, count: usize) -> Self {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        Self {
+            accelerators: self.accelerators.saturating_mul(count),
+            cores: self.cores.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+        }
+    }
+
     /// Returns the weight in cores; an accelerator counts as 8 cores.
     pub fn weight(&self) -> f64 {
         self.cores as f64 / 1000.0 + self.accelerators as f64 * 8.0
--- a/crates/jobs/tests/coordinator/contention.rs
+++ b/crates/jobs/tests/coordinator/contention.rs
@@ -158,12 +158,18 @@
     assert_eq!(sorted, expected);
     assert!(order[..6].iter().all(|id| id.as_str() < "flood-06"), "{order:?}");
     let mut rig = known_rig();
+    rig.submit(of_team("running", 1, "flood", step(8, 1)));
+    rig.core.take_decisions();
     for team in TEAMS {
-        rig.core.submit(rig.now, of_team(team, 1, team, step(1, 1)));
+        rig.now.wall_ms += 1;
+        let accepted_ms = rig.now.wall_ms;
+        rig.core.submit(rig.now, Job { accepted_ms, ..of_team(team, 1, team, step(1, 1)) });
     }
     rig.place_and_commit();
     assert_eq!(rig.core.share_counts(), ShareCounts::default());
-    assert_eq!(rig.starts().len(), 4);
+    let decisions = rig.core.take_decisions().into_iter();
+    let placed = decisions.filter(|decision| decision.kind == DecisionKind::Placed);
+    assert_eq!(placed.map(|decision| decision.id).collect::<Vec<_>>(), TEAMS);
 }
 
 /// Guards against work that can gain nothing any more and delays work that can, and against dropping
@@ -236,6 +242,8 @@
     assert_eq!(rig.core.take_refusals().into_iter().collect::<Vec<_>>(), [count]);
     let patient = Job { target_ms: 60_000, ..short("patient", "flood", 2) };
     assert!(matches!(submit(&mut rig, patient), Submission::Accepted { .. }));
+    let claim = Job { target_ms: 0, ..short("claim", "north", 0) };
+    assert!(matches!(submit(&mut rig, claim), Submission::Accepted { .. }));
     let own_share = short("own-share", "a", 1);
     assert!(matches!(submit(&mut rig, own_share), Submission::Accepted { .. }));
 }
