--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -659,6 +659,7 @@
         let evacuated = self.coordinator.evacuated_domains();
         let slow = self.coordinator.slow_workers(self.now());
         self.context.records.update_gauges(agents, callers, steps, evacuated, slow, self.epoch);
+        self.context.records.update_shares(self.coordinator.share_counts());
     }
 
     fn record_decisions(&mut self) {
@@ -666,6 +667,7 @@
         for decision in self.coordinator.take_decisions() {
             self.context.records.record(now, &decision, self.epoch);
         }
+        self.context.records.count_refusals(&self.coordinator.take_refusals());
     }
 }
 
--- a/crates/jobs/src/coordinator/restarts.rs
+++ b/crates/jobs/src/coordinator/restarts.rs
@@ -6,6 +6,7 @@
 use super::run_observations::{MEASURED_DEVIATION, gang_run, member_speed, step_kind};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
+use crate::order::Rank;
 use crate::progress::COMPLETE_PERCENT;
 use crate::{Demand, MemberSpeed, Normal, Step, TaskId, TaskKey, choose_workers, usual_work};
 
@@ -335,7 +336,13 @@
         Unit {
             job: entry.job.id.clone(),
             keys: keys.to_vec(),
-            rank: crate::order::Rank { tier: 1, class: entry.job.class, start_ms: now.wall_ms },
+            rank: Rank {
+                tier: 1,
+                class: entry.job.class,
+                expired: false,
+                over_share: false,
+                start_ms: now.wall_ms,
+            },
             waited: Duration::from_millis(now.wall_ms.saturating_sub(accepted)),
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! orders for workers. Orders become visible only after the row that records them is durable. The
 //! safety argument is in `docs/platform.md`.
 
+mod admission;
 mod advice;
 mod agent;
 mod agent_calls;
@@ -30,19 +31,23 @@
 mod row;
 mod run_calls;
 mod run_times;
+mod shares;
 mod tables;
 mod task;
 mod updates;
 mod violation;
 mod worker;
 
+pub use admission::{
+    KnownWorkers, MAX_LATENESS, RefusalCause, WorkAhead, earliest_start, retry_after,
+};
 pub use advice::{Advice, AdviceAnswer, AdviceCall, StepId};
 pub use agent::{AgentCore, MAX_OPEN_CALLS};
 pub use agent_calls::{AgentAction, AgentLimits, Listing, RenewalCall, StartAnswer};
 pub use closure::Closure;
 pub use coordinator::{
-    Coordinator, Decision, DecisionKind, DomainSummary, Limits, QueueSummary, Submission, Summary,
-    Timestamp, View, WaitCounts, WorkerSummary,
+    Coordinator, Decision, DecisionKind, DomainSummary, Limits, QueueSummary, ShareCounts,
+    Submission, Summary, Timestamp, View, WaitCounts, WorkerSummary,
 };
 pub use crash_record::CrashRecord;
 pub use evacuations::Evacuations;
@@ -63,6 +68,7 @@
 pub use run_times::{
     Estimates, LogNormal, MemberSpeed, Normal, Quantile, RunTime, RunTimes, StepKind, usual_work,
 };
+pub use shares::Shares;
 pub use tables::{
     ClientLimits, Guarantee, JobRoute, JobTables, TablesChange, TablesError, TeamEntry, WorkerPool,
 };
