Mend what the reviews of the new parts found

Run times: exploration is applied after the rule that keeps workers for larger tasks, counts tasks of the step by worker once, and respects the limit of tasks on a worker; observations of running gangs are settled when a worker returns under another id; agents keep speeds with their age; advised jobs are not restarted, nor runs on workers far from data. Admission: jobs without a usable objective are never late, a submission looks at the waiting work once, and a team's own backlog yields.

--- a/crates/jobs/src/coordinator/admitting.rs
+++ b/crates/jobs/src/coordinator/admitting.rs
@@ -51,6 +51,9 @@
 
     /// Reports whether a submitted job is within its team's guarantee.
     fn is_claim(&self, entry: &JobEntry) -> bool {
+        if entry.job.class != 0 {
+            return false;
+        }
         let claimants = self.jobs.values().chain(std::iter::once(entry)).filter(|other| {
             other.job.class == 0
                 && !other.is_ended()
@@ -81,22 +84,22 @@
     /// its acceptance, if the bound is beyond that.
     fn late_end(&self, now: Timestamp, entry: &JobEntry) -> Option<(u64, u64)> {
         let job = &entry.job;
-        let shares = self.shares.get(&job.pool).filter(|shares| shares.is_contended())?;
-        if job.lasts() || self.may_preempt(entry) {
+        self.shares.get(&job.pool).filter(|shares| shares.is_contended())?;
+        if job.lasts() || !self.has_objective(job) || self.may_preempt(entry) {
             return None;
         }
-        // Within a class, work that can gain nothing any more yields if shares decide.
-        let yields = !shares.is_single(&job.team);
         let capacity = self.known_workers.capacity(&job.pool);
         let limit_ms = self.gain_limit_ms(job);
-        let ends = self.units_of(entry, now, 1).into_iter().filter_map(|unit| {
-            let step = unit.keys.first()?.step;
-            let start_ms = earliest_start(self.work_ahead(now, entry, &unit, yields), &capacity);
-            let waited_ms = u64::try_from(unit.waited.as_millis()).unwrap_or(u64::MAX);
-            let end_ms = start_ms + self.shortest_path_ms(job, step);
-            (start_ms > 0).then(|| end_ms.saturating_add(waited_ms))
-        });
-        let end_ms = ends.max()?;
+        // One step suffices for a lower bound, and keeps the cost of a submission at one look at the
+        // waiting work, however many steps the job has.
+        let unit = self.units_of(entry, now, 1).into_iter().next()?;
+        let step = unit.keys.first()?.step;
+        let start_ms = earliest_start(self.work_ahead(now, entry, &unit), &capacity);
+        if start_ms == 0 {
+            return None;
+        }
+        let waited_ms = u64::try_from(unit.waited.as_millis()).unwrap_or(u64::MAX);
+        let end_ms = (start_ms + self.shortest_path_ms(job, step)).saturating_add(waited_ms);
         (end_ms > limit_ms).then_some((end_ms, limit_ms))
     }
 
@@ -117,13 +120,7 @@
     /// It is in a more urgent class, or in the same class, of the same team and with an earlier latest
     /// start: the order of two teams changes with their shares. Steps that wait for others are left
     /// out, since other work runs in the meantime, as is work that could wait while the unit starts.
-    fn work_ahead(
-        &self,
-        now: Timestamp,
-        entry: &JobEntry,
-        unit: &Unit,
-        yields: bool,
-    ) -> Vec<WorkAhead> {
+    fn work_ahead(&self, now: Timestamp, entry: &JobEntry, unit: &Unit) -> Vec<WorkAhead> {
         let largest = self.known_workers.largest(&entry.job.pool).unwrap_or_default();
         let mut ahead = Vec::new();
         for id in &self.waiting_jobs {
@@ -139,7 +136,9 @@
                 if later || !starts_first(now, &largest, (other, &other_unit), (entry, unit)) {
                     continue;
                 }
-                ahead.extend(self.amount_ahead(other, &other_unit, same_class && yields));
+                // Within a class, work that can gain nothing any more yields as soon as another team
+                // has work.
+                ahead.extend(self.amount_ahead(other, &other_unit, same_class));
             }
         }
         ahead
@@ -150,7 +149,7 @@
         let step_number = unit.keys.first()?.step;
         let step = entry.job.steps.get(step_number as usize)?;
         let waited_ms = u64::try_from(unit.waited.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = if yields {
+        let until_ms = if yields && self.has_objective(&entry.job) {
             Some(self.gain_time_ms(&entry.job, step_number, waited_ms)?)
         } else {
             None
--- a/crates/jobs/src/coordinator/mod.rs
+++ b/crates/jobs/src/coordinator/mod.rs
@@ -184,6 +184,8 @@
     tables: JobTables,
     /// Time at which the tables were the newest ones of their source.
     tables_confirmed: Option<Instant>,
+    /// Time of the last tick.
+    ticked_at: Instant,
     unexplained_crashes: VecDeque<UnexplainedCrash>,
     wait_log: WaitLog,
     waiting_jobs: BTreeSet<String>,
@@ -278,6 +280,7 @@
             suspects: BTreeSet::new(),
             tables,
             tables_confirmed: None,
+            ticked_at: now.monotonic,
             unexplained_crashes: VecDeque::new(),
             wait_log: WaitLog::new(),
             waiting_jobs: BTreeSet::new(),
@@ -516,7 +519,7 @@
         let mut orders = Orders {
             ended_through: state.acked,
             incarnation: state.status.incarnation,
-            pace: self.run_times.pace(worker, state.status.incarnation),
+            pace: self.run_times.pace(worker, state.status.incarnation, self.ticked_at),
             worker: worker.to_owned(),
             ..Orders::default()
         };
--- a/crates/jobs/src/coordinator/pace.rs
+++ b/crates/jobs/src/coordinator/pace.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::pool_view::{PoolView, select_candidates};
@@ -22,6 +22,10 @@
 /// most workers. Two runs tell the speed of the worker from the noise of a run.
 const MAX_EXPLORING_TASKS: usize = 2;
 
+/// Largest step whose tasks are spread for exploration. Each task looks at all others of its step, and
+/// a larger step reaches many workers anyway.
+const MAX_EXPLORING_STEP: u32 = 256;
+
 /// Which use is made of the speeds of the workers of a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct PaceUse {
@@ -175,23 +179,25 @@
         let Some(entry) = self.jobs.get(&unit.job).filter(|entry| entry.job.class > 1) else {
             return allowed;
         };
-        if keys.len() > 1
-            || entry.job.steps.get(first.step as usize).is_none_or(|step| step.count < 2)
-        {
+        let count = entry.job.steps.get(first.step as usize).map_or(0, |step| step.count);
+        if keys.len() > 1 || !(2..=MAX_EXPLORING_STEP).contains(&count) {
             return allowed;
         }
         let from = TaskKey { index: 0, ..*first };
         let siblings = entry.tasks.range(from..=TaskKey { index: u32::MAX, ..*first });
-        let workers: Vec<&str> = siblings
-            .filter_map(|(_, task)| Some(task.placement.as_ref()?.worker.as_str()))
-            .collect();
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for placement in siblings.filter_map(|(_, task)| task.placement.as_ref()) {
+            *counts.entry(&placement.worker).or_default() += 1;
+        }
         let explored = |index: &usize| {
             let id = &*view.candidates[*index].id;
             view.slowness[*index].is_known_slowness()
-                || workers.iter().filter(|worker| **worker == id).count() < MAX_EXPLORING_TASKS
+                || counts.get(id).is_none_or(|count| *count < MAX_EXPLORING_TASKS)
         };
         let others: Vec<usize> = allowed.iter().copied().filter(explored).collect();
-        let fits = choose_workers(demand, &select_candidates(view, &others, false)).is_some();
+        let candidates = select_candidates(view, &others, false);
+        let fits =
+            choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some();
         if fits { others } else { allowed }
     }
 }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -44,6 +44,7 @@
     /// Handles everything that depends on time: silent and lapsed workers, runs without progress,
     /// draining workers, ended jobs and placement.
     pub fn tick(&mut self, now: Timestamp) {
+        self.ticked_at = now.monotonic;
         self.limit_acceptances(now);
         self.check_tables(now);
         self.close_silent(now);
@@ -140,13 +141,12 @@
         let restart = self.workers_of_restart(unit, keys, &demand, view, &allowed);
         let allowed = match restart {
             Some(workers) => workers,
-            None => {
-                let allowed = self.with_pace(now, unit, &demand, view, allowed, guaranteed);
-                self.with_exploration(unit, keys, &demand, view, allowed)
-            }
+            None => self.with_pace(now, unit, &demand, view, allowed, guaranteed),
         };
         let allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         let allowed = self.with_headroom(now, unit, &demand, view, allowed);
+        // Last, because the share of workers that is kept for larger tasks is one of all workers.
+        let allowed = self.with_exploration(unit, keys, &demand, view, allowed);
         if let Some(chosen) = self.choose_now(now, unit, &demand, view, &allowed) {
             self.assign(now, unit, keys, &demand, view, &chosen);
             return Outcome::Placed;
--- a/crates/jobs/src/coordinator/restarts.rs
+++ b/crates/jobs/src/coordinator/restarts.rs
@@ -146,7 +146,8 @@
     fn restartable(&self, task: &TaskId) -> Option<(&JobEntry, &Step)> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.steps.get(task.key.step as usize)?;
-        let is_urgent = entry.job.class == 0 && !step.lasting && !step.fills;
+        // The permits of an advised job may not hold for the workers of a new start.
+        let is_urgent = entry.job.class == 0 && !entry.job.advised && !step.lasting && !step.fills;
         if !is_urgent || entry.is_final() || entry.failed {
             return None;
         }
@@ -307,6 +308,11 @@
             .collect();
         let chosen = choose_workers(&demand, &select_candidates(&view, &allowed, false))?;
         let chosen: BTreeSet<usize> = chosen.into_iter().map(|index| allowed[index]).collect();
+        let ids: Vec<&str> = chosen.iter().map(|index| &*view.candidates[*index].id).collect();
+        let step = entry.job.steps.get(task.key.step as usize)?;
+        if self.is_far(step, &ids) {
+            return None;
+        }
         // Tasks on the same worker are late together.
         let in_time: f64 = chosen.iter().map(|index| 1.0 - times[*index].0).product();
         let slowest = chosen.iter().map(|index| times[*index].1.mean).max_by(f64::total_cmp)?;
--- a/crates/jobs/src/coordinator/run_time.rs
+++ b/crates/jobs/src/coordinator/run_time.rs
@@ -64,6 +64,14 @@
         ends.into_iter().flatten().max().unwrap_or(0)
     }
 
+    /// Reports whether the objective of a job says how late its end may be. Tables without a slack, and
+    /// steps about whose run time nothing is known, give a limit that no end could meet.
+    pub(super) fn has_objective(&self, job: &Job) -> bool {
+        let upper = |step: &Step| self.run_time_ms(job, step, RunTimeBound::Upper);
+        let path = job.critical_path_of(|step| self.run_time_ms(job, step, RunTimeBound::Lower));
+        job.steps.iter().all(|step| upper(step) > 0) && self.gain_limit_ms(job) > path
+    }
+
     /// Returns the time in milliseconds within which a step of a job must start so that the job can
     /// still gain anything, or `None` if that time has passed. `waited_ms` is the time since the
     /// acceptance.
--- a/crates/jobs/src/coordinator/sharing.rs
+++ b/crates/jobs/src/coordinator/sharing.rs
@@ -134,7 +134,9 @@
             return false;
         };
         let waited_ms = u64::try_from(unit.waited.as_millis()).unwrap_or(u64::MAX);
-        !entry.job.lasts() && self.gain_time_ms(&entry.job, first.step, waited_ms).is_none()
+        !entry.job.lasts()
+            && self.has_objective(&entry.job)
+            && self.gain_time_ms(&entry.job, first.step, waited_ms).is_none()
     }
 
     /// Sets the parts of a unit's rank that depend on contention.
--- a/crates/jobs/src/coordinator/unit_rules.rs
+++ b/crates/jobs/src/coordinator/unit_rules.rs
@@ -127,11 +127,11 @@
         // The rule looks ahead at reservations, which this view does not keep.
         let mut scratch = view.clone();
         allowed = self.with_pace(now, unit, &demand, &mut scratch, allowed, &self.guaranteed());
-        allowed = self.with_exploration(unit, keys, &demand, view, allowed);
         remaining.push((Rule::Pace, allowed.clone()));
         allowed = self.with_isolation(now, unit, keys, &demand, view, allowed);
         remaining.push((Rule::Isolation, allowed.clone()));
         allowed = self.with_headroom(now, unit, &demand, view, allowed);
+        allowed = self.with_exploration(unit, keys, &demand, view, allowed);
         remaining.push((Rule::Headroom, allowed));
         let free: Vec<Resources> = view.candidates.iter().map(|candidate| candidate.free).collect();
         let mut left = free.clone();
--- a/crates/jobs/src/run_times/mod.rs
+++ b/crates/jobs/src/run_times/mod.rs
@@ -193,13 +193,17 @@
     /// Records that `id` is a new incarnation of the worker `earlier`, with the same labels or others.
     pub fn replace_worker(&mut self, earlier: &str, id: &str, same_labels: bool) {
         let Some(mut model) = self.workers.remove(earlier).filter(|_| same_labels) else { return };
+        if earlier != id {
+            // The ends of the runs that still go on are reported under the earlier id.
+            model.settle_all();
+        }
         model.widen();
         self.workers.insert(id.to_owned(), model);
     }
 
     /// Returns what is known about the speed of a worker, for its agent to keep.
-    pub fn pace(&self, worker: &str, incarnation: u64) -> Option<WorkerPace> {
-        let slowness = self.workers.get(worker)?.latest();
+    pub fn pace(&self, worker: &str, incarnation: u64, now: Instant) -> Option<WorkerPace> {
+        let slowness = self.workers.get(worker)?.slowness_at(now);
         // Both are far below 2^31 thousandths.
         let mean = (slowness.mean * 1000.0).round() as i32;
         let variance = (slowness.variance * 1000.0).ceil() as u32;
--- a/crates/jobs/src/run_times/worker_model.rs
+++ b/crates/jobs/src/run_times/worker_model.rs
@@ -59,12 +59,6 @@
         Self { slowness, ..Self::new(now) }
     }
 
-    /// Returns the slowness at the time of the last observation, runs that still go on included.
-    pub(super) fn latest(&self) -> Normal {
-        let observations = self.provisional.values();
-        observations.fold(self.slowness, |slowness, other| slowness.combined(other))
-    }
-
     pub(super) fn slowness_at(&self, now: Instant) -> Normal {
         self.slowness_without(None, now)
     }
@@ -96,6 +90,13 @@
         self.updated_at = now;
     }
 
+    /// Makes the provisional observations of all runs final.
+    pub(super) fn settle_all(&mut self) {
+        for (_, observation) in std::mem::take(&mut self.provisional) {
+            self.slowness = self.slowness.combined(&observation);
+        }
+    }
+
     /// Observes a run with the logarithm `y` of its time, of a step with the given work.
     pub(super) fn observe(&mut self, y: f64, work: &Normal, now: Instant) {
         let slowness = self.settled_at(now);
--- a/crates/jobs/tests/coordinator/contention.rs
+++ b/crates/jobs/tests/coordinator/contention.rs
@@ -207,6 +207,7 @@
     rig.submit(of_team("other", 0, "a", step(1, 8)));
     rig.submit(of_team("claim", 0, "north", step(1, 8)));
     let placed = rig.core.explain_waiting(rig.now, "claim");
+    assert!(!placed.is_empty(), "the claim waits for the stops");
     assert!(placed.iter().all(|line| !line.detail.contains("share")), "{placed:?}");
     assert!(!rig.stops().is_empty(), "the claim stops borrowed work");
     let wide = of_team("unfit", 0, "north", Step { label: Some("none".to_owned()), ..step(1, 8) });
--- a/crates/jobs/tests/run_times.rs
+++ b/crates/jobs/tests/run_times.rs
@@ -193,7 +193,7 @@
         model.observe_speed(now, &run("w", 1600.0), &others, None);
     }
     let known = model.slowness("w", now);
-    let pace = model.pace("w", 7).expect("a value");
+    let pace = model.pace("w", 7, now).expect("a value");
     let mut successor = RunTimes::new(true);
     successor.adopt_pace("w", &pace, 7, now);
     let adopted = successor.slowness("w", now);
