--- a/crates/jobs/src/coordinator/pace.rs
+++ b/crates/jobs/src/coordinator/pace.rs
@@ -1,10 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::pool_view::{PoolView, select_candidates};
+use super::pool_view::PoolView;
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
-use crate::{Demand, Normal, TaskKey, choose_workers};
+use crate::{Demand, Normal, TaskKey};
 
 /// Probability of missing the objective above which urgent work avoids a worker. A worker that
 /// nothing is known about stays below it as long as 1.3 times the usual run time is left.
@@ -147,15 +147,11 @@
         if at_once.len() == allowed.len() {
             return allowed;
         }
-        let fits = |view: &PoolView, others: &[usize], after_stops: bool| {
-            let candidates = select_candidates(view, others, after_stops);
-            choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some()
-        };
-        if fits(view, &at_once, false) {
+        if self.fits(unit, demand, view, &at_once, false) {
             return at_once;
         }
         let after_stop = in_time(view, self.limits.stop);
-        if fits(view, &after_stop, true)
+        if self.fits(unit, demand, view, &after_stop, true)
             || self.can_preempt(now, unit, demand, view, &after_stop, guaranteed)
         {
             return after_stop;
@@ -195,9 +191,6 @@
                 || counts.get(id).is_none_or(|count| *count < MAX_EXPLORING_TASKS)
         };
         let others: Vec<usize> = allowed.iter().copied().filter(explored).collect();
-        let candidates = select_candidates(view, &others, false);
-        let fits =
-            choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some();
-        if fits { others } else { allowed }
+        if self.fits(unit, demand, view, &others, false) { others } else { allowed }
     }
 }
--- a/crates/jobs/src/coordinator/planning.rs
+++ b/crates/jobs/src/coordinator/planning.rs
@@ -186,9 +186,7 @@
             .copied()
             .filter(|index| *view.candidates[*index].id != **avoided)
             .collect();
-        let candidates = select_candidates(view, &others, false);
-        let fits =
-            choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some();
+        let fits = self.fits(unit, demand, view, &others, false);
         let recent = now.monotonic.saturating_duration_since(*failed_at) < MAX_AVOIDED_WAIT;
         if others.is_empty() || !(fits || recent) { allowed } else { others }
     }
@@ -280,13 +278,7 @@
             .copied()
             .filter(|index| !self.interferes(step, &view.candidates[*index].id))
             .collect();
-        if unaffected.len() == allowed.len()
-            || choose_workers(
-                demand,
-                &self.count_same_step(unit, demand, select_candidates(view, &unaffected, true)),
-            )
-            .is_none()
-        {
+        if unaffected.len() == allowed.len() || !self.fits(unit, demand, view, &unaffected, true) {
             return allowed;
         }
         unaffected
@@ -346,6 +338,20 @@
         Some(to_view_indexes(allowed, &chosen))
     }
 
+    /// Reports whether the demand fits on the workers with the given indexes, now or after the stops
+    /// that are ordered.
+    pub(super) fn fits(
+        &self,
+        unit: &Unit,
+        demand: &Demand,
+        view: &PoolView,
+        workers: &[usize],
+        after_stops: bool,
+    ) -> bool {
+        let candidates = select_candidates(view, workers, after_stops);
+        choose_workers(demand, &self.count_same_step(unit, demand, candidates)).is_some()
+    }
+
     /// Counts the tasks of the same step and occurrence on each candidate, if the demand limits
     /// them.
     pub(super) fn count_same_step(
--- a/crates/jobs/src/coordinator/reports.rs
+++ b/crates/jobs/src/coordinator/reports.rs
@@ -198,12 +198,8 @@
 
     /// Keeps what is known about the speed of a worker whose address a new one has taken over.
     fn keep_pace(&mut self, status: &WorkerStatus) {
-        let earlier = self.fleet.workers.iter().find(|(id, worker)| {
-            **id != status.id
-                && !status.address.is_empty()
-                && worker.status.address == status.address
-                && worker.status.incarnation < status.incarnation
-        });
+        let earlier =
+            self.fleet.workers.iter().find(|(id, worker)| is_earlier(id, &worker.status, status));
         if let Some((id, worker)) = earlier {
             let same_labels = worker.status.labels == status.labels;
             self.run_times.replace_worker(id, &status.id, same_labels);
@@ -275,12 +271,7 @@
             .fleet
             .workers
             .iter()
-            .filter(|(id, worker)| {
-                **id != status.id
-                    && !status.address.is_empty()
-                    && worker.status.address == status.address
-                    && worker.status.incarnation < status.incarnation
-            })
+            .filter(|(id, worker)| is_earlier(id, &worker.status, status))
             .map(|(id, worker)| (id.clone(), LossCause::of_departure(&worker.status)))
             .collect();
         for (id, cause) in earlier {
@@ -506,3 +497,12 @@
         self.acknowledge_ends();
     }
 }
+
+/// Reports whether the worker `id` is an earlier incarnation under another id, whose address the worker
+/// with `status` has taken over.
+fn is_earlier(id: &str, worker: &WorkerStatus, status: &WorkerStatus) -> bool {
+    id != status.id
+        && !status.address.is_empty()
+        && worker.address == status.address
+        && worker.incarnation < status.incarnation
+}
--- a/crates/jobs/src/coordinator/restarts.rs
+++ b/crates/jobs/src/coordinator/restarts.rs
@@ -3,7 +3,7 @@
 
 use super::entry::{JobEntry, Placement};
 use super::pool_view::{PoolView, select_candidates};
-use super::run_observations::{MEASURED_DEVIATION, gang_run, member_speed, step_kind};
+use super::run_observations::{gang_run, step_kind};
 use super::units::Unit;
 use super::{Coordinator, Timestamp};
 use crate::order::Rank;
@@ -176,12 +176,7 @@
         if runs.iter().map(|run| run.percent).min()? >= MAX_PERCENT {
             return None;
         }
-        let speeds: Vec<MemberSpeed> =
-            runs.iter().map(|run| member_speed(run)).collect::<Option<_>>()?;
-        let is_measured = |speed: &MemberSpeed| speed.log_ms.deviation() <= MEASURED_DEVIATION;
-        if !speeds.iter().all(is_measured) {
-            return None;
-        }
+        let speeds = self.gang_speeds(entry, key)?;
         let run = gang_run(&entry.job.id, key, runs.first()?.run);
         let slowness: Vec<Normal> = speeds
             .iter()
--- a/crates/jobs/src/coordinator/run_observations.rs
+++ b/crates/jobs/src/coordinator/run_observations.rs
@@ -20,7 +20,7 @@
 /// Deviation of the logarithm of a measured speed up to which the members of a running gang are
 /// observed. A worker that takes 1.6 times the usual time deviates by four times as much. With
 /// [`TIMING_DEVIATION`] it is reached after 0.5 to 0.6 s and 6 points or more.
-pub(super) const MEASURED_DEVIATION: f64 = 0.11;
+const MEASURED_DEVIATION: f64 = 0.11;
 
 /// Deviation in percentage points of a listed percentage, which is rounded down to an integer.
 const ROUNDING_DEVIATION: f64 = 0.3;
@@ -66,7 +66,7 @@
 
 /// Returns the speed of a member of a gang, with the variance that rounding and the times of reports
 /// leave.
-pub(super) fn member_speed(run: &Placement) -> Option<MemberSpeed> {
+fn member_speed(run: &Placement) -> Option<MemberSpeed> {
     let (points, elapsed) = measured(run)?;
     let whole = elapsed.as_secs_f64() * 1000.0 * f64::from(COMPLETE_PERCENT) / points;
     let rounding = ROUNDING_DEVIATION / points;
@@ -86,12 +86,12 @@
         self.run_times.slowness(worker, now.monotonic)
     }
 
-    /// Returns the speeds of the members of a gang, if all of them run and have shown their speeds
+    /// Returns the speeds of the members of a gang, or of a single task, if all of them run and have shown their speeds
     /// with enough accuracy.
     pub(super) fn gang_speeds(&self, entry: &JobEntry, key: &TaskKey) -> Option<Vec<MemberSpeed>> {
         let speed = |member: &TaskKey| {
             let run = entry.placement(member).filter(|run| !run.lost)?;
-            member_speed(run).filter(|speed| speed.log_ms.variance.sqrt() <= MEASURED_DEVIATION)
+            member_speed(run).filter(|speed| speed.log_ms.deviation() <= MEASURED_DEVIATION)
         };
         entry.members(key).iter().map(speed).collect()
     }
--- a/crates/jobs/src/run_times/estimates.rs
+++ b/crates/jobs/src/run_times/estimates.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::MAX_CORRECTION;
+
 /// Weight of the prior assumption that estimates are right on average, as a number of runs.
 const MEAN_PRIOR_WEIGHT: f64 = 2.0;
 
@@ -13,9 +15,6 @@
 /// workload.
 const MAX_RUNS: f64 = 128.0;
 
-/// Largest factor by which an estimate is raised or lowered.
-const MAX_CORRECTION: f64 = 8.0;
-
 /// Sums over the logarithms of estimated (x) and actual (y) run times of one route.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RouteRuns {
--- a/crates/jobs/src/run_times/gang_speeds.rs
+++ b/crates/jobs/src/run_times/gang_speeds.rs
@@ -2,7 +2,7 @@
 use std::time::Instant;
 
 use super::worker_model::WorkerModel;
-use super::{LogNormal, Normal, RunTimes, StepKind, entry_of};
+use super::{LogNormal, Normal, RunTimes, StepKind, combined_work, entry_of};
 
 /// Variance of the logarithms of the times of the members of a gang on workers of the same speed.
 /// Measured on a running deployment, members differ by 2 to 5 %.
@@ -107,21 +107,6 @@
     })
 }
 
-/// Combines what the other members and the expectation tell about the work.
-fn combined_work(
-    works: impl Iterator<Item = Normal>,
-    expected: Option<&LogNormal>,
-) -> Option<Normal> {
-    let work = works.reduce(|work, other| work.combined(&other));
-    let Some(expected) = expected else { return work };
-    let mut prior = expected.log;
-    let Some(work) = work else { return Some(prior) };
-    // A wrong estimate must not weigh against members that contradict it.
-    let difference = prior.mean - work.mean;
-    prior.variance = prior.variance.max(difference * difference);
-    Some(work.combined(&prior))
-}
-
 /// Reports whether the members differ by more than the measurement of their progress explains.
 fn is_different(members: &[MemberSpeed]) -> bool {
     let by_mean = |a: &&MemberSpeed, b: &&MemberSpeed| a.log_ms.mean.total_cmp(&b.log_ms.mean);
--- a/crates/jobs/src/run_times/mod.rs
+++ b/crates/jobs/src/run_times/mod.rs
@@ -152,24 +152,12 @@
         others: &[RunTime],
         expected: Option<&LogNormal>,
     ) {
-        let mut work: Option<Normal> = None;
-        for other in others.iter().filter(|other| other.worker != run.worker) {
-            let observation = Normal {
-                mean: other.log_ms - other.slowness.mean,
-                variance: other.slowness.variance + NOISE_VARIANCE,
-            };
-            work = Some(work.map_or(observation, |work| work.combined(&observation)));
-        }
-        if let Some(expected) = expected {
-            let mut prior = expected.log;
-            if let Some(work) = &work {
-                // A wrong estimate must not weigh against runs that contradict it.
-                let difference = prior.mean - work.mean;
-                prior.variance = prior.variance.max(difference * difference);
-            }
-            work = Some(work.map_or(prior, |work| work.combined(&prior)));
-        }
-        let Some(work) = work else { return };
+        let others = others.iter().filter(|other| other.worker != run.worker);
+        let works = others.map(|other| Normal {
+            mean: other.log_ms - other.slowness.mean,
+            variance: other.slowness.variance + NOISE_VARIANCE,
+        });
+        let Some(work) = combined_work(works, expected) else { return };
         let unknown = WorkerModel::new(now);
         let model = self.workers.entry(run.worker.clone()).or_insert(unknown);
         model.observe(run.log_ms, &work, now);
@@ -233,6 +221,21 @@
     }
 }
 
+/// Combines what other runs of a step and the expectation tell about its work.
+fn combined_work(
+    works: impl Iterator<Item = Normal>,
+    expected: Option<&LogNormal>,
+) -> Option<Normal> {
+    let work = works.reduce(|work, other| work.combined(&other));
+    let Some(expected) = expected else { return work };
+    let mut prior = expected.log;
+    let Some(work) = work else { return Some(prior) };
+    // A wrong estimate must not weigh against runs that contradict it.
+    let difference = prior.mean - work.mean;
+    prior.variance = prior.variance.max(difference * difference);
+    Some(work.combined(&prior))
+}
+
 /// An entry of a bounded map.
 trait Aged {
     fn new(now: Instant) -> Self;
