Move the limits for connections to a crate of their own

Cause: only the platform's programs could use the limits for untrusted clients; the listeners of skylarkpulley-entry and skylarkpulley-agent need the same ones. Change: platform/src/connections becomes crates/connections. It takes its limits from a trait instead of the tables of jobs, tells the server why a connection is closed, can answer a head that is late, reads whole bodies for endpoints that need them, and sets TCP_NODELAY. The crowds of platform/tests/untrusted_clients.rs become crates/client-crowd; their sizes, bounds and checks are unchanged.

--- /dev/null
+++ b/crates/client-crowd/src/lib.rs
@@ -0,0 +1,44 @@
+//! Crowds of clients that do not complete their requests, for tests of the real programs. A test starts
+//! a [`Process`], lets crowds connect to a [`Target`], and checks that the process stays alive within
+//! its [`Bounds`] and answers afterwards. Nothing that is checked depends on the speed of the machine.
+
+mod crowd;
+mod process;
+mod target;
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+pub use crowd::{Crowd, KINDS, Kind};
+pub use process::{Bounds, Process};
+pub use target::Target;
+
+/// Ends a test that hangs. No result depends on it.
+pub const HANG_LIMIT: Duration = Duration::from_secs(120);
+
+/// Descriptors and processor time are shared by the tests of a program, so that one runs at a time.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Runs a test, after the other tests of the same program that were started before it.
+///
+/// # Panics
+/// When the test panics, or when no runtime can be built.
+pub fn run(test: impl Future<Output = ()>) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+/// Returns addresses of the loopback interface whose ports are free.
+///
+/// # Panics
+/// When no port is free.
+pub async fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let mut listeners = Vec::new();
+    for _ in 0..N {
+        listeners.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
+    }
+    std::array::from_fn(|number| listeners[number].local_addr().expect("an address"))
+}
--- /dev/null
+++ b/crates/client-crowd/src/process.rs
@@ -0,0 +1,102 @@
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use tempfile::TempDir;
+
+use crate::HANG_LIMIT;
+
+/// Name of the settings file in the working folder of a process.
+const SETTINGS_FILE: &str = "settings.toml";
+
+/// What a process may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Largest number of open descriptors.
+    pub descriptors: usize,
+    /// Largest resident memory in KB.
+    pub resident_kb: u64,
+}
+
+/// A process under test. It is killed when the value is dropped.
+pub struct Process {
+    bounds: Bounds,
+    child: Child,
+    /// Largest number of open descriptors that was seen.
+    descriptors: usize,
+    _folder: TempDir,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts `program` with `args` in a folder of its own, which holds `settings` as `settings.toml`.
+    ///
+    /// # Panics
+    /// When it cannot be started.
+    pub fn start(program: &str, args: &[&str], settings: &str, bounds: Bounds) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join(SETTINGS_FILE), settings).expect("written settings");
+        let child = Command::new(program)
+            .args(args)
+            .current_dir(folder.path())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a started program");
+        Self { bounds, child, descriptors: 0, _folder: folder }
+    }
+
+    /// Returns the largest resident memory so far, in KB.
+    fn resident_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process lives");
+        let line =
+            status.lines().find(|line| line.starts_with("VmHWM:")).expect("the process lives");
+        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a size")
+    }
+
+    /// Records the number of open descriptors.
+    ///
+    /// # Panics
+    /// When the process has ended.
+    pub fn count_descriptors(&mut self) {
+        let path = format!("/proc/{}/fd", self.child.id());
+        let open = std::fs::read_dir(path).expect("the process lives").count();
+        self.descriptors = self.descriptors.max(open);
+    }
+
+    /// Checks that the process lives and has kept its bounds so far. `what` names the case.
+    ///
+    /// # Panics
+    /// When it has not.
+    pub fn check(&mut self, what: &str) {
+        assert!(matches!(self.child.try_wait(), Ok(None)), "{what}: the process has ended");
+        self.count_descriptors();
+        let (resident_kb, descriptors) = (self.resident_kb(), self.descriptors);
+        println!("{what}: {resident_kb} KB, {descriptors} descriptors");
+        assert!(resident_kb <= self.bounds.resident_kb, "{what}: {resident_kb} KB resident");
+        assert!(descriptors <= self.bounds.descriptors, "{what}: {descriptors} descriptors");
+    }
+
+    /// Asks the process to end, and waits until it has.
+    ///
+    /// # Panics
+    /// When it does not end within [`HANG_LIMIT`].
+    pub async fn expect_end(&mut self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().expect("a signal");
+        assert!(sent.success());
+        let ended = async {
+            while matches!(self.child.try_wait(), Ok(None)) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(HANG_LIMIT, ended).await.expect("the process ends");
+    }
+}
--- a/crates/connections/src/body.rs
+++ b/crates/connections/src/body.rs
@@ -5,8 +5,7 @@
 use futures::StreamExt;
 use poem::Request;
 
-use super::client_connections::Ticket;
-use super::memory_budget::{Phase, ShortOfMemory};
+use crate::{Phase, ShortOfMemory, Ticket};
 
 /// Memory by which a body of unknown length grows.
 const STEP_BYTES: usize = 32_768;
--- a/crates/connections/src/client_connections.rs
+++ b/crates/connections/src/client_connections.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use skylarkpulley_jobs::{ClientLimits, JobTables};
 use skylarkpulley_telemetry::Metrics;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
-use super::memory_budget::{
-    CHECK_INTERVAL, CloseCause, ConnectionId, MemoryBudget, Phase, ShortOfMemory,
+use crate::memory_budget::CHECK_INTERVAL;
+use crate::{
+    CloseCause, ConnectionId, MemoryBudget, Phase, RequestLimitSource, RequestLimits, ShortOfMemory,
 };
 
 /// Memory for unfinished requests when the memory of the VM is not known.
@@ -18,6 +18,9 @@
 /// Descriptors that are reserved for the store, other entries, agents and workers.
 const RESERVED_FDS: usize = 400;
 
+/// Part of the memory of a VM that unfinished requests may hold, as a divisor.
+const MEMORY_SHARE: f64 = 4.0;
+
 /// Connections that are allowed in any case.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -37,28 +40,53 @@
     pub max_fds: Option<f64>,
 }
 
+impl ConnectionSettings {
+    /// Returns the settings with values of the system for those that are not known: the memory of the VM
+    /// and the limit of descriptors of the process.
+    pub fn or_from_system(self) -> Self {
+        let memory = || {
+            let info = rustix::system::sysinfo();
+            let bytes = info.totalram as f64 * f64::from(info.mem_unit);
+            bytes / f64::from(1 << 20)
+        };
+        let fds = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        Self {
+            max_fds: self.max_fds.or(fds.map(|fds| fds as f64)),
+            memory_mb: Some(self.memory_mb.unwrap_or_else(memory)),
+        }
+    }
+}
+
 struct State {
     budget: MemoryBudget,
     causes: BTreeMap<CloseCause, u64>,
-    close: BTreeMap<ConnectionId, Arc<Notify>>,
+    close: BTreeMap<ConnectionId, watch::Sender<Option<CloseCause>>>,
 }
 
 /// The connections of all HTTP listeners of a process.
 pub struct ClientConnections {
+    limits: Arc<dyn RequestLimitSource>,
     metrics: Metrics,
     state: Mutex<State>,
     stopping: AtomicBool,
-    tables: Option<watch::Receiver<JobTables>>,
 }
 
 /// A connection that counts. It returns what it holds when it is dropped.
 pub struct Ticket {
     pub connections: Arc<ClientConnections>,
-    /// Notified when the connection has to be closed.
-    pub closed: Arc<Notify>,
+    closed: watch::Receiver<Option<CloseCause>>,
     pub id: ConnectionId,
 }
 
+impl Ticket {
+    /// Waits until the connection has to be closed, and returns the reason.
+    pub(crate) async fn closed(&self) -> CloseCause {
+        let mut closed = self.closed.clone();
+        let cause = closed.wait_for(Option::is_some).await;
+        cause.ok().and_then(|cause| *cause).unwrap_or(CloseCause::Refused)
+    }
+}
+
 impl Drop for Ticket {
     fn drop(&mut self) {
         let mut state = self.connections.lock();
@@ -68,15 +96,15 @@
 }
 
 impl ClientConnections {
-    /// Returns the connections of a process, and starts to check them. The limits of the tables apply
-    /// where there are tables.
+    /// Returns the connections of a process, and starts to check them.
     pub fn start(
         settings: ConnectionSettings,
-        tables: Option<watch::Receiver<JobTables>>,
+        limits: Arc<dyn RequestLimitSource>,
         metrics: Metrics,
     ) -> Arc<Self> {
         let memory = settings.memory_mb.filter(|memory| *memory > 0.0);
-        let budget = memory.map_or(DEFAULT_BUDGET, |mb| (mb * f64::from(1 << 20) / 4.0) as usize);
+        let budget =
+            memory.map_or(DEFAULT_BUDGET, |mb| (mb * f64::from(1 << 20) / MEMORY_SHARE) as usize);
         let fds = settings.max_fds.filter(|fds| *fds > 0.0);
         let places = fds.map_or(DEFAULT_CONNECTIONS, |fds| {
             (fds as usize).saturating_sub(RESERVED_FDS).max(MIN_CONNECTIONS)
@@ -87,7 +115,7 @@
             close: BTreeMap::new(),
         };
         let stopping = AtomicBool::new(false);
-        let connections = Arc::new(Self { metrics, state: Mutex::new(state), stopping, tables });
+        let connections = Arc::new(Self { limits, metrics, state: Mutex::new(state), stopping });
         let checked = Arc::downgrade(&connections);
         tokio::spawn(async move {
             let mut logged_at = Instant::now();
@@ -105,10 +133,8 @@
     }
 
     /// Returns the limits that apply now.
-    pub fn limits(&self) -> ClientLimits {
-        self.tables
-            .as_ref()
-            .map_or_else(ClientLimits::default, |tables| tables.borrow().client_limits.clone())
+    pub fn limits(&self) -> RequestLimits {
+        self.limits.limits()
     }
 
     /// Closes stalled connections from now on.
@@ -116,23 +142,23 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    pub(super) fn open(self: &Arc<Self>, peer: IpAddr) -> Option<Ticket> {
+    pub(crate) fn open(self: &Arc<Self>, peer: IpAddr) -> Option<Ticket> {
         let mut state = self.lock();
         let Some((id, victim)) = state.budget.open(peer, Instant::now()) else {
             state.count(CloseCause::Refused);
             return None;
         };
         state.close_all(victim.map(|victim| (victim, CloseCause::Stalled)));
-        let closed = Arc::new(Notify::new());
-        state.close.insert(id, closed.clone());
+        let (close, closed) = watch::channel(None);
+        state.close.insert(id, close);
         Some(Ticket { connections: self.clone(), closed, id })
     }
 
-    pub(super) fn enter(&self, id: ConnectionId, phase: Phase) {
+    pub(crate) fn enter(&self, id: ConnectionId, phase: Phase) {
         self.lock().budget.enter(id, phase, Instant::now());
     }
 
-    pub(super) fn receive(&self, id: ConnectionId, bytes: usize) -> Result<(), ShortOfMemory> {
+    pub(crate) fn receive(&self, id: ConnectionId, bytes: usize) -> Result<(), ShortOfMemory> {
         let mut state = self.lock();
         let result = state.budget.receive(id, bytes, Instant::now());
         if result.is_err() {
@@ -142,7 +168,7 @@
         Ok(())
     }
 
-    pub(super) fn hold(&self, id: ConnectionId, bytes: usize) -> Result<(), ShortOfMemory> {
+    pub(crate) fn hold(&self, id: ConnectionId, bytes: usize) -> Result<(), ShortOfMemory> {
         let mut state = self.lock();
         let victims = state.budget.hold(id, bytes, Instant::now())?;
         state.close_all(victims.into_iter().map(|victim| (victim, CloseCause::Stalled)));
@@ -193,7 +219,7 @@
         for (id, cause) in closed {
             self.count(cause);
             if let Some(close) = self.close.remove(&id) {
-                close.notify_one();
+                close.send_replace(Some(cause));
             }
         }
     }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -2,12 +2,17 @@
 //! listeners of a process share.
 
 mod body;
+mod body_limit;
 mod client_connections;
 mod memory_budget;
+mod request_limits;
 mod server;
 mod stream;
 
 pub use body::{BodyError, read_body};
+pub use body_limit::BodyLimit;
+use client_connections::Ticket;
 pub use client_connections::{ClientConnections, ConnectionSettings};
 pub use memory_budget::{CloseCause, ConnectionId, MemoryBudget, Phase, ShortOfMemory};
-pub use server::serve;
+pub use request_limits::{RequestLimitSource, RequestLimits};
+pub use server::{ServerSettings, serve};
--- a/crates/connections/src/memory_budget.rs
+++ b/crates/connections/src/memory_budget.rs
@@ -3,17 +3,18 @@
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
-use skylarkpulley_jobs::ClientLimits;
+
+use crate::RequestLimits;
 
 /// Memory that a connection holds once it has sent a byte: the least read buffer of hyper.
-pub(super) const BASE_BYTES: usize = 8192;
+pub(crate) const BASE_BYTES: usize = 8192;
 
 /// Minimum rate of a body in bytes per second. Clients on slow links send more.
 const MIN_BODY_RATE: f64 = 4096.0;
 
-/// A body that stays below the minimum rate for this time is closed. Shorter pauses are usual on
-/// links that lose packets.
-const SLOW_BODY: Duration = Duration::from_secs(5);
+/// After the process has not run for this time, the rate of a body before it says nothing about the
+/// client.
+const LONG_PAUSE: Duration = Duration::from_secs(5);
 
 /// A longer time between two checks means that the process did not run. It could not receive anything
 /// then, so that the time does not count.
@@ -26,7 +27,7 @@
 const SILENCE: Duration = Duration::from_secs(2);
 
 /// Time between two checks. Longer pauses count as one of them.
-pub(super) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Part of the budget that bodies leave to heads, as a divisor. Requests without a body, such as
 /// readiness checks, are then answered while bodies hold all that they may.
@@ -112,8 +113,7 @@
             self.last_received = (self.last_received + pause).min(now);
             self.phase_since = (self.phase_since + pause).min(now);
             self.window.0 = (self.window.0 + pause).min(now);
-            // After a suspension, the rate before it says nothing about the client.
-            if pause >= SLOW_BODY {
+            if pause >= LONG_PAUSE {
                 self.slow_since = None;
                 self.window = (now, 0);
             }
@@ -122,7 +122,7 @@
     }
 
     /// Returns why the connection has to be closed at `now`.
-    fn expired(&self, now: Instant, limits: &ClientLimits) -> Option<CloseCause> {
+    fn expired(&self, now: Instant, limits: &RequestLimits) -> Option<CloseCause> {
         let (in_phase, silent) = (
             now.saturating_duration_since(self.phase_since),
             now.saturating_duration_since(self.last_received),
@@ -130,9 +130,9 @@
         let slow = self.slow_since.map(|since| now.saturating_duration_since(since));
         let slow = slow.unwrap_or_default();
         match self.phase {
-            Phase::Idle if silent >= limits.idle_timeout() => Some(CloseCause::Idle),
-            Phase::Head if in_phase >= limits.head_timeout() => Some(CloseCause::HeadTime),
-            Phase::Body if slow >= SLOW_BODY => Some(CloseCause::SlowBody),
+            Phase::Idle if silent >= limits.idle_timeout => Some(CloseCause::Idle),
+            Phase::Head if in_phase >= limits.head_timeout => Some(CloseCause::HeadTime),
+            Phase::Body if slow >= limits.slow_body_timeout => Some(CloseCause::SlowBody),
             _ => None,
         }
     }
@@ -314,7 +314,7 @@
     pub fn sweep(
         &mut self,
         now: Instant,
-        limits: &ClientLimits,
+        limits: &RequestLimits,
         stopping: bool,
     ) -> Vec<(ConnectionId, CloseCause)> {
         let interval = self.checked_at.map(|earlier| now.saturating_duration_since(earlier));
--- a/crates/connections/src/server.rs
+++ b/crates/connections/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,9 +16,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::client_connections::{ClientConnections, Ticket};
-use super::memory_budget::{BASE_BYTES, Phase};
-use super::stream::CountedStream;
+use crate::memory_budget::BASE_BYTES;
+use crate::stream::CountedStream;
+use crate::{ClientConnections, CloseCause, Phase, Ticket};
 
 /// Maximum number of header lines of a request.
 const MAX_HEADERS: usize = 100;
@@ -34,8 +35,35 @@
     }
 }
 
-/// Serves `endpoint` on `listener` until `stop` ends. Open requests then have `grace` to finish; idle
-/// and stalled connections are closed.
+/// How a listener is served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerSettings {
+    /// Time for open requests to finish after the server has stopped accepting connections.
+    grace: Duration,
+    /// Sent before a connection is closed because a head was not complete in time.
+    timeout_response: &'static [u8],
+}
+
+impl ServerSettings {
+    /// Returns settings by which the server closes connections at once when it stops, and without a
+    /// response when a head is late.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the time for open requests to finish after the server has stopped accepting connections.
+    pub fn with_grace(self, grace: Duration) -> Self {
+        Self { grace, ..self }
+    }
+
+    /// Sets the response to a head that is not complete in time, with its status line and headers.
+    pub fn with_timeout_response(self, timeout_response: &'static [u8]) -> Self {
+        Self { timeout_response, ..self }
+    }
+}
+
+/// Serves `endpoint` on `listener` until `stop` ends. Open requests then have time to finish; idle and
+/// stalled connections are closed.
 ///
 /// # Errors
 /// When the address of the listener is not known.
@@ -43,7 +71,7 @@
     listener: TcpListener,
     endpoint: impl Endpoint<Output = Response> + 'static,
     connections: Arc<ClientConnections>,
-    grace: Duration,
+    settings: ServerSettings,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let local = listener.local_addr()?;
@@ -57,11 +85,15 @@
             Some(_) = tasks.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
+                    // Without TCP_NODELAY, the end of a large response waits for the client's delayed
+                    // acknowledgement.
+                    let _ = stream.set_nodelay(true);
                     let Some(ticket) = connections.open(peer.ip()) else { continue };
                     let ticket = Arc::new(ticket);
-                    let addresses = (local, peer);
+                    let response = settings.timeout_response;
                     let (endpoint, stopped) = (endpoint.clone(), stopped.clone());
-                    tasks.spawn(serve_connection(stream, ticket, endpoint, addresses, stopped));
+                    let connection = AcceptedConnection { local, peer, stream, ticket };
+                    tasks.spawn(connection.serve(endpoint, response, stopped));
                 }
                 Err(error) => {
                     tracing::debug!(%error, "cannot accept a connection");
@@ -74,62 +106,76 @@
     connections.begin_shutdown();
     stopping.send_replace(true);
     let finished = async { while tasks.join_next().await.is_some() {} };
-    if tokio::time::timeout(grace, finished).await.is_err() {
+    if tokio::time::timeout(settings.grace, finished).await.is_err() {
         tracing::info!("the grace time is over; closing open connections");
     }
     Ok(())
 }
 
-async fn serve_connection(
+struct AcceptedConnection {
+    local: SocketAddr,
+    peer: SocketAddr,
     stream: TcpStream,
     ticket: Arc<Ticket>,
-    endpoint: Arc<impl Endpoint<Output = Response> + 'static>,
-    (local, peer): (SocketAddr, SocketAddr),
-    mut stopped: watch::Receiver<bool>,
-) {
-    // A connection takes a buffer only when its first bytes are there.
-    tokio::select! {
-        ready = stream.readable() => if ready.is_err() { return },
-        () = ticket.closed.notified() => return,
-        _ = stopped.wait_for(|stopped| *stopped) => return,
-    }
-    let connections = &ticket.connections;
-    if connections.receive(ticket.id, 0).is_err() {
-        return;
-    }
-    let head_bytes = connections.limits().head_bytes();
-    let served = ticket.clone();
-    let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let (endpoint, ticket) = (endpoint.clone(), served.clone());
-        async move {
-            ticket.connections.enter(ticket.id, Phase::Serving);
-            let served = ServedRequest(ticket);
-            let addresses = (LocalAddr(local.into()), RemoteAddr(peer.into()));
-            let mut request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
-            request.extensions_mut().insert(served.0.clone());
-            let response = endpoint.get_response(request).await;
-            Ok::<hyper::Response<_>, Infallible>(response.into())
-        }
-    });
-    let io = TokioIo::new(CountedStream { stream, ticket: ticket.clone() });
-    // The header time of hyper also counts while a connection is idle, so that the budget limits the
-    // time of a head instead.
-    let connection = http1::Builder::new()
-        .header_read_timeout(None)
-        .max_buf_size(head_bytes.max(BASE_BYTES))
-        .max_header_size(head_bytes)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(io, service);
-    tokio::pin!(connection);
-    let mut stopping = false;
-    loop {
+}
+
+impl AcceptedConnection {
+    async fn serve(
+        self,
+        endpoint: Arc<impl Endpoint<Output = Response> + 'static>,
+        timeout_response: &'static [u8],
+        mut stopped: watch::Receiver<bool>,
+    ) {
+        let Self { local, peer, stream, ticket } = self;
+        // A connection takes a buffer only when its first bytes are there.
         tokio::select! {
-            _ = &mut connection => return,
-            () = ticket.closed.notified() => return,
-            _ = stopped.wait_for(|stopped| *stopped), if !stopping => {
-                stopping = true;
-                connection.as_mut().graceful_shutdown();
+            ready = stream.readable() => if ready.is_err() { return },
+            _ = ticket.closed() => return,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        }
+        let connections = &ticket.connections;
+        if connections.receive(ticket.id, 0).is_err() {
+            return;
+        }
+        let head_bytes = connections.limits().head_bytes;
+        let served = ticket.clone();
+        let service = service_fn(move |request: hyper::Request<Incoming>| {
+            let (endpoint, ticket) = (endpoint.clone(), served.clone());
+            async move {
+                ticket.connections.enter(ticket.id, Phase::Serving);
+                let served = ServedRequest(ticket);
+                let addresses = (LocalAddr(local.into()), RemoteAddr(peer.into()));
+                let mut request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
+                request.extensions_mut().insert(served.0.clone());
+                let response = endpoint.get_response(request).await;
+                Ok::<hyper::Response<_>, Infallible>(response.into())
+            }
+            .boxed()
+        });
+        let io = TokioIo::new(CountedStream { stream, ticket: ticket.clone() });
+        // The header time of hyper also counts while a connection is idle, so that the budget limits
+        // the time of a head instead.
+        let mut connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(head_bytes.max(BASE_BYTES))
+            .max_header_size(head_bytes)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(io, service);
+        let mut stopping = false;
+        let cause = loop {
+            tokio::select! {
+                _ = &mut connection => return,
+                cause = ticket.closed() => break cause,
+                _ = stopped.wait_for(|stopped| *stopped), if !stopping => {
+                    stopping = true;
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
             }
+        };
+        if cause == CloseCause::HeadTime && !timeout_response.is_empty() {
+            // A client that does not read sees the connection close without the response.
+            let stream = connection.into_parts().io.into_inner().stream;
+            let _ = stream.try_write(timeout_response);
         }
     }
 }
--- a/crates/connections/src/stream.rs
+++ b/crates/connections/src/stream.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::client_connections::Ticket;
+use crate::Ticket;
 
 /// Maximum number of bytes of one read. Hyper doubles its buffer after reads of 8192 bytes.
 const READ_BYTES: usize = 8191;
--- a/crates/connections/tests/memory_budget.rs
+++ b/crates/connections/tests/memory_budget.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::{Gen, QuickCheck};
-use skylarkpulley_jobs::ClientLimits;
-use skylarkpulley_platform::{CloseCause, ConnectionId, MemoryBudget, Phase, ShortOfMemory};
+use skylarkpulley_connections::{
+    CloseCause, ConnectionId, MemoryBudget, Phase, RequestLimits, ShortOfMemory,
+};
 
 const BODY: usize = 262_144;
 const BUFFER: usize = 8192;
@@ -57,7 +58,7 @@
     }
 
     fn sweep(&mut self, stopping: bool) -> Vec<(ConnectionId, CloseCause)> {
-        self.budget.sweep(self.now, &ClientLimits::default(), stopping)
+        self.budget.sweep(self.now, &RequestLimits::default(), stopping)
     }
 }
 
