Limit what unfinished requests may hold at entries and agents

Seen by callers: clients that never complete their requests made skylarkpulley-entry and skylarkpulley-agent grow with each connection until their memory ran out. Cause: both served callers, operators and announcements with poem's server, which keeps up to 400 KB of an unfinished head or of blank lines for each connection, and bodies without a common bound, on any number of connections. Operators' requests and announcements had no limit of size at all. Change: all their HTTP listeners use the server of crates/connections: a memory budget, places, a bounded head. Without memory_mb and max_fds in the settings, the memory that the kernel reports and the limit of the process count. A body that finds no memory is refused with 503; keyed requests keep the outcome 'unknown', others 'not-run'. A late head is still answered with 408. The connection's task drops the handler when the caller closes, which replaces the table of open connections. Why: each buffer is taken from the budget before it is filled, and the stalled connection that holds most yields.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use skylarkpulley_connections::{ClientConnections, ConnectionSettings, RequestLimits};
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::agent_server::AgentServer;
 use skylarkpulley_proto::{AgentClients, MAX_MESSAGE_BYTES, Secret, v1};
@@ -36,6 +37,10 @@
 /// after the entries have been told that the agent is leaving.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time after which an idle connection for announcements is closed. Upstreams announce themselves every
+/// 500 ms.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A running agent: its listeners, its sessions to the entries and the tasks behind them.
 pub struct Agent {
     clock: Arc<dyn Clock>,
@@ -167,10 +172,15 @@
     ) -> Result<(), StartError> {
         let listener = bind(settings.local).await?;
         self.announcement_address = listener.local_addr().ok();
+        let limits = RequestLimits { idle_timeout: IDLE_TIMEOUT, ..RequestLimits::default() };
+        let resources =
+            ConnectionSettings { max_fds: settings.max_fds, memory_mb: settings.memory_mb };
+        let connections =
+            ClientConnections::start(resources.or_from_system(), Arc::new(limits), metrics.clone());
         let runner = Runner::new(self.id.incarnation, Arc::clone(&self.clock), metrics);
         self.runner = Some(runner.clone());
         self.tasks.spawn(async move {
-            if let Err(error) = serve_announcements(listener, runner).await {
+            if let Err(error) = serve_announcements(listener, runner, connections).await {
                 tracing::error!(
                     %error,
                     "the announcement listener failed; the upstream counts as not serving"
--- a/crates/agent/src/announce_server.rs
+++ b/crates/agent/src/announce_server.rs
@@ -1,25 +1,30 @@
-use std::time::Duration;
+use std::sync::Arc;
 
 use poem::http::StatusCode;
-use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json};
-use poem::{EndpointExt, Route, Server, handler, post};
+use poem::{EndpointExt, Route, handler, post};
+use skylarkpulley_connections::{BodyLimit, ClientConnections, ServerSettings, serve};
 use tokio::net::TcpListener;
 
 use crate::runner::Runner;
 use crate::upstream::Announcement;
 
+/// Maximum size of an announcement in bytes. Those of upstreams have about 100.
+const MAX_ANNOUNCEMENT_BYTES: usize = 65_536;
+
 /// Serves `POST /announce`, by which the upstream of this agent announces itself, until the
 /// returned future is dropped.
 ///
 /// # Errors
 /// Returns the I/O error of the listener when it fails.
-pub async fn serve_announcements(listener: TcpListener, runner: Runner) -> std::io::Result<()> {
+pub async fn serve_announcements(
+    listener: TcpListener,
+    runner: Runner,
+    connections: Arc<ClientConnections>,
+) -> std::io::Result<()> {
     let app = Route::new().at("/announce", post(announce)).data(runner);
-    Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?)
-        .idle_timeout(Duration::from_secs(30))
-        .run(app)
-        .await
+    let app = BodyLimit::new(app, MAX_ANNOUNCEMENT_BYTES);
+    serve(listener, app, connections, ServerSettings::new(), std::future::pending()).await
 }
 
 #[handler]
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -40,6 +40,12 @@
     /// Base URL of the platform's table service.
     #[serde(default)]
     pub store: Option<String>,
+    /// Memory of the VM in MB; without it, the memory that the kernel reports.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Number of descriptors that the process may open; without it, the limit of the process.
+    #[serde(default)]
+    pub max_fds: Option<f64>,
     /// Address to which metrics are sent in the statsd format over UDP.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/entry/src/admin_server.rs
+++ b/crates/entry/src/admin_server.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use poem::http::StatusCode;
-use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json, Path};
-use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
+use poem::{EndpointExt, IntoResponse, Response, Route, get, handler, post};
 use skylarkpulley_admin::{
     ApplyReply, ApplyRequest, DrainReply, ErrorReply, ExplainLine, Explanation, SubmitReply,
     SubmitRequest,
 };
+use skylarkpulley_connections::{BodyLimit, ClientConnections, ServerSettings, serve};
 use skylarkpulley_process::json_reply;
-use skylarkpulley_proto::v1;
+use skylarkpulley_proto::{MAX_MESSAGE_BYTES, v1};
 use skylarkpulley_tables::PoolKind;
 use tokio::net::TcpListener;
 
@@ -39,7 +39,7 @@
 }
 
 /// Serves the operators' interface until the task is dropped.
-pub async fn serve_admin(listener: TcpListener, admin: Admin) {
+pub async fn serve_admin(listener: TcpListener, admin: Admin, connections: Arc<ClientConnections>) {
     let app = Route::new()
         .at("/livez", get(livez))
         .at("/readyz", get(readyz))
@@ -50,8 +50,10 @@
         .at("/v1/status", get(status))
         .at("/v1/tables", get(show_tables).put(apply))
         .data(admin);
-    let Ok(acceptor) = TcpAcceptor::from_tokio(listener) else { return };
-    if let Err(error) = Server::new_with_acceptor(acceptor).run(app).await {
+    // Tables and jobs are passed to other processes in messages of at most this size.
+    let app = BodyLimit::new(app, MAX_MESSAGE_BYTES);
+    let forever = std::future::pending();
+    if let Err(error) = serve(listener, app, connections, ServerSettings::new(), forever).await {
         tracing::error!(%error, "the operators' interface stopped: its listener failed");
     }
 }
--- a/crates/entry/src/caller_reply.rs
+++ b/crates/entry/src/caller_reply.rs
@@ -1,10 +1,12 @@
-use poem::Response;
 use poem::http::{HeaderName, HeaderValue, StatusCode};
+use poem::{Request, Response};
 use serde::Serialize;
 use skylarkpulley_process::json_reply;
 use skylarkpulley_proto::v1;
 use skylarkpulley_types::Outcome;
 
+use crate::caller_request::KEY_HEADER;
+
 /// Header with the outcome of a request.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("skylarkpulley-outcome");
 
@@ -56,6 +58,19 @@
         Self { status, outcome: Outcome::NotRun, reason: reason.to_owned(), response: None }
     }
 
+    /// Returns the refusal of a request that was not read. This attempt did not run, but the entry
+    /// does not know whether an earlier attempt with the same idempotency key did.
+    pub fn unread(request: &Request, reason: &str) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        if request.header(KEY_HEADER).is_none() {
+            return Self::not_run(status, reason);
+        }
+        let text = format!(
+            "{reason}; this attempt was not run, earlier attempts with this key cannot be ruled out"
+        );
+        Self::unknown(status, &text)
+    }
+
     /// Returns the reply to a request that may or may not have run.
     pub fn unknown(status: StatusCode, reason: &str) -> Self {
         Self { status, outcome: Outcome::Unknown, reason: reason.to_owned(), response: None }
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
+use poem::Request;
 use poem::http::{HeaderMap, StatusCode};
-use poem::{Body, Request};
+use skylarkpulley_connections::{BodyError, read_body};
 use skylarkpulley_proto::v1;
 use skylarkpulley_tables::{PoolKind, Route, Tables};
 use skylarkpulley_types::Digest;
@@ -88,7 +89,7 @@
         let deadline = read_deadline(request.headers(), route)?;
         let headers = forwarded_headers(request.headers());
         let method = request.method().to_string();
-        let body = read_body(request.take_body(), route.body_limit, timeout).await?;
+        let body = read_whole_body(&mut request, route.body_limit, timeout).await?;
         let (route, kind) = (route.clone(), pool.kind);
         Ok(Self { method, path, headers, body, route, team, key, deadline, kind })
     }
@@ -156,17 +157,25 @@
         .collect()
 }
 
-async fn read_body(body: Body, limit: u64, timeout: Duration) -> Result<Vec<u8>, CallerReply> {
+async fn read_whole_body(
+    request: &mut Request,
+    limit: u64,
+    timeout: Duration,
+) -> Result<Vec<u8>, CallerReply> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match tokio::time::timeout(timeout, body.into_bytes_limit(limit)).await {
+    match tokio::time::timeout(timeout, read_body(request, limit)).await {
         Ok(Ok(bytes)) => Ok(bytes.into()),
-        Ok(Err(poem::error::ReadBodyError::PayloadTooLarge)) => {
+        Ok(Err(BodyError::TooLarge)) => {
             let text = format!("the body exceeds {limit} bytes");
             Err(CallerReply::not_run(StatusCode::PAYLOAD_TOO_LARGE, &text))
         }
-        Ok(Err(_)) => {
+        Ok(Err(BodyError::Incomplete)) => {
             Err(CallerReply::not_run(StatusCode::BAD_REQUEST, "reading the request body failed"))
         }
+        Ok(Err(BodyError::Busy)) => {
+            let text = "other requests hold the memory for bodies";
+            Err(CallerReply::unread(request, text))
+        }
         Err(_) => Err(CallerReply::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "the request body did not arrive within the read timeout",
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -6,9 +6,8 @@
 use poem::{Endpoint, Request, Response};
 use skylarkpulley_tables::PoolKind;
 
-use crate::caller_connections::CallerConnections;
 use crate::caller_reply::CallerReply;
-use crate::caller_request::{CallerRequest, KEY_HEADER};
+use crate::caller_request::CallerRequest;
 use crate::hub::Hub;
 use crate::jobs::Jobs;
 use crate::request_task::RequestTask;
@@ -16,8 +15,6 @@
 
 /// Answers callers over HTTP.
 pub struct Callers {
-    /// Connections of callers.
-    pub connections: CallerConnections,
     /// Shared state of the entry.
     pub hub: Arc<Hub>,
     /// Prefix of request ids, unique to this incarnation of the entry.
@@ -59,7 +56,6 @@
     async fn call(&self, request: Request) -> poem::Result<Response> {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.prefix);
-        let _busy = self.connections.mark_busy(request.remote_addr());
         Ok(self.serve(&id, number, request).await.into_response(&id))
     }
 }
@@ -68,12 +64,14 @@
     async fn serve(&self, id: &str, number: u64, request: Request) -> CallerReply {
         let start = self.hub.clock.now();
         let Some(open) = OpenRequestGuard::new(&self.open, self.open_limit) else {
-            return refuse_unread(&request, "the entry has reached its limit of open requests");
+            return CallerReply::unread(
+                &request,
+                "the entry has reached its limit of open requests",
+            );
         };
         let Some(tables) = self.hub.config.borrow().tables() else {
-            return refuse_unread(&request, "the entry has no configuration yet");
+            return CallerReply::unread(&request, "the entry has no configuration yet");
         };
-        let remote = request.remote_addr().clone();
         let request = match CallerRequest::read(request, &tables, self.read_timeout).await {
             Ok(request) => request,
             Err(reply) => return reply,
@@ -89,20 +87,14 @@
             start,
             request,
         };
-        // The task keeps running after the caller closes its connection. Dropping the guard removes
-        // the request from its queue if it is still waiting.
+        // The task keeps running after the caller closes its connection, which drops this future.
+        // Dropping the guard removes the request from its queue if it is still waiting.
         let cancel_guard = CancelOnDrop::new(&self.router, number);
         let task = tokio::spawn(async move {
             let _open = open;
             task.run().await
         });
-        let reply = tokio::select! {
-            reply = task => reply,
-            () = self.connections.closed(&remote) => {
-                let text = "the caller closed its connection";
-                return CallerReply::unknown(StatusCode::BAD_REQUEST, text);
-            }
-        };
+        let reply = task.await;
         cancel_guard.disarm();
         reply.unwrap_or_else(|_| {
             CallerReply::unknown(
@@ -112,16 +104,3 @@
         })
     }
 }
-
-/// Refuses a request without reading it. This attempt did not run, but the entry does not know
-/// whether an earlier attempt with the same idempotency key did.
-fn refuse_unread(request: &Request, reason: &str) -> CallerReply {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    if request.header(KEY_HEADER).is_none() {
-        return CallerReply::not_run(status, reason);
-    }
-    let text = format!(
-        "{reason}; this attempt was not run, earlier attempts with this key cannot be ruled out"
-    );
-    CallerReply::unknown(status, &text)
-}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use poem::Server;
+use skylarkpulley_connections::{
+    ClientConnections, ConnectionSettings, RequestLimits, ServerSettings, serve,
+};
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::entry_server::EntryServer;
 use skylarkpulley_proto::{AgentClients, MAX_MESSAGE_BYTES, Secret};
@@ -18,7 +20,6 @@
 
 use crate::Settings;
 use crate::admin_server::{Admin, serve_admin};
-use crate::caller_connections::{CallerAcceptor, CallerConnections};
 use crate::callers::Callers;
 use crate::config_task::ConfigTask;
 use crate::control_service::ControlService;
@@ -34,6 +35,11 @@
 /// connections.
 const BALANCER_DELAY: Duration = Duration::from_millis(500);
 
+/// Response to a caller that did not send a complete head within the time limit. No endpoint has received
+/// the request yet, so the response is written directly to the connection.
+const HEADER_TIMEOUT_RESPONSE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
+    content-length: 0\r\nconnection: close\r\nskylarkpulley-outcome: not-run\r\n\r\n";
+
 /// A running entry.
 pub struct Entry {
     admin_address: SocketAddr,
@@ -135,10 +141,18 @@
         );
         entry.tasks.spawn(peers.run(discovered_entries));
         entry.serve_control(listeners.control, secret, config.clone(), jobs.clone());
-        entry.serve_callers(listeners.callers, &settings, router, jobs.clone(), incarnation);
+        let connections = client_connections(&settings, hub.metrics.clone());
+        entry.serve_callers(
+            listeners.callers,
+            &settings,
+            router,
+            jobs.clone(),
+            incarnation,
+            connections.clone(),
+        );
         let admin =
             Admin { config, hub: Arc::clone(&hub), jobs, ready: Arc::clone(&entry.ready), status };
-        entry.tasks.spawn(serve_admin(listeners.admin, admin));
+        entry.tasks.spawn(serve_admin(listeners.admin, admin, connections));
         let text = format!(
             "callers {} admin {} control {}",
             entry.caller_address, entry.admin_address, entry.control_address
@@ -226,11 +240,9 @@
         router: Router,
         jobs: Jobs,
         incarnation: u64,
+        connections: Arc<ClientConnections>,
     ) {
-        let connections = CallerConnections::new(settings.read_timeout);
-        let acceptor = CallerAcceptor::new(listener, connections.clone());
         let callers = Callers {
-            connections,
             hub: Arc::clone(&self.hub),
             jobs,
             open: Arc::clone(&self.open),
@@ -246,15 +258,29 @@
             let stopped = async move {
                 let _ = stop.wait_for(|stop| *stop).await;
             };
-            let server = Server::new_with_acceptor(acceptor);
-            let served = server.run_with_graceful_shutdown(callers, stopped, Some(timeout)).await;
-            if let Err(error) = served {
+            let server = ServerSettings::new()
+                .with_grace(timeout)
+                .with_timeout_response(HEADER_TIMEOUT_RESPONSE);
+            if let Err(error) = serve(listener, callers, connections, server, stopped).await {
                 tracing::error!(%error, "the caller listener failed; callers cannot connect");
             }
         });
     }
 }
 
+/// Returns the connections of all HTTP listeners. docs/wire.md sets no limit on idle connections, and
+/// one on the time of a body that the callers' endpoint applies itself.
+fn client_connections(settings: &Settings, metrics: Metrics) -> Arc<ClientConnections> {
+    let limits = RequestLimits {
+        head_timeout: settings.read_timeout,
+        idle_timeout: Duration::MAX,
+        slow_body_timeout: Duration::MAX,
+        ..RequestLimits::default()
+    };
+    let resources = ConnectionSettings { max_fds: settings.max_fds, memory_mb: settings.memory_mb };
+    ClientConnections::start(resources.or_from_system(), Arc::new(limits), metrics)
+}
+
 /// Records when the store becomes unavailable and when it is available again.
 async fn watch_store(hub: Arc<Hub>, mut states: watch::Receiver<CircuitState>) {
     let mut down = false;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod admin_server;
 mod attempt;
-mod caller_connections;
 mod caller_reply;
 mod caller_request;
 mod callers;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,6 +36,12 @@
     /// Longest time for which a graceful shutdown waits for open requests.
     #[serde(default = "default_drain", with = "humantime_serde")]
     pub drain_timeout: Duration,
+    /// Memory of the VM in MB; without it, the memory that the kernel reports.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Number of descriptors that the process may open; without it, the limit of the process.
+    #[serde(default)]
+    pub max_fds: Option<f64>,
     /// Address to which metrics are sent in the statsd format over UDP.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
