Keep places for checks, and let idle connections yield theirs

Seen by callers: clients that keep their connections busy with small complete requests took all places of a process. New callers were not accepted, and the balancer's check failed, so that the entry left the rotation. Cause: all listeners shared the places, and only connections that were silent for 2 s yielded. Change: checks and operators have 16 places of their own, out of the descriptors that are reserved. When all places are taken, the connection that is idle longest yields after the stalled ones. A connection whose answer waits until its client reads counts as busy, and as stalled after 2 s without progress. Why: a crowd that connects again can displace idle connections only, and an ordinary request that was accepted is carried out.

--- a/crates/client-crowd/src/lib.rs
+++ b/crates/client-crowd/src/lib.rs
@@ -2,6 +2,7 @@
 //! a [`Process`], lets crowds connect to a [`Target`], and checks that the process stays alive within
 //! its [`Bounds`] and answers afterwards. Nothing that is checked depends on the speed of the machine.
 
+mod active_crowd;
 mod crowd;
 mod process;
 mod target;
@@ -10,6 +11,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+pub use active_crowd::ActiveCrowd;
 pub use crowd::{Crowd, KINDS, Kind};
 pub use process::{Bounds, Process};
 pub use target::Target;
--- a/crates/connections/src/client_connections.rs
+++ b/crates/connections/src/client_connections.rs
@@ -9,7 +9,8 @@
 
 use crate::memory_budget::CHECK_INTERVAL;
 use crate::{
-    CloseCause, ConnectionId, MemoryBudget, Phase, RequestLimitSource, RequestLimits, ShortOfMemory,
+    CloseCause, ConnectionId, ListenerKind, MemoryBudget, Phase, RequestLimitSource, RequestLimits,
+    ShortOfMemory,
 };
 
 /// Memory for unfinished requests when the memory of the VM is not known.
@@ -65,6 +66,8 @@
 
 /// The connections of all HTTP listeners of a process.
 pub struct ClientConnections {
+    /// Number of connections that the budget has closed and whose sockets are still open.
+    closing: watch::Sender<usize>,
     limits: Arc<dyn RequestLimitSource>,
     metrics: Metrics,
     state: Mutex<State>,
@@ -91,7 +94,9 @@
     fn drop(&mut self) {
         let mut state = self.connections.lock();
         state.budget.close(self.id);
-        state.close.remove(&self.id);
+        if state.close.remove(&self.id).is_none() {
+            self.connections.closing.send_modify(|closing| *closing -= 1);
+        }
     }
 }
 
@@ -115,7 +120,13 @@
             close: BTreeMap::new(),
         };
         let stopping = AtomicBool::new(false);
-        let connections = Arc::new(Self { limits, metrics, state: Mutex::new(state), stopping });
+        let connections = Arc::new(Self {
+            closing: watch::Sender::new(0),
+            limits,
+            metrics,
+            state: Mutex::new(state),
+            stopping,
+        });
         let checked = Arc::downgrade(&connections);
         tokio::spawn(async move {
             let mut logged_at = Instant::now();
@@ -142,13 +153,20 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    pub(crate) fn open(self: &Arc<Self>, peer: IpAddr) -> Option<Ticket> {
+    /// Waits until the sockets of all connections that the budget has closed are closed. Accepting new
+    /// ones before that would exceed the limit of descriptors.
+    pub(crate) async fn wait_closed(&self) {
+        // The channel lives as long as `self`.
+        let _ = self.closing.subscribe().wait_for(|closing| *closing == 0).await;
+    }
+
+    pub(crate) fn open(self: &Arc<Self>, peer: IpAddr, listener: ListenerKind) -> Option<Ticket> {
         let mut state = self.lock();
-        let Some((id, victim)) = state.budget.open(peer, Instant::now()) else {
+        let Some((id, victim)) = state.budget.open(peer, listener, Instant::now()) else {
             state.count(CloseCause::Refused);
             return None;
         };
-        state.close_all(victim.map(|victim| (victim, CloseCause::Stalled)));
+        self.close_all(&mut state, victim.map(|victim| (victim, CloseCause::Stalled)));
         let (close, closed) = watch::channel(None);
         state.close.insert(id, close);
         Some(Ticket { connections: self.clone(), closed, id })
@@ -164,14 +182,19 @@
         if result.is_err() {
             state.count(CloseCause::Memory);
         }
-        state.close_all(result?.into_iter().map(|victim| (victim, CloseCause::Stalled)));
+        self.close_all(&mut state, result?.into_iter().map(|victim| (victim, CloseCause::Stalled)));
         Ok(())
     }
 
+    /// Records that a part of an answer was sent, and whether a further part is waiting.
+    pub(crate) fn send(&self, id: ConnectionId, waiting: bool) {
+        self.lock().budget.send(id, waiting, Instant::now());
+    }
+
     pub(crate) fn hold(&self, id: ConnectionId, bytes: usize) -> Result<(), ShortOfMemory> {
         let mut state = self.lock();
         let victims = state.budget.hold(id, bytes, Instant::now())?;
-        state.close_all(victims.into_iter().map(|victim| (victim, CloseCause::Stalled)));
+        self.close_all(&mut state, victims.into_iter().map(|victim| (victim, CloseCause::Stalled)));
         Ok(())
     }
 
@@ -180,7 +203,7 @@
         let limits = self.limits();
         let mut state = self.lock();
         let closed = state.budget.sweep(Instant::now(), &limits, stopping);
-        state.close_all(closed);
+        self.close_all(&mut state, closed);
     }
 
     /// Updates the metrics, and logs the connections that were closed since the last call.
@@ -205,6 +228,20 @@
         }
     }
 
+    fn close_all(
+        &self,
+        state: &mut State,
+        closed: impl IntoIterator<Item = (ConnectionId, CloseCause)>,
+    ) {
+        for (id, cause) in closed {
+            state.count(cause);
+            if let Some(close) = state.close.remove(&id) {
+                close.send_replace(Some(cause));
+                self.closing.send_modify(|closing| *closing += 1);
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -214,13 +251,4 @@
     fn count(&mut self, cause: CloseCause) {
         *self.causes.entry(cause).or_default() += 1;
     }
-
-    fn close_all(&mut self, closed: impl IntoIterator<Item = (ConnectionId, CloseCause)>) {
-        for (id, cause) in closed {
-            self.count(cause);
-            if let Some(close) = self.close.remove(&id) {
-                close.send_replace(Some(cause));
-            }
-        }
-    }
 }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -13,6 +13,8 @@
 pub use body_limit::BodyLimit;
 use client_connections::Ticket;
 pub use client_connections::{ClientConnections, ConnectionSettings};
-pub use memory_budget::{CloseCause, ConnectionId, MemoryBudget, Phase, ShortOfMemory};
+pub use memory_budget::{
+    CloseCause, ConnectionId, ListenerKind, MemoryBudget, Phase, ShortOfMemory,
+};
 pub use request_limits::{RequestLimitSource, RequestLimits};
 pub use server::{ServerSettings, serve};
--- a/crates/connections/src/memory_budget.rs
+++ b/crates/connections/src/memory_budget.rs
@@ -23,7 +23,7 @@
 /// A body below the minimum rate for this time counts as stalled.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// A connection from which nothing was received for this time counts as stalled.
+/// A connection on which nothing was received, or could be sent, for this time counts as stalled.
 const SILENCE: Duration = Duration::from_secs(2);
 
 /// Time between two checks. Longer pauses count as one of them.
@@ -36,6 +36,21 @@
 /// Identifies a connection within a process.
 pub type ConnectionId = u64;
 
+/// Places for checks beside those for requests. A balancer and the operators of an entry have a few
+/// connections each.
+const CHECK_PLACES: usize = 16;
+
+/// Whose connections a listener accepts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ListenerKind {
+    /// The balancer's checks and operators. They have places of their own, so that the process does not
+    /// fail its checks because clients take all others.
+    Checks,
+    /// Clients.
+    #[default]
+    Requests,
+}
+
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -83,18 +98,27 @@
     buffer: usize,
     head_bytes: usize,
     held: usize,
-    last_received: Instant,
+    /// Time of the last byte that was received or, while an answer is written, sent.
+    last_active: Instant,
+    listener: ListenerKind,
     peer: IpAddr,
     phase: Phase,
     phase_since: Instant,
     /// Start of the first of the latest windows in which the rate was below the minimum.
     slow_since: Option<Instant>,
     window: (Instant, usize),
+    /// Whether a part of an answer is waiting until the client reads.
+    writing: bool,
 }
 
 impl Connection {
+    /// Reports whether no request and no answer is in progress.
+    fn idle(&self) -> bool {
+        self.phase == Phase::Idle && !self.writing
+    }
+
     fn stalled(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.last_received) >= SILENCE;
+        let silent = now.saturating_duration_since(self.last_active) >= SILENCE;
         self.phase != Phase::Serving
             && (silent || self.phase == Phase::Body && self.slow_since.is_some())
     }
@@ -102,7 +126,7 @@
     fn enter(&mut self, phase: Phase, now: Instant) {
         self.phase = phase;
         self.phase_since = now;
-        self.last_received = now;
+        self.last_active = now;
         self.slow_since = None;
         self.window = (now, 0);
     }
@@ -110,7 +134,7 @@
     /// Leaves out a time in which the process did not run.
     fn skip(&mut self, pause: Duration, now: Instant) {
         if pause > Duration::ZERO {
-            self.last_received = (self.last_received + pause).min(now);
+            self.last_active = (self.last_active + pause).min(now);
             self.phase_since = (self.phase_since + pause).min(now);
             self.window.0 = (self.window.0 + pause).min(now);
             if pause >= LONG_PAUSE {
@@ -125,7 +149,7 @@
     fn expired(&self, now: Instant, limits: &RequestLimits) -> Option<CloseCause> {
         let (in_phase, silent) = (
             now.saturating_duration_since(self.phase_since),
-            now.saturating_duration_since(self.last_received),
+            now.saturating_duration_since(self.last_active),
         );
         let slow = self.slow_since.map(|since| now.saturating_duration_since(since));
         let slow = slow.unwrap_or_default();
@@ -168,17 +192,26 @@
         self.held
     }
 
-    /// Adds a connection from `peer`. Returns its id, and the connection that is closed for it if there
-    /// is no other place; `None` if there is none. A stalled connection is closed first. Otherwise a peer
-    /// with more than half of the places yields to one with less, so that no peer locks out another.
+    /// Adds a connection from `peer`. Returns its id, and the connection of the same kind of listener
+    /// that is closed for it if there is no other place; `None` if there is none. A stalled connection is
+    /// closed first, then the one that is idle longest. Otherwise a peer with more than half of the places
+    /// yields to one with less, so that no peer locks out another.
     pub fn open(
         &mut self,
         peer: IpAddr,
+        listener: ListenerKind,
         now: Instant,
     ) -> Option<(ConnectionId, Option<ConnectionId>)> {
+        let places = match listener {
+            ListenerKind::Checks => CHECK_PLACES,
+            ListenerKind::Requests => self.max_connections,
+        };
         let mut victim = None;
-        if self.connections.len() >= self.max_connections {
-            let id = self.stalled_longest(now).or_else(|| self.oldest_of_largest_peer(peer))?;
+        if self.of(listener).count() >= places {
+            let stalled = self.longest(listener, |other| other.stalled(now));
+            let id = stalled
+                .or_else(|| self.longest(listener, Connection::idle))
+                .or_else(|| self.oldest_of_largest_peer(listener, places, peer))?;
             self.close(id);
             victim = Some(id);
         }
@@ -188,34 +221,50 @@
             buffer: BASE_BYTES,
             head_bytes: 0,
             held: 0,
-            last_received: now,
+            last_active: now,
+            listener,
             peer,
             phase: Phase::Idle,
             phase_since: now,
             slow_since: None,
             window: (now, 0),
+            writing: false,
         };
         self.connections.insert(id, connection);
         Some((id, victim))
     }
 
-    fn stalled_longest(&self, now: Instant) -> Option<ConnectionId> {
-        let stalled = self.connections.iter().filter(|(_, other)| other.stalled(now));
-        stalled.min_by_key(|(_, other)| other.last_received).map(|(id, _)| *id)
+    fn of(&self, listener: ListenerKind) -> impl Iterator<Item = (&ConnectionId, &Connection)> {
+        self.connections.iter().filter(move |(_, connection)| connection.listener == listener)
+    }
+
+    /// Returns the matching connection on which nothing has happened for the longest time.
+    fn longest(
+        &self,
+        listener: ListenerKind,
+        matches: impl Fn(&Connection) -> bool,
+    ) -> Option<ConnectionId> {
+        let matching = self.of(listener).filter(|(_, connection)| matches(connection));
+        matching.min_by_key(|(_, connection)| connection.last_active).map(|(id, _)| *id)
     }
 
     /// Returns the oldest connection of the peer that has more than half of the places, if it is not
     /// `newcomer`. Connections whose request is served are left out.
-    fn oldest_of_largest_peer(&self, newcomer: IpAddr) -> Option<ConnectionId> {
+    fn oldest_of_largest_peer(
+        &self,
+        listener: ListenerKind,
+        places: usize,
+        newcomer: IpAddr,
+    ) -> Option<ConnectionId> {
         let mut counts: BTreeMap<IpAddr, usize> = BTreeMap::new();
-        for connection in self.connections.values() {
+        for (_, connection) in self.of(listener) {
             *counts.entry(connection.peer).or_default() += 1;
         }
         let (largest, count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
-        if largest == newcomer || count * 2 <= self.max_connections {
+        if largest == newcomer || count * 2 <= places {
             return None;
         }
-        let mut others = self.connections.iter();
+        let mut others = self.of(listener);
         let oldest =
             others.find(|(_, other)| other.peer == largest && other.phase != Phase::Serving);
         oldest.map(|(id, _)| *id)
@@ -255,7 +304,7 @@
         if connection.phase == Phase::Idle {
             connection.enter(Phase::Head, now);
         }
-        connection.last_received = now;
+        connection.last_active = now;
         connection.window.1 += bytes;
         if connection.phase != Phase::Head {
             return Ok(Vec::new());
@@ -269,6 +318,15 @@
         self.hold(id, missing, now)
     }
 
+    /// Records that a part of an answer was sent; `waiting` tells whether a further part is waiting until
+    /// the client reads.
+    pub fn send(&mut self, id: ConnectionId, waiting: bool, now: Instant) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.last_active = now;
+            connection.writing = waiting;
+        }
+    }
+
     /// Adds `bytes` to what a connection holds. If too few are left, the stalled connections that hold
     /// most are closed and returned.
     ///
--- a/crates/connections/src/server.rs
+++ b/crates/connections/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::memory_budget::BASE_BYTES;
 use crate::stream::CountedStream;
-use crate::{ClientConnections, CloseCause, Phase, Ticket};
+use crate::{ClientConnections, CloseCause, ListenerKind, Phase, Ticket};
 
 /// Maximum number of header lines of a request.
 const MAX_HEADERS: usize = 100;
@@ -40,6 +40,7 @@
 pub struct ServerSettings {
     /// Time for open requests to finish after the server has stopped accepting connections.
     grace: Duration,
+    listener: ListenerKind,
     /// Sent before a connection is closed because a head was not complete in time.
     timeout_response: &'static [u8],
 }
@@ -51,6 +52,11 @@
         Self::default()
     }
 
+    /// Returns the settings for the balancer's checks and operators, which have places of their own.
+    pub fn for_checks(self) -> Self {
+        Self { listener: ListenerKind::Checks, ..self }
+    }
+
     /// Sets the time for open requests to finish after the server has stopped accepting connections.
     pub fn with_grace(self, grace: Duration) -> Self {
         Self { grace, ..self }
@@ -83,12 +89,12 @@
         tokio::select! {
             () = &mut stop => break,
             Some(_) = tasks.join_next() => {}
-            accepted = listener.accept() => match accepted {
+            accepted = accept(&listener, &connections) => match accepted {
                 Ok((stream, peer)) => {
                     // Without TCP_NODELAY, the end of a large response waits for the client's delayed
                     // acknowledgement.
                     let _ = stream.set_nodelay(true);
-                    let Some(ticket) = connections.open(peer.ip()) else { continue };
+                    let Some(ticket) = connections.open(peer.ip(), settings.listener) else { continue };
                     let ticket = Arc::new(ticket);
                     let response = settings.timeout_response;
                     let (endpoint, stopped) = (endpoint.clone(), stopped.clone());
@@ -112,6 +118,14 @@
     Ok(())
 }
 
+async fn accept(
+    listener: &TcpListener,
+    connections: &ClientConnections,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    connections.wait_closed().await;
+    listener.accept().await
+}
+
 struct AcceptedConnection {
     local: SocketAddr,
     peer: SocketAddr,
@@ -126,7 +140,8 @@
         timeout_response: &'static [u8],
         mut stopped: watch::Receiver<bool>,
     ) {
-        let Self { local, peer, stream, ticket } = self;
+        // The socket is dropped before the ticket, which tells that it is closed.
+        let Self { local, peer, ticket, stream } = self;
         // A connection takes a buffer only when its first bytes are there.
         tokio::select! {
             ready = stream.readable() => if ready.is_err() { return },
@@ -152,7 +167,7 @@
             }
             .boxed()
         });
-        let io = TokioIo::new(CountedStream { stream, ticket: ticket.clone() });
+        let io = TokioIo::new(CountedStream::new(stream, ticket.clone()));
         // The header time of hyper also counts while a connection is idle, so that the budget limits
         // the time of a head instead.
         let mut connection = http1::Builder::new()
--- a/crates/connections/src/stream.rs
+++ b/crates/connections/src/stream.rs
@@ -15,6 +15,27 @@
 pub struct CountedStream {
     pub stream: TcpStream,
     pub ticket: Arc<Ticket>,
+    /// Whether a part of an answer has to wait until the client reads.
+    waiting: bool,
+}
+
+impl CountedStream {
+    pub fn new(stream: TcpStream, ticket: Arc<Ticket>) -> Self {
+        Self { stream, ticket, waiting: false }
+    }
+
+    /// Records the result of a write. The connection counts as writing from the first part of an answer
+    /// that has to wait until all of it has been written.
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        if self.waiting && result.is_pending() {
+            return;
+        }
+        if self.waiting || result.is_pending() {
+            self.waiting = true;
+            let Ticket { connections, id, .. } = &*self.ticket;
+            connections.send(*id, true);
+        }
+    }
 }
 
 impl AsyncRead for CountedStream {
@@ -42,7 +63,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -50,14 +73,21 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
+    /// Hyper flushes when all parts of an answer have been written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if std::mem::take(&mut self.waiting) {
+            let Ticket { connections, id, .. } = &*self.ticket;
+            connections.send(*id, false);
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/connections/tests/memory_budget.rs
+++ b/crates/connections/tests/memory_budget.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::{Gen, QuickCheck};
 use skylarkpulley_connections::{
-    CloseCause, ConnectionId, MemoryBudget, Phase, RequestLimits, ShortOfMemory,
+    CloseCause, ConnectionId, ListenerKind, MemoryBudget, Phase, RequestLimits, ShortOfMemory,
 };
 
 const BODY: usize = 262_144;
@@ -34,7 +34,18 @@
     }
 
     fn open(&mut self) -> ConnectionId {
-        self.budget.open(peer(1), self.now).expect("a place").0
+        self.open_from(1).expect("a place").0
+    }
+
+    fn open_from(&mut self, number: u8) -> Option<(ConnectionId, Option<ConnectionId>)> {
+        self.budget.open(peer(number), ListenerKind::Requests, self.now)
+    }
+
+    /// Opens a connection that has sent a part of a head.
+    fn open_head(&mut self, number: u8) -> Option<(ConnectionId, Option<ConnectionId>)> {
+        let opened = self.open_from(number)?;
+        self.budget.receive(opened.0, 10, self.now).expect("memory");
+        Some(opened)
     }
 
     /// Opens a connection that reads a body.
@@ -127,31 +138,80 @@
 #[test]
 fn open_full() {
     let mut rig = Rig::new(1 << 20, 2);
-    let first = rig.open();
-    rig.open();
-    assert_eq!(rig.budget.open(peer(1), rig.now), None, "none is stalled");
+    let (first, _) = rig.open_head(1).expect("a place");
+    rig.open_head(1).expect("a place");
+    assert_eq!(rig.open_from(1), None, "none is stalled or idle");
     rig.now += seconds(2.0);
-    let (_, victim) = rig.budget.open(peer(1), rig.now).expect("a place");
+    let (_, victim) = rig.open_from(1).expect("a place");
     assert_eq!(victim, Some(first));
 }
 
+/// Guards against clients that keep all places by sending a request now and then.
+#[test]
+fn open_idle() {
+    let mut rig = Rig::new(1 << 20, 3);
+    let served = rig.open();
+    rig.budget.enter(served, Phase::Serving, rig.now);
+    let first = rig.open();
+    rig.now += seconds(0.5);
+    let second = rig.open();
+    rig.budget.enter(first, Phase::Idle, rig.now + seconds(0.1));
+    rig.now += seconds(0.2);
+    assert_eq!(rig.open_head(1).expect("a place").1, Some(second), "idle for longer");
+    assert_eq!(rig.open_head(1).expect("a place").1, Some(first));
+    assert_eq!(rig.open_head(1), None, "a request is in progress on each");
+}
+
+/// Guards against cutting off an answer that the client is reading, and against waiting for a client
+/// that does not read.
+#[test]
+fn open_unread_answer() {
+    let mut rig = Rig::new(1 << 20, 1);
+    let id = rig.open();
+    rig.budget.send(id, true, rig.now);
+    rig.now += seconds(1.5);
+    assert_eq!(rig.open_head(1), None, "the answer is being written");
+    rig.budget.send(id, true, rig.now);
+    rig.now += seconds(1.5);
+    assert_eq!(rig.open_head(1), None, "the client reads");
+    rig.now += seconds(0.5);
+    assert_eq!(rig.open_head(1).expect("a place").1, Some(id));
+}
+
+/// Guards against checks that find no place because clients hold all of them, and the reverse.
+#[test]
+fn open_checks() {
+    let mut rig = Rig::new(1 << 20, 2);
+    rig.open_head(1).expect("a place");
+    rig.open_head(1).expect("a place");
+    let open_check = |rig: &mut Rig| {
+        let opened = rig.budget.open(peer(1), ListenerKind::Checks, rig.now);
+        opened.inspect(|(id, _)| drop(rig.budget.receive(*id, 10, rig.now)))
+    };
+    for _ in 0..16 {
+        assert!(open_check(&mut rig).is_some_and(|(_, victim)| victim.is_none()));
+    }
+    assert_eq!(open_check(&mut rig), None, "places for checks are limited");
+    assert_eq!(rig.open_from(1), None, "checks use no places of requests");
+}
+
 /// Guards against one peer that takes the places of others, and against limiting a load balancer
 /// through which all callers come.
 #[test]
 fn open_peers() {
     let mut rig = Rig::new(1 << 20, 10);
-    rig.budget.open(peer(2), rig.now).expect("a place");
-    let oldest = rig.open();
+    rig.open_head(2).expect("a place");
+    let (oldest, _) = rig.open_head(1).expect("a place");
     for _ in 0..8 {
-        rig.open();
+        rig.open_head(1).expect("a place");
     }
-    assert_eq!(rig.budget.open(peer(1), rig.now), None, "a peer does not displace itself");
+    assert_eq!(rig.open_from(1), None, "a peer does not displace itself");
     for _ in 0..4 {
-        let (_, victim) = rig.budget.open(peer(2), rig.now).expect("a place");
+        let (_, victim) = rig.open_head(2).expect("a place");
         assert!(victim.is_some_and(|id| id >= oldest), "the larger peer yields");
     }
-    assert_eq!(rig.budget.open(peer(2), rig.now), None, "half of the places each");
-    assert_eq!(rig.budget.open(peer(1), rig.now), None, "half of the places each");
+    assert_eq!(rig.open_from(2), None, "half of the places each");
+    assert_eq!(rig.open_from(1), None, "half of the places each");
 }
 
 /// Guards against closing clients within the documented times, and against keeping others.
@@ -249,9 +309,7 @@
             let id = open.get(usize::from(connection) % open.len().max(1)).copied().unwrap_or(0);
             let bytes = usize::from(bytes) * 4;
             match call % 7 {
-                0 | 1 => {
-                    open.extend(rig.budget.open(peer(connection % 3), rig.now).map(|new| new.0))
-                }
+                0 | 1 => open.extend(rig.open_from(connection % 3).map(|new| new.0)),
                 2 => drop(rig.budget.receive(id, bytes, rig.now)),
                 3 => drop(rig.budget.hold(id, bytes, rig.now)),
                 4 => rig.budget.enter(id, Phase::Body, rig.now),
