Read what a client still sends after a refusal

Seen by callers: a refusal that was sent while the body was still arriving could be lost with a reset of the connection; the caller then did not know that nothing was run. Cause: the socket was closed with the rest of the request unread or on its way, by which the kernel resets the connection. Clients that write first and read later lose the answer. Change: after an answer to a request that was not read to its end, the server ends its side of the connection and discards what the client still sends, until 2 s of silence, for 10 s at most. Such a connection yields its place and memory to others at once. Why: the client can write all that it declared, sees the end of the answer, and closes by itself.

--- a/crates/connections/src/body.rs
+++ b/crates/connections/src/body.rs
@@ -70,5 +70,8 @@
         body.extend_from_slice(&part);
     }
     enter(Phase::Serving);
+    if let Some(ticket) = &ticket {
+        ticket.set_body_unread(false);
+    }
     Ok(body.into())
 }
--- a/crates/connections/src/client_connections.rs
+++ b/crates/connections/src/client_connections.rs
@@ -76,12 +76,22 @@
 
 /// A connection that counts. It returns what it holds when it is dropped.
 pub struct Ticket {
+    /// Whether a part of the body of the last request may not have been read.
+    body_unread: AtomicBool,
     pub connections: Arc<ClientConnections>,
     closed: watch::Receiver<Option<CloseCause>>,
     pub id: ConnectionId,
 }
 
 impl Ticket {
+    pub(crate) fn body_unread(&self) -> bool {
+        self.body_unread.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_body_unread(&self, unread: bool) {
+        self.body_unread.store(unread, Ordering::Relaxed);
+    }
+
     /// Waits until the connection has to be closed, and returns the reason.
     pub(crate) async fn closed(&self) -> CloseCause {
         let mut closed = self.closed.clone();
@@ -169,7 +179,8 @@
         self.close_all(&mut state, victim.map(|victim| (victim, CloseCause::Stalled)));
         let (close, closed) = watch::channel(None);
         state.close.insert(id, close);
-        Some(Ticket { connections: self.clone(), closed, id })
+        let body_unread = AtomicBool::new(false);
+        Some(Ticket { body_unread, connections: self.clone(), closed, id })
     }
 
     pub(crate) fn enter(&self, id: ConnectionId, phase: Phase) {
--- a/crates/connections/src/memory_budget.rs
+++ b/crates/connections/src/memory_budget.rs
@@ -26,6 +26,10 @@
 /// A connection on which nothing was received, or could be sent, for this time counts as stalled.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// Longest time for which a connection is read after its last answer. A body of the default limit takes
+/// this time at 26 KB/s.
+const MAX_CLOSING: Duration = Duration::from_secs(10);
+
 /// Time between two checks. Longer pauses count as one of them.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -62,6 +66,8 @@
     Serving,
     /// The handler reads the body of a request.
     Body,
+    /// The last answer was sent, and what the client still sends is discarded.
+    Closing,
 }
 
 /// Reason for which a connection is closed.
@@ -119,8 +125,12 @@
 
     fn stalled(&self, now: Instant) -> bool {
         let silent = now.saturating_duration_since(self.last_active) >= SILENCE;
-        self.phase != Phase::Serving
-            && (silent || self.phase == Phase::Body && self.slow_since.is_some())
+        match self.phase {
+            Phase::Serving => false,
+            Phase::Body => silent || self.slow_since.is_some(),
+            Phase::Closing => true,
+            Phase::Head | Phase::Idle => silent,
+        }
     }
 
     fn enter(&mut self, phase: Phase, now: Instant) {
@@ -157,6 +167,9 @@
             Phase::Idle if silent >= limits.idle_timeout => Some(CloseCause::Idle),
             Phase::Head if in_phase >= limits.head_timeout => Some(CloseCause::HeadTime),
             Phase::Body if slow >= limits.slow_body_timeout => Some(CloseCause::SlowBody),
+            Phase::Closing if silent >= SILENCE || in_phase >= MAX_CLOSING => {
+                Some(CloseCause::Idle)
+            }
             _ => None,
         }
     }
--- a/crates/connections/src/server.rs
+++ b/crates/connections/src/server.rs
@@ -1,17 +1,19 @@
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::FutureExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use poem::http::uri::Scheme;
 use poem::web::{LocalAddr, RemoteAddr};
 use poem::{Endpoint, Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -26,6 +28,9 @@
 /// Pause after a connection could not be accepted, for example because descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BYTES: usize = 4096;
+
 /// Marks a connection as idle when its request has ended.
 struct ServedRequest(Arc<Ticket>);
 
@@ -157,6 +162,7 @@
         let service = service_fn(move |request: hyper::Request<Incoming>| {
             let (endpoint, ticket) = (endpoint.clone(), served.clone());
             async move {
+                ticket.set_body_unread(!request.body().is_end_stream());
                 ticket.connections.enter(ticket.id, Phase::Serving);
                 let served = ServedRequest(ticket);
                 let addresses = (LocalAddr(local.into()), RemoteAddr(peer.into()));
@@ -177,20 +183,42 @@
             .max_headers(MAX_HEADERS)
             .serve_connection(io, service);
         let mut stopping = false;
-        let cause = loop {
+        let ended = loop {
             tokio::select! {
-                _ = &mut connection => return,
-                cause = ticket.closed() => break cause,
+                result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                    break Ok(result);
+                }
+                cause = ticket.closed() => break Err(cause),
                 _ = stopped.wait_for(|stopped| *stopped), if !stopping => {
                     stopping = true;
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
         };
-        if cause == CloseCause::HeadTime && !timeout_response.is_empty() {
+        let mut stream = connection.into_parts().io.into_inner();
+        match ended {
+            Ok(result) if result.is_err() || ticket.body_unread() => {
+                discard_rest(&mut stream, &ticket).await;
+            }
             // A client that does not read sees the connection close without the response.
-            let stream = connection.into_parts().io.into_inner().stream;
-            let _ = stream.try_write(timeout_response);
+            Err(CloseCause::HeadTime) => drop(stream.stream.try_write(timeout_response)),
+            _ => {}
         }
     }
 }
+
+/// Reads what the client still sends after its last answer, within the time that the budget sets. Closing
+/// the socket before that would reset the connection, by which the client may lose the answer.
+async fn discard_rest(stream: &mut CountedStream, ticket: &Ticket) {
+    ticket.connections.enter(ticket.id, Phase::Closing);
+    let mut buffer = [0; DISCARD_BYTES];
+    let discard = async {
+        stream.shutdown().await?;
+        while stream.read(&mut buffer).await? > 0 {}
+        Ok::<(), io::Error>(())
+    };
+    tokio::select! {
+        _ = discard => {}
+        _ = ticket.closed() => {}
+    }
+}
--- a/crates/connections/tests/memory_budget.rs
+++ b/crates/connections/tests/memory_budget.rs
@@ -289,6 +289,29 @@
     }
 }
 
+/// Guards against clients that send for ever after their last answer, and against places that are kept
+/// for them.
+#[test]
+fn sweep_closing() {
+    let mut rig = Rig::new(1 << 20, 3);
+    let [silent, sending, yielding] = [(); 3].map(|()| {
+        let id = rig.open();
+        rig.budget.enter(id, Phase::Closing, rig.now);
+        id
+    });
+    rig.now += seconds(0.25);
+    rig.budget.receive(silent, 10, rig.now).expect("memory");
+    rig.budget.receive(sending, 10, rig.now).expect("memory");
+    assert_eq!(rig.open_head(1).expect("a place").1, Some(yielding));
+    let mut closed = Vec::new();
+    for _ in 0..20 {
+        closed.extend(rig.pass(0.5, false));
+        drop(rig.budget.receive(sending, 10, rig.now));
+    }
+    let expected = [(silent, CloseCause::Idle), (sending, CloseCause::Idle)];
+    assert_eq!(closed[..2], expected);
+}
+
 /// Guards against a shutdown that waits for stalled clients.
 #[test]
 fn sweep_stopping() {
