Let requests that arrive slowly yield to others

Seen by callers: clients that feed one byte every second, or bodies at just over 4 KB/s, kept their places for the whole time of a head and their memory for over a minute; further callers were refused with 503 or not accepted, also with small submissions. Cause: only silent connections and bodies below the minimum rate yielded, and small bodies had to share what large ones may hold. Change: when a place or memory is needed, heads yield after 2 s and bodies after 5 s, behind those that are stalled. Bodies of up to 8 KB may use the quarter of the memory that large bodies leave, and a body of unknown length grows from 8 KB instead of 32 KB. Evidence: open_slow_head, hold_long_body and hold_small_body failed on the code before ('a place', ShortOfMemory twice) and pass now. Why: nothing changes in calm; under shortage a client that feeds slowly is displaced by the next ordinary request.

--- a/crates/connections/src/body.rs
+++ b/crates/connections/src/body.rs
@@ -7,8 +7,9 @@
 
 use crate::{Phase, ShortOfMemory, Ticket};
 
-/// Memory by which a body of unknown length grows.
-const STEP_BYTES: usize = 32_768;
+/// Least and largest memory by which a body of unknown length grows. A small body takes no more than its
+/// declared length would.
+const STEP_BYTES: (usize, usize) = (8192, 32_768);
 
 /// Reason for which a body is not read.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -62,7 +63,8 @@
             return Err(BodyError::TooLarge);
         }
         if length > reserved {
-            let step = (length - reserved).next_multiple_of(STEP_BYTES);
+            let step = reserved.clamp(STEP_BYTES.0, STEP_BYTES.1);
+            let step = (length - reserved).next_multiple_of(step);
             hold(step)?;
             reserved += step;
             body.reserve_exact(reserved - body.len());
--- a/crates/connections/src/memory_budget.rs
+++ b/crates/connections/src/memory_budget.rs
@@ -33,8 +33,15 @@
 /// Time between two checks. Longer pauses count as one of them.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Part of the budget that bodies leave to heads, as a divisor. Requests without a body, such as
-/// readiness checks, are then answered while bodies hold all that they may.
+/// Time after which a head that is not complete yields to others. Ordinary clients send it in one piece.
+const LONG_HEAD: Duration = Duration::from_secs(2);
+
+/// Time after which a body that is not complete yields to others. A body of the default limit is complete
+/// by then at 52 KB/s.
+const LONG_BODY: Duration = Duration::from_secs(5);
+
+/// Part of the budget that large bodies leave to heads and small bodies, as a divisor. Ordinary requests
+/// are then answered while large bodies hold all that they may.
 const HEAD_SHARE: usize = 4;
 
 /// Identifies a connection within a process.
@@ -82,7 +89,7 @@
     /// The body arrived too slowly.
     #[display("slow-body")]
     SlowBody,
-    /// It was stalled while others needed its memory or its place.
+    /// It was stalled, or its request took long, while others needed its memory or its place.
     #[display("stalled")]
     Stalled,
     /// There was no place for it.
@@ -133,6 +140,14 @@
         }
     }
 
+    /// Reports whether the connection is closed when another one needs its place or its memory.
+    fn yields(&self, now: Instant) -> bool {
+        let in_phase = now.saturating_duration_since(self.phase_since);
+        self.stalled(now)
+            || self.phase == Phase::Head && in_phase >= LONG_HEAD
+            || self.phase == Phase::Body && in_phase >= LONG_BODY
+    }
+
     fn enter(&mut self, phase: Phase, now: Instant) {
         self.phase = phase;
         self.phase_since = now;
@@ -206,7 +221,7 @@
     }
 
     /// Adds a connection from `peer`. Returns its id, and the connection of the same kind of listener
-    /// that is closed for it if there is no other place; `None` if there is none. A stalled connection is
+    /// that is closed for it if there is no other place; `None` if there is none. A stalled or long one is
     /// closed first, then the one that is idle longest. Otherwise a peer with more than half of the places
     /// yields to one with less, so that no peer locks out another.
     pub fn open(
@@ -221,8 +236,8 @@
         };
         let mut victim = None;
         if self.of(listener).count() >= places {
-            let stalled = self.longest(listener, |other| other.stalled(now));
-            let id = stalled
+            let yielding = self.longest(listener, |other| other.yields(now));
+            let id = yielding
                 .or_else(|| self.longest(listener, Connection::idle))
                 .or_else(|| self.oldest_of_largest_peer(listener, places, peer))?;
             self.close(id);
@@ -340,11 +355,11 @@
         }
     }
 
-    /// Adds `bytes` to what a connection holds. If too few are left, the stalled connections that hold
-    /// most are closed and returned.
+    /// Adds `bytes` to what a connection holds. If too few are left, stalled connections and then those
+    /// whose requests take long are closed and returned, each with the ones first that hold most.
     ///
     /// # Errors
-    /// [`ShortOfMemory`] when closing all stalled connections would not suffice. None is closed then.
+    /// [`ShortOfMemory`] when closing all of them would not suffice. None is closed then.
     pub fn hold(
         &mut self,
         id: ConnectionId,
@@ -352,20 +367,22 @@
         now: Instant,
     ) -> Result<Vec<ConnectionId>, ShortOfMemory> {
         let connection = self.connections.get(&id).ok_or(ShortOfMemory)?;
-        let reserved = if connection.phase == Phase::Head { 0 } else { self.total / HEAD_SHARE };
+        let small = connection.held + bytes <= connection.buffer + BASE_BYTES;
+        let reserved =
+            if small || connection.phase == Phase::Head { 0 } else { self.total / HEAD_SHARE };
         let mut victims = Vec::new();
         let mut excess = (self.held + bytes).saturating_sub(self.total - reserved);
         if excess > 0 {
-            let mut stalled: Vec<(usize, ConnectionId)> = (self.connections.iter())
-                .filter(|(other, connection)| **other != id && connection.stalled(now))
-                .map(|(other, connection)| (connection.held, *other))
-                .filter(|(held, _)| *held > 0)
+            let mut yielding: Vec<(bool, usize, ConnectionId)> = (self.connections.iter())
+                .filter(|(other, connection)| **other != id && connection.yields(now))
+                .map(|(other, connection)| (connection.stalled(now), connection.held, *other))
+                .filter(|(_, held, _)| *held > 0)
                 .collect();
-            if stalled.iter().map(|(held, _)| held).sum::<usize>() < excess {
+            if yielding.iter().map(|(_, held, _)| held).sum::<usize>() < excess {
                 return Err(ShortOfMemory);
             }
-            stalled.sort_unstable_by(|a, b| b.cmp(a));
-            for (held, other) in stalled {
+            yielding.sort_unstable_by(|a, b| b.cmp(a));
+            for (_, held, other) in yielding {
                 if excess == 0 {
                     break;
                 }
--- a/crates/connections/tests/memory_budget.rs
+++ b/crates/connections/tests/memory_budget.rs
@@ -162,6 +162,49 @@
     assert_eq!(rig.open_head(1), None, "a request is in progress on each");
 }
 
+/// Guards against clients that keep all places with heads that arrive byte by byte.
+#[test]
+fn open_slow_head() {
+    let mut rig = Rig::new(1 << 20, 1);
+    let (slow, _) = rig.open_head(1).expect("a place");
+    for _ in 0..4 {
+        assert_eq!(rig.open_head(1), None, "an ordinary head is complete by then");
+        assert_eq!(rig.pass(0.5, false), []);
+        rig.budget.receive(slow, 1, rig.now).expect("memory");
+    }
+    assert_eq!(rig.open_head(1).expect("a place").1, Some(slow));
+}
+
+/// Guards against clients that keep all memory with bodies that arrive at just over the minimum rate.
+#[test]
+fn hold_long_body() {
+    let mut rig = Rig::new(BODIES, 10);
+    let first = rig.open_body(2 * BODY - 2 * BUFFER).expect("memory");
+    rig.now += seconds(0.25);
+    let second = rig.open_body(2 * BODY - 2 * BUFFER).expect("memory");
+    for _ in 0..4 {
+        assert_eq!(rig.pass(1.0, false), []);
+        for id in [first, second] {
+            rig.budget.receive(id, 5000, rig.now).expect("memory");
+        }
+    }
+    assert!(rig.open_body(BODY).is_err(), "both have arrived for less than 5 s");
+    assert_eq!(rig.pass(0.75, false), []);
+    rig.budget.receive(second, 5000, rig.now).expect("memory");
+    let id = rig.open();
+    assert_eq!(rig.budget.hold(id, BODY, rig.now), Ok(vec![first]));
+    assert_eq!(rig.sweep(true), [], "a shutdown leaves them time");
+}
+
+/// Guards against large bodies that leave no memory for ordinary submissions.
+#[test]
+fn hold_small_body() {
+    let mut rig = Rig::new(BODIES, 10);
+    rig.open_body(4 * BODY - BUFFER).expect("memory");
+    assert!(rig.open_body(BUFFER + 1).is_err(), "a quarter is kept for heads and small bodies");
+    rig.open_body(BUFFER).expect("memory for a small body");
+}
+
 /// Guards against cutting off an answer that the client is reading, and against waiting for a client
 /// that does not read.
 #[test]
