Limit what strangers may hold at control listeners

Seen by callers: clients that reach a control listener made an entry of the platform exceed its memory, and took descriptors of all programs without a bound. Cause: tonic's server accepts any number of connections, each with a window of 1 MB, and keeps of each call a message of up to 4 MB that never becomes complete. Change: a connection is a newcomer until a complete message was read from it. At most 64 newcomers are open; others wait in the kernel's queue, and the oldest is closed after 1 s. Messages that are not complete are taken from a budget of 16 MB, and windows are 128 KB. Why: the processes of the system send their first message with the connection, so that only others stay newcomers; waiting in the queue loses no connection when many come at once.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use skylarkpulley_connections::{ClientConnections, ConnectionSettings, RequestLimits};
+use skylarkpulley_connections::{
+    ClientConnections, ConnectionSettings, ControlListener, RequestLimits, control_server,
+};
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::agent_server::AgentServer;
 use skylarkpulley_proto::{AgentClients, MAX_MESSAGE_BYTES, Secret, v1};
@@ -17,8 +19,6 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tonic::service::interceptor::InterceptedService;
-use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
 use crate::Settings;
 use crate::announce_server::serve_announcements;
@@ -215,14 +215,12 @@
             .max_encoding_message_size(MAX_MESSAGE_BYTES);
         let (stop, stopped) = oneshot::channel::<()>();
         self.stop_server = Some(stop);
-        let router = Server::builder()
+        let router = control_server()
             .http2_keepalive_interval(Some(Duration::from_secs(1)))
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            // Without TCP_NODELAY, replies on a new connection are delayed by 40 ms, until the
-            // delayed acknowledgement of the client arrives.
-            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+            let incoming = ControlListener::new(listener).connections();
             let shutdown = async {
                 let _ = stopped.await;
             };
--- a/crates/client-crowd/src/lib.rs
+++ b/crates/client-crowd/src/lib.rs
@@ -3,6 +3,7 @@
 //! its [`Bounds`] and answers afterwards. Nothing that is checked depends on the speed of the machine.
 
 mod active_crowd;
+mod control_crowd;
 mod crowd;
 mod process;
 mod target;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 pub use active_crowd::ActiveCrowd;
+pub use control_crowd::{CONTROL_KINDS, ControlCrowd, ControlKind, ControlTarget};
 pub use crowd::{Crowd, KINDS, Kind};
 pub use process::{Bounds, Process};
 pub use target::Target;
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -1,9 +1,10 @@
 //! Connections of clients that are not trusted: limits on memory, descriptors and time, which all HTTP
-//! listeners of a process share.
+//! listeners of a process share, and limits for its control listener.
 
 mod body;
 mod body_limit;
 mod client_connections;
+mod control;
 mod memory_budget;
 mod request_limits;
 mod server;
@@ -13,6 +14,7 @@
 pub use body_limit::BodyLimit;
 use client_connections::Ticket;
 pub use client_connections::{ClientConnections, ConnectionSettings};
+pub use control::{ControlListener, MessageFraming, control_server};
 pub use memory_budget::{
     CloseCause, ConnectionId, ListenerKind, MemoryBudget, Phase, ShortOfMemory,
 };
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use skylarkpulley_connections::{ControlListener, control_server};
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::MAX_MESSAGE_BYTES;
 use skylarkpulley_proto::v1::coordination_server::CoordinationServer;
@@ -9,8 +10,6 @@
 use skylarkpulley_types::Clock;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::Server;
 
 use crate::calls::JobService;
 use crate::entry_settings::EntrySettings;
@@ -91,12 +90,9 @@
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
             .max_encoding_message_size(MAX_MESSAGE_BYTES);
         tokio::spawn(async move {
-            let incoming = TcpListenerStream::new(listener);
-            if let Err(error) = Server::builder()
-                .tcp_nodelay(true)
-                .add_service(service)
-                .serve_with_incoming(incoming)
-                .await
+            let incoming = ControlListener::new(listener).connections();
+            if let Err(error) =
+                control_server().add_service(service).serve_with_incoming(incoming).await
             {
                 tracing::error!(%error, "control listener failed; peers and agents cannot connect");
             }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use skylarkpulley_connections::{
-    ClientConnections, ConnectionSettings, RequestLimits, ServerSettings, serve,
+    ClientConnections, ConnectionSettings, ControlListener, RequestLimits, ServerSettings,
+    control_server, serve,
 };
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::entry_server::EntryServer;
@@ -16,7 +17,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tonic::service::interceptor::InterceptedService;
-use tonic::transport::server::TcpIncoming;
 
 use crate::Settings;
 use crate::admin_server::{Admin, serve_admin};
@@ -219,14 +219,12 @@
         let server = EntryServer::new(service)
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
             .max_encoding_message_size(MAX_MESSAGE_BYTES);
-        let router = tonic::transport::Server::builder()
+        let router = control_server()
             .http2_keepalive_interval(Some(Duration::from_secs(1)))
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            // Without TCP_NODELAY, replies on a new connection are delayed by 40 ms because they
-            // wait for a delayed acknowledgement.
-            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+            let incoming = ControlListener::new(listener).connections();
             if let Err(error) = router.serve_with_incoming(incoming).await {
                 tracing::error!(%error, "the control listener failed; agents cannot connect");
             }
--- a/crates/entry/tests/untrusted_clients.rs
+++ b/crates/entry/tests/untrusted_clients.rs
@@ -9,7 +9,8 @@
 use skylarkpulley_admin::{ApplyReply, ApplyRequest, Client};
 use skylarkpulley_agent::{Agent, Settings as AgentSettings};
 use skylarkpulley_client_crowd::{
-    Bounds, Crowd, KINDS, Kind, Process, Target, free_addresses, run,
+    Bounds, CONTROL_KINDS, ControlCrowd, ControlKind, ControlTarget, Crowd, KINDS, Kind, Process,
+    Target, free_addresses, run,
 };
 use skylarkpulley_standins::{TableService, Upstream, UpstreamSettings};
 use skylarkpulley_types::SystemClock;
@@ -59,6 +60,7 @@
 struct Rig {
     admin: Target,
     callers: Target,
+    control: ControlTarget,
     process: Process,
     _agent: Agent,
     _store: TableService,
@@ -100,7 +102,8 @@
             body: "an ordinary body",
         };
         callers.expect_answer().await;
-        Self { admin, callers, process, _agent: agent, _store: store, _upstream: upstream }
+        let control = ControlTarget { address: control, path: "/skylarkpulley.v1.Entry/Session" };
+        Self { admin, callers, control, process, _agent: agent, _store: store, _upstream: upstream }
     }
 }
 
@@ -174,6 +177,20 @@
     });
 }
 
+/// Guards against clients of the control listener that do not know the secret: each kept a connection, a
+/// flow-control window of 1 MB and its heads.
+#[test]
+fn control_mixed() {
+    run(async {
+        let mut rig = Rig::start().await;
+        let control = rig.control;
+        let crowds: [&[ControlKind]; 3] =
+            [&[ControlKind::Messages], &[ControlKind::Silent], &CONTROL_KINDS];
+        ControlCrowd::endure(&mut rig.process, control, &crowds, CROWD).await;
+        rig.callers.expect_answer().await;
+    });
+}
+
 /// Guards against a shutdown that waits for clients that never complete their requests.
 #[test]
 fn shutdown_mixed() {
