--- a/crates/client-crowd/src/crowd.rs
+++ b/crates/client-crowd/src/crowd.rs
@@ -70,12 +70,7 @@
             }
         };
         tokio::time::timeout(HANG_LIMIT, all).await.expect("the server reads or closes");
-        let read = async {
-            while unread_bytes(target.address.port()) > 0 {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        tokio::time::timeout(HANG_LIMIT, read).await.expect("the server reads or closes");
+        wait_until_read(target).await;
         Self { open }
     }
 
@@ -93,6 +88,19 @@
     }
 }
 
+/// Waits until the process has read all that was sent to a listener.
+///
+/// # Panics
+/// When it does not within [`HANG_LIMIT`].
+pub async fn wait_until_read(target: &Target) {
+    let read = async {
+        while unread_bytes(target.address.port()) > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(HANG_LIMIT, read).await.expect("the server reads or closes");
+}
+
 /// Sends an unfinished request; returns the connection, which stays open, unless the server has closed
 /// it.
 async fn send_unfinished(target: Target, kind: Kind) -> Option<TcpStream> {
--- a/crates/client-crowd/src/lib.rs
+++ b/crates/client-crowd/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use active_crowd::ActiveCrowd;
 pub use control_crowd::{CONTROL_KINDS, ControlCrowd, ControlKind, ControlTarget};
-pub use crowd::{Crowd, KINDS, Kind};
+pub use crowd::{Crowd, KINDS, Kind, wait_until_read};
 pub use process::{Bounds, Process};
 pub use target::Target;
 
