--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use skylarkpulley_connections::{
-    ClientConnections, ConnectionSettings, ControlListener, RequestLimits, control_server,
+    ClientConnections, ControlListener, RequestLimits, control_server,
 };
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::agent_server::AgentServer;
@@ -15,7 +15,6 @@
 use skylarkpulley_tables::PoolKind;
 use skylarkpulley_telemetry::{Decisions, Event, Metrics};
 use skylarkpulley_types::{AgentId, Clock};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tonic::service::interceptor::InterceptedService;
@@ -91,7 +90,8 @@
             PoolKind::Upstream => agent.start_runner(&settings, metrics).await?,
             PoolKind::Worker => agent.start_gangs(&settings, clients),
         }
-        agent.start_server(listener, secret.clone());
+        let memory_mb = settings.resources().memory_mb;
+        agent.start_server(ControlListener::new(listener, memory_mb), secret.clone());
         agent.start_sessions(&settings, secret, store);
         let text = format!("pool {}: agent {id} started, control address {control}", settings.pool);
         decisions.record(clock.now(), Event::ProcessStarted, &settings.name, &text);
@@ -173,10 +173,8 @@
         let listener = bind(settings.local).await?;
         self.announcement_address = listener.local_addr().ok();
         let limits = RequestLimits { idle_timeout: IDLE_TIMEOUT, ..RequestLimits::default() };
-        let resources =
-            ConnectionSettings { max_fds: settings.max_fds, memory_mb: settings.memory_mb };
-        let connections =
-            ClientConnections::start(resources.or_from_system(), Arc::new(limits), metrics.clone());
+        let resources = settings.resources();
+        let connections = ClientConnections::start(resources, Arc::new(limits), metrics.clone());
         let runner = Runner::new(self.id.incarnation, Arc::clone(&self.clock), metrics);
         self.runner = Some(runner.clone());
         self.tasks.spawn(async move {
@@ -201,7 +199,7 @@
         self.gangs = Some(gangs);
     }
 
-    fn start_server(&mut self, listener: TcpListener, secret: Secret) {
+    fn start_server(&mut self, listener: ControlListener, secret: Secret) {
         let service = AgentService {
             agent: self.id.clone(),
             clock: Arc::clone(&self.clock),
@@ -220,7 +218,7 @@
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            let incoming = ControlListener::new(listener).connections();
+            let incoming = listener.connections();
             let shutdown = async {
                 let _ = stopped.await;
             };
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use skylarkpulley_connections::ConnectionSettings;
 use skylarkpulley_proto::Secret;
 use skylarkpulley_tables::PoolKind;
 use skylarkpulley_telemetry::{LogFormat, SettingsError, load_settings};
@@ -61,6 +62,12 @@
 }
 
 impl Settings {
+    /// Returns the resources that the connections of the process may use.
+    pub fn resources(&self) -> ConnectionSettings {
+        let stated = ConnectionSettings { max_fds: self.max_fds, memory_mb: self.memory_mb };
+        stated.or_from_system()
+    }
+
     /// Reads settings from the TOML file at `path` and checks them.
     ///
     /// # Errors
--- a/crates/connections/src/control/listener.rs
+++ b/crates/connections/src/control/listener.rs
@@ -91,10 +91,19 @@
     next: u64,
 }
 
+impl From<TcpListener> for ControlListener {
+    fn from(listener: TcpListener) -> Self {
+        Self::new(listener, None)
+    }
+}
+
 impl ControlListener {
-    /// Returns the control listener at a socket. Unfinished messages may hold 16 MB together.
-    pub fn new(listener: TcpListener) -> Self {
-        let settings = ConnectionSettings { max_fds: Some(MESSAGE_PLACES), memory_mb: None };
+    /// Returns the control listener at a socket of a VM with the given memory in MB. Unfinished messages
+    /// may hold an eighth of it together, 16 MB if it is not known.
+    pub fn new(listener: TcpListener, memory_mb: Option<f64>) -> Self {
+        // The connections of clients may hold a quarter of what these settings state.
+        let memory_mb = memory_mb.map(|memory| memory / 2.0);
+        let settings = ConnectionSettings { max_fds: Some(MESSAGE_PLACES), memory_mb };
         let limits = Arc::new(RequestLimits::default());
         let messages = ClientConnections::start(settings, limits, Metrics::new());
         Self { listener, messages, newcomers: Arc::default(), next: 0 }
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -8,7 +8,6 @@
 use skylarkpulley_proto::v1::coordination_server::CoordinationServer;
 use skylarkpulley_store::Transactor;
 use skylarkpulley_types::Clock;
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::calls::JobService;
@@ -46,7 +45,7 @@
     /// Starts the tasks of an entry on an open `listener`.
     pub fn start(
         settings: EntrySettings,
-        listener: TcpListener,
+        listener: ControlListener,
         store: Arc<dyn Transactor>,
         source: Arc<dyn TablesSource>,
         policy: Option<Arc<dyn PlacementPolicy>>,
@@ -90,7 +89,7 @@
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
             .max_encoding_message_size(MAX_MESSAGE_BYTES);
         tokio::spawn(async move {
-            let incoming = ControlListener::new(listener).connections();
+            let incoming = listener.connections();
             if let Err(error) =
                 control_server().add_service(service).serve_with_incoming(incoming).await
             {
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -134,7 +134,7 @@
     let (metrics, page) = Metrics::with_page("entry");
     let clock = Arc::new(SystemClock::new());
     let records = Records::new(metrics);
-    let entry = Entry::start(settings, control, store, source, None, clock, records);
+    let entry = Entry::start(settings, control.into(), store, source, None, clock, records);
     let entry = Arc::new(entry);
     tokio::spawn(serve_operators(operators, entry.clone(), page));
     (entry, Client::new(&format!("http://{address}")).expect("a client"))
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use skylarkpulley_connections::{
-    ClientConnections, ConnectionSettings, ControlListener, RequestLimits, ServerSettings,
-    control_server, serve,
+    ClientConnections, ControlListener, RequestLimits, ServerSettings, control_server, serve,
 };
 use skylarkpulley_process::{StartError, bind, new_incarnation, open_metrics};
 use skylarkpulley_proto::v1::entry_server::EntryServer;
@@ -140,7 +139,14 @@
             secret.clone(),
         );
         entry.tasks.spawn(peers.run(discovered_entries));
-        entry.serve_control(listeners.control, secret, config.clone(), jobs.clone());
+        let resources = settings.resources();
+        entry.serve_control(
+            listeners.control,
+            secret,
+            config.clone(),
+            jobs.clone(),
+            resources.memory_mb,
+        );
         let connections = client_connections(&settings, hub.metrics.clone());
         entry.serve_callers(
             listeners.callers,
@@ -214,6 +220,7 @@
         secret: Secret,
         config: ConfigTask,
         jobs: Jobs,
+        memory_mb: Option<f64>,
     ) {
         let service = ControlService::new(Arc::clone(&self.hub), config, jobs);
         let server = EntryServer::new(service)
@@ -224,7 +231,7 @@
             .http2_keepalive_timeout(Some(Duration::from_millis(1500)))
             .add_service(InterceptedService::new(server, secret.verifier()));
         self.tasks.spawn(async move {
-            let incoming = ControlListener::new(listener).connections();
+            let incoming = ControlListener::new(listener, memory_mb).connections();
             if let Err(error) = router.serve_with_incoming(incoming).await {
                 tracing::error!(%error, "the control listener failed; agents cannot connect");
             }
@@ -275,8 +282,7 @@
         slow_body_timeout: Duration::MAX,
         ..RequestLimits::default()
     };
-    let resources = ConnectionSettings { max_fds: settings.max_fds, memory_mb: settings.memory_mb };
-    ClientConnections::start(resources.or_from_system(), Arc::new(limits), metrics)
+    ClientConnections::start(settings.resources(), Arc::new(limits), metrics)
 }
 
 /// Records when the store becomes unavailable and when it is available again.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use skylarkpulley_connections::ConnectionSettings;
 use skylarkpulley_proto::Secret;
 use skylarkpulley_telemetry::{LogFormat, SettingsError, load_settings};
 
@@ -66,6 +67,12 @@
 }
 
 impl Settings {
+    /// Returns the resources that the connections of the process may use.
+    pub fn resources(&self) -> ConnectionSettings {
+        let stated = ConnectionSettings { max_fds: self.max_fds, memory_mb: self.memory_mb };
+        stated.or_from_system()
+    }
+
     /// Reads settings from the TOML file at `path` and checks them.
     ///
     /// # Errors
