Take the descriptor limit of the process into account

Seen by callers: a process whose settings state more descriptors than its shell allows, or leave them out below 1,000, let busy clients use up all of them. No further connection was accepted, not that of the balancer's check either, and none to the store could be opened. Cause: the number of connections came from max_fds, or from 600 without it, alone. Change: it comes from the lower one of max_fds and the limit of the process. The limits that apply are logged at the start. Why: the reserve of 400 descriptors, or as much of it as there is, stays free of clients.

--- a/crates/client-crowd/src/process.rs
+++ b/crates/client-crowd/src/process.rs
@@ -39,10 +39,23 @@
     /// # Panics
     /// When it cannot be started.
     pub fn start(program: &str, args: &[&str], settings: &str, bounds: Bounds) -> Self {
+        Self::spawn(Command::new(program).args(args), settings, bounds)
+    }
+
+    /// As [`Process::start`], for a program that may open at most `limit` descriptors, as its shell has
+    /// set with `ulimit`.
+    ///
+    /// # Panics
+    /// When it cannot be started.
+    pub fn start_limited(program: &str, limit: usize, settings: &str, bounds: Bounds) -> Self {
+        let script = format!("ulimit -n {limit} && exec \"$0\"");
+        Self::spawn(Command::new("sh").args(["-c", &script, program]), settings, bounds)
+    }
+
+    fn spawn(command: &mut Command, settings: &str, bounds: Bounds) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::write(folder.path().join(SETTINGS_FILE), settings).expect("written settings");
-        let child = Command::new(program)
-            .args(args)
+        let child = command
             .current_dir(folder.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/crates/connections/src/client_connections.rs
+++ b/crates/connections/src/client_connections.rs
@@ -50,14 +50,24 @@
             let bytes = info.totalram as f64 * f64::from(info.mem_unit);
             bytes / f64::from(1 << 20)
         };
-        let fds = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         Self {
-            max_fds: self.max_fds.or(fds.map(|fds| fds as f64)),
+            max_fds: self.max_fds.or(descriptor_limit()),
             memory_mb: Some(self.memory_mb.unwrap_or_else(memory)),
         }
     }
 }
 
+/// Returns the number of descriptors that the process may open, if it is limited.
+fn descriptor_limit() -> Option<f64> {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.map(|limit| limit as f64)
+}
+
+/// Returns the number of connections that `max_fds` descriptors allow.
+fn places(max_fds: f64) -> usize {
+    (max_fds as usize).saturating_sub(RESERVED_FDS).max(MIN_CONNECTIONS)
+}
+
 struct State {
     budget: MemoryBudget,
     causes: BTreeMap<CloseCause, u64>,
@@ -120,10 +130,21 @@
         let memory = settings.memory_mb.filter(|memory| *memory > 0.0);
         let budget =
             memory.map_or(DEFAULT_BUDGET, |mb| (mb * f64::from(1 << 20) / MEMORY_SHARE) as usize);
-        let fds = settings.max_fds.filter(|fds| *fds > 0.0);
-        let places = fds.map_or(DEFAULT_CONNECTIONS, |fds| {
-            (fds as usize).saturating_sub(RESERVED_FDS).max(MIN_CONNECTIONS)
-        });
+        let stated = settings.max_fds.filter(|fds| *fds > 0.0);
+        // The limit of the process may be lower than that of the VM.
+        let allowed = descriptor_limit().map_or(usize::MAX, places);
+        let places = stated.map_or(DEFAULT_CONNECTIONS, places).min(allowed);
+        tracing::info!(budget, places, "limits for the connections of clients");
+        Self::start_limited(budget, places, limits, metrics)
+    }
+
+    /// As [`ClientConnections::start`], with a budget in bytes and a number of places.
+    pub(crate) fn start_limited(
+        budget: usize,
+        places: usize,
+        limits: Arc<dyn RequestLimitSource>,
+        metrics: Metrics,
+    ) -> Arc<Self> {
         let state = State {
             budget: MemoryBudget::new(budget, places),
             causes: BTreeMap::new(),
--- a/crates/connections/src/control/listener.rs
+++ b/crates/connections/src/control/listener.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::stream::{ControlPeer, ControlStream};
-use crate::{ClientConnections, ConnectionSettings, RequestLimits};
+use crate::{ClientConnections, RequestLimits};
 
 /// Maximum number of connections that have not sent a complete message. Further ones wait in the queue
 /// of the kernel, so that no process of the system is turned away when many connect at once.
@@ -19,8 +19,14 @@
 /// the system send their first message with the connection.
 const NEWCOMER_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum number of messages that are not complete, as a number of descriptors.
-const MESSAGE_PLACES: f64 = 10_000.0;
+/// Maximum number of messages that are not complete.
+const MAX_MESSAGES: usize = 10_000;
+
+/// Part of the memory of a VM that messages may hold that are not complete, as a divisor.
+const MESSAGE_SHARE: f64 = 8.0;
+
+/// Memory for messages that are not complete when the memory of the VM is not known.
+const DEFAULT_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Pause after a connection could not be accepted, for example because descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -101,11 +107,12 @@
     /// Returns the control listener at a socket of a VM with the given memory in MB. Unfinished messages
     /// may hold an eighth of it together, 16 MB if it is not known.
     pub fn new(listener: TcpListener, memory_mb: Option<f64>) -> Self {
-        // The connections of clients may hold a quarter of what these settings state.
-        let memory_mb = memory_mb.map(|memory| memory / 2.0);
-        let settings = ConnectionSettings { max_fds: Some(MESSAGE_PLACES), memory_mb };
+        let budget = memory_mb
+            .filter(|memory| *memory > 0.0)
+            .map_or(DEFAULT_MESSAGE_BYTES, |mb| (mb * f64::from(1 << 20) / MESSAGE_SHARE) as usize);
         let limits = Arc::new(RequestLimits::default());
-        let messages = ClientConnections::start(settings, limits, Metrics::new());
+        let messages =
+            ClientConnections::start_limited(budget, MAX_MESSAGES, limits, Metrics::new());
         Self { listener, messages, newcomers: Arc::default(), next: 0 }
     }
 
