--- a/crates/client-crowd/src/process.rs
+++ b/crates/client-crowd/src/process.rs
@@ -112,4 +112,13 @@
         };
         tokio::time::timeout(HANG_LIMIT, ended).await.expect("the process ends");
     }
+
+    /// Ends the process at once.
+    ///
+    /// # Panics
+    /// When it has ended by itself before.
+    pub fn kill(&mut self) {
+        assert!(matches!(self.child.try_wait(), Ok(None)), "the process has ended");
+        self.child.kill().and_then(|()| self.child.wait()).expect("a process that can be killed");
+    }
 }
