--- a/crates/client-crowd/src/target.rs
+++ b/crates/client-crowd/src/target.rs
@@ -15,8 +15,8 @@
     pub line: &'static str,
     /// Header lines of a crowd, each with its end.
     pub headers: &'static str,
-    /// Bytes of a body that a client of a crowd sends; the 1024 last ones of the declared length
-    /// follow never.
+    /// Bytes of a body that a client of a crowd sends. The last 1024 bytes of the declared length never
+    /// follow.
     pub body_bytes: usize,
     /// Method of an ordinary request.
     pub method: Method,
--- a/crates/connections/src/server.rs
+++ b/crates/connections/src/server.rs
@@ -57,8 +57,8 @@
         Self::default()
     }
 
-    /// Returns the settings for the balancer's checks and operators, which have places of their own.
-    pub fn for_checks(self) -> Self {
+    /// Serves the balancer's checks or operators, whose connections have places of their own.
+    pub fn with_check_places(self) -> Self {
         Self { listener: ListenerKind::Checks, ..self }
     }
 
--- a/crates/entry/src/admin_server.rs
+++ b/crates/entry/src/admin_server.rs
@@ -53,7 +53,7 @@
     // Tables and jobs are passed to other processes in messages of at most this size.
     let app = BodyLimit::new(app, MAX_MESSAGE_BYTES);
     let forever = std::future::pending();
-    let settings = ServerSettings::new().for_checks();
+    let settings = ServerSettings::new().with_check_places();
     if let Err(error) = serve(listener, app, connections, settings, forever).await {
         tracing::error!(%error, "the operators' interface stopped: its listener failed");
     }
