--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -254,10 +254,12 @@
 }
 
 fn common_fields(name: &str, store: SocketAddr, bounds: Bounds) -> BTreeMap<String, Value> {
-    let fields: [(&str, Value); 11] = [
+    let fields: [(&str, Value); 13] = [
         ("node", name.into()),
         ("ip", "127.0.0.1".into()),
         ("limits.cpu_share", 0.25.into()),
+        ("limits.memory_mb", 260.into()),
+        ("limits.max_fds", 4100.into()),
         ("platform.address", store.to_string().into()),
         ("platform.row_bytes", 65_536.into()),
         ("bounds.hold_max_ms", bounds.hold_max_ms.into()),
