Log size, duration and failure of each transfer of the tables

Change: events 505 tables-received, 506 tables-delayed and 207 request-unlisted, the last two limited to one line a second. No decision changes.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -138,6 +138,12 @@
         self.tables.clone()
     }
 
+    /// Returns the time since the source of the tables last answered this entry; `None` before its first
+    /// answer.
+    pub fn tables_age(&self) -> Option<Duration> {
+        self.availability.borrow().confirmed_at.map(|at| at.elapsed())
+    }
+
     /// Reports whether this entry can serve callers: it has tables, knows a leader that answers,
     /// and is not shutting down. If it is the leader itself, the source of its tables must have
     /// answered recently, and the store must answer.
--- a/crates/coordination/src/tables_task.rs
+++ b/crates/coordination/src/tables_task.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error};
 use skylarkpulley_jobs::JobTables;
 use skylarkpulley_proto::v1;
-use skylarkpulley_telemetry::Event;
+use skylarkpulley_telemetry::{Event, LineLimit};
 use tokio::sync::{mpsc, watch};
 
 use crate::boot_time::boot_time;
@@ -17,6 +17,10 @@
 /// Time limit for fetching the tables from another entry.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time between two log lines about failed transfers from one origin. A poll is repeated several times
+/// a second.
+const DELAY_LINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A failed read of the tables from their source.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 #[display("tables cannot be read: {detail}")]
@@ -94,9 +98,11 @@
     availability: &watch::Sender<TablesAvailability>,
 ) {
     let mut source_reachable = true;
+    let mut delay_lines = LineLimit::new(DELAY_LINE_INTERVAL);
     loop {
         let version = tables.borrow().version;
         let sent_at = boot_time();
+        let sent = Instant::now();
         match source.poll(version).await {
             Ok(answer) => {
                 log_source_change(&mut source_reachable, true, version, "");
@@ -114,6 +120,7 @@
             }
             Err(error) => {
                 log_source_change(&mut source_reachable, false, version, &error.detail);
+                log_delay(&mut delay_lines, "store", version, &error.detail, sent.elapsed());
                 availability.send_modify(|availability| availability.answered = false);
                 tokio::time::sleep(POLL_RETRY_DELAY).await;
             }
@@ -126,13 +133,34 @@
     tables: &watch::Sender<JobTables>,
     mut newer_addresses: mpsc::Receiver<String>,
 ) {
+    let mut delay_lines = LineLimit::new(DELAY_LINE_INTERVAL);
     while let Some(address) = newer_addresses.recv().await {
-        if let Some(newer_tables) = fetch(peers, &address).await {
-            apply_tables(tables, &newer_tables, &address);
+        let sent = Instant::now();
+        match fetch(peers, &address).await {
+            Ok(newer_tables) => apply_tables(tables, &newer_tables, &address),
+            Err(error) => {
+                let version = tables.borrow().version;
+                log_delay(&mut delay_lines, &address, version, &error.detail, sent.elapsed());
+            }
         }
     }
 }
 
+/// Logs a failed transfer from `origin`. `version` is that of the current tables.
+fn log_delay(lines: &mut LineLimit, origin: &str, version: u64, detail: &str, duration: Duration) {
+    let Some(suppressed) = lines.admit(Instant::now()) else { return };
+    let event = Event::TablesDelayed;
+    tracing::warn!(
+        code = event.code(),
+        event = event.name(),
+        origin,
+        version,
+        detail,
+        took_ms = duration.as_millis(),
+        suppressed
+    );
+}
+
 /// Logs a change of whether the source answers. `version` is that of the current tables.
 fn log_source_change(was_reachable: &mut bool, is_reachable: bool, version: u64, detail: &str) {
     if std::mem::replace(was_reachable, is_reachable) == is_reachable {
@@ -161,26 +189,31 @@
     });
 }
 
-async fn fetch(peers: &PeerClients, address: &str) -> Option<JobTables> {
-    let mut client = peers.client(address)?;
+async fn fetch(peers: &PeerClients, address: &str) -> Result<JobTables, TablesSourceError> {
+    let failed = |detail: String| TablesSourceError { detail };
+    let mut client =
+        peers.client(address).ok_or_else(|| failed(format!("{address} is not an address")))?;
+    let sent = Instant::now();
     let call = client.fetch_tables(v1::FetchTablesRequest {});
     let reply = match tokio::time::timeout(FETCH_TIMEOUT, call).await {
         Ok(Ok(reply)) => reply.into_inner(),
-        _ => {
+        Ok(Err(status)) => {
             peers.drop_connection(address);
-            tracing::warn!(address, "newer tables could not be fetched; keeping the current ones");
-            return None;
+            return Err(failed(format!("{}: {}", status.code(), status.message())));
         }
-    };
-    match serde_json::from_slice(&reply.tables) {
-        Ok(tables) => Some(tables),
-        Err(error) => {
-            tracing::warn!(
-                address,
-                %error,
-                "fetched tables cannot be decoded; keeping the current ones"
-            );
-            None
+        Err(_) => {
+            peers.drop_connection(address);
+            return Err(failed(format!("no reply within {} ms", FETCH_TIMEOUT.as_millis())));
         }
-    }
+    };
+    let event = Event::TablesReceived;
+    tracing::info!(
+        code = event.code(),
+        event = event.name(),
+        origin = address,
+        bytes = reply.tables.len(),
+        took_ms = sent.elapsed().as_millis()
+    );
+    serde_json::from_slice(&reply.tables)
+        .map_err(|error| failed(format!("the tables cannot be decoded: {error}")))
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -40,6 +40,7 @@
     RequestRetried = 204, "request-retried", "A request is dispatched again because its attempt was not run or the request is idempotent.";
     RequestCancelled = 205, "request-cancelled", "A caller closed its connection before its request was dispatched.";
     RequestDenied = 206, "request-denied", "A request about a job of another team or route was answered as if the job did not exist.";
+    RequestUnlisted = 207, "request-unlisted", "The tables have no route or no key for a request, which was refused; with the version and age of the tables, at most one line a second.";
     KeyReserved = 210, "key-reserved", "An idempotency key was reserved for one attempt.";
     KeyRepeated = 211, "key-repeated", "A request with an idempotency key that was used before was answered without running it again.";
     RangeAssigned = 212, "range-assigned", "A key range has a new owner or witness.";
@@ -85,6 +86,8 @@
     ConfigApplied = 502, "config-applied", "This process now uses a new version of the tables.";
     ConfigResent = 503, "config-resent", "A delta could not be applied, or its digest differed; the whole document is sent again.";
     ConfigStale = 504, "config-stale", "A version of the tables was ignored because it is lower than the current one or not readable.";
+    TablesReceived = 505, "tables-received", "The tables were received from the store or from another entry, with their size and the time that they took.";
+    TablesDelayed = 506, "tables-delayed", "Newer tables could not be received, and the current version stays in effect; at most one line a second for each origin.";
     StoreUnavailable = 510, "store-unavailable", "The store does not answer.";
     StoreRestored = 511, "store-restored", "The store answers again.";
     StoreReadBack = 512, "store-read-back", "The answer to a write was lost, and its result was determined by a read.";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod decisions;
 mod event;
+mod line_limit;
 mod logging;
 mod metrics;
 mod metrics_page;
@@ -11,6 +12,7 @@
 
 pub use decisions::{Decision, Decisions};
 pub use event::Event;
+pub use line_limit::LineLimit;
 pub use logging::{LogFormat, LogGuard, LogOutput, LogWriter, init_logging};
 pub use metrics::Metrics;
 pub use metrics_page::MetricsPage;
