--- a/crates/coordination/tests/entries/main.rs
+++ b/crates/coordination/tests/entries/main.rs
@@ -7,6 +7,7 @@
 mod rig;
 mod sessions;
 mod store_faults;
+mod tables;
 mod takeovers;
 mod updates;
 mod workers;
