Do not answer callers by tables that the entry knows to be outdated

Cause: an entry is ready as soon as it has any tables. Whether they may be old was asked only where it leads.

--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -142,7 +142,8 @@
         self.leader_failed.notify_one();
     }
 
-    fn is_isolated(&self) -> bool {
+    /// Reports whether neither the leader nor the source of the tables answers this entry.
+    pub(crate) fn is_isolated(&self) -> bool {
         !self.leadership.borrow().reachable && !self.availability.borrow().answered
     }
 
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use skylarkpulley_connections::{ControlListener, control_server};
 use skylarkpulley_jobs::JobTables;
@@ -23,6 +23,7 @@
 use crate::service::{CoordinationService, Shared};
 use crate::store_health::StoreHealth;
 use crate::tables_codec::TablesEncoder;
+use crate::tables_lag::TablesLag;
 use crate::tables_task::{TablesAvailability, TablesSource, follow_tables};
 
 /// A leader whose calls to the store have failed for this long is not ready. By then another entry
@@ -76,6 +77,7 @@
             shutting_down: AtomicBool::new(false),
             tables: tables.clone(),
             tables_encoder: TablesEncoder::new(),
+            tables_lag: TablesLag::new(),
         });
         tokio::spawn(follow_tables(
             source,
@@ -146,19 +148,29 @@
         self.availability.borrow().confirmed_at.map(|at| at.elapsed())
     }
 
-    /// Reports whether this entry can serve callers: it has tables, knows a leader that answers,
-    /// and is not shutting down. If it is the leader itself, the source of its tables must have
-    /// answered recently, and the store must answer.
+    /// Reports whether requests must not be refused or accepted by the tables of this entry: it has none,
+    /// the leader has had newer ones for a while, or neither the leader nor the source of the tables
+    /// answers, so that there may be newer ones.
+    pub fn has_outdated_tables(&self) -> bool {
+        let version = self.tables.borrow().version;
+        version == 0
+            || self.service.is_isolated()
+            || self.shared.tables_lag.is_outdated(version, Instant::now())
+    }
+
+    /// Reports whether this entry can serve callers: its tables are not outdated, it knows a leader
+    /// that answers, and is not shutting down. If it is the leader itself, the source of its tables
+    /// must have answered recently, and the store must answer.
     pub fn is_ready(&self) -> bool {
-        if self.shared.shutting_down.load(Ordering::Relaxed) || self.tables.borrow().version == 0 {
+        if self.shared.shutting_down.load(Ordering::Relaxed) || self.has_outdated_tables() {
             return false;
         }
         let leadership = self.service.leadership();
         if leadership.address.is_empty() || !leadership.reachable {
             return false;
         }
-        // A follower learns of newer tables from the leader, even when the store does not answer,
-        // so the age of its tables is not checked.
+        // A follower learns of newer tables from the leader, even when the store does not answer, so
+        // the time since the store has answered is not checked.
         !leadership.is_local
             || (self
                 .availability
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -314,6 +314,7 @@
     ) -> Option<FollowEnd> {
         let current = versions(&self.tables.borrow());
         let reported = (reply.tables_version, reply.evacuations_version);
+        self.shared.tables_lag.report(reply.tables_version, current.0, Instant::now());
         if is_newer(reported, current) {
             let report = PeerTables { address: record.address.clone(), versions: reported };
             // A full queue means that a fetch is already in progress.
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -18,6 +18,7 @@
 use crate::records::Records;
 use crate::store_health::StoreHealth;
 use crate::tables_codec::TablesEncoder;
+use crate::tables_lag::TablesLag;
 use crate::tables_task::{PeerTables, is_newer, versions};
 
 /// Number of updates that may wait for one agent. Further ones are dropped; an agent that receives
@@ -56,6 +57,8 @@
     pub shutting_down: AtomicBool,
     /// The current tables.
     pub tables: watch::Receiver<JobTables>,
+    /// Versions of the tables that the leader has and this entry has not.
+    pub tables_lag: TablesLag,
     /// Encodes the tables for other entries.
     pub tables_encoder: TablesEncoder,
 }
--- a/crates/coordination/tests/entries/tables.rs
+++ b/crates/coordination/tests/entries/tables.rs
@@ -58,12 +58,11 @@
     leader
 }
 
-/// Starts an entry whose source of the tables never answers.
-async fn start_follower(store: Arc<MemoryTransactor>) -> Arc<Entry> {
+/// Starts an entry that follows the leader.
+async fn start_follower(store: Arc<MemoryTransactor>, source: Arc<dyn TablesSource>) -> Arc<Entry> {
     let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let announced = control.local_addr().expect("an address");
-    let (source, limits) = (Arc::new(UnavailableTables), Limits::default());
-    start_from("entry-b", store, limits, control, announced, source).await.0
+    start_from("entry-b", store, Limits::default(), control, announced, source).await.0
 }
 
 /// Waits until the entry has tables of `version`. Returns whether it has them in time.
@@ -79,10 +78,31 @@
 async fn fetch_slow_link() {
     let store = Arc::new(MemoryTransactor::new());
     let _leader = start_leader(store.clone(), &SlowLink::new(150_000)).await;
-    let follower = start_follower(store).await;
+    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
     assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
 }
 
+/// Guards against an entry that answers callers by tables although the leader has had newer ones for
+/// seconds.
+#[tokio::test]
+async fn is_ready_outdated_tables() {
+    let store = Arc::new(MemoryTransactor::new());
+    let _leader = start_leader(store.clone(), &SlowLink::new(100_000)).await;
+    let (source, edits) = ChangingTables::new();
+    edits.send(tables(6, "north")).await.expect("a source");
+    let follower = start_follower(store, source).await;
+    let outdated = async {
+        while !follower.has_outdated_tables() || follower.tables().borrow().version < 6 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        follower.tables().borrow().version
+    };
+    assert_eq!(tokio::time::timeout(WAIT_LIMIT, outdated).await, Ok(6));
+    assert!(!follower.is_ready());
+    assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
+    assert!(!follower.has_outdated_tables());
+}
+
 /// Guards against fetching the same tables again for each report that arrived during a fetch, which
 /// keeps a slow link busy.
 #[tokio::test]
@@ -90,7 +110,7 @@
     let store = Arc::new(MemoryTransactor::new());
     let link = SlowLink::new(150_000);
     let _leader = start_leader(store.clone(), &link).await;
-    let follower = start_follower(store).await;
+    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
     assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
     let carried = link.carried();
     tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -40,7 +40,7 @@
     RequestRetried = 204, "request-retried", "A request is dispatched again because its attempt was not run or the request is idempotent.";
     RequestCancelled = 205, "request-cancelled", "A caller closed its connection before its request was dispatched.";
     RequestDenied = 206, "request-denied", "A request about a job of another team or route was answered as if the job did not exist.";
-    RequestUnlisted = 207, "request-unlisted", "The tables have no route or no key for a request, which was refused; with the version and age of the tables, at most one line a second.";
+    RequestUnlisted = 207, "request-unlisted", "A request was refused because the tables have no route or no key for it, or are outdated; with their version and the time since the store confirmed them, at most one line a second.";
     KeyReserved = 210, "key-reserved", "An idempotency key was reserved for one attempt.";
     KeyRepeated = 211, "key-repeated", "A request with an idempotency key that was used before was answered without running it again.";
     RangeAssigned = 212, "range-assigned", "A key range has a new owner or witness.";
