Add seeded plays of edits of the tables under faults

Change: tables_soak plays real entries, some with 5 Mbit/s, while edits add and remove up to 2,500 routes, the store turns entries away or is away, and processes stand still, are stopped, killed and started again. Each version adds one route and removes another, so that open connections show which version an entry uses.

--- a/crates/client-crowd/src/process.rs
+++ b/crates/client-crowd/src/process.rs
@@ -102,9 +102,7 @@
     /// # Panics
     /// When it does not end within [`HANG_LIMIT`].
     pub async fn expect_end(&mut self) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().expect("a signal");
-        assert!(sent.success());
+        self.signal("TERM");
         let ended = async {
             while matches!(self.child.try_wait(), Ok(None)) {
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -113,6 +111,16 @@
         tokio::time::timeout(HANG_LIMIT, ended).await.expect("the process ends");
     }
 
+    /// Sends the signal with this name to the process.
+    ///
+    /// # Panics
+    /// When it cannot be sent.
+    pub fn signal(&self, name: &str) {
+        let (name, id) = (format!("-{name}"), self.child.id().to_string());
+        let sent = Command::new("kill").args([&name, &id]).status().expect("a signal");
+        assert!(sent.success());
+    }
+
     /// Ends the process at once.
     ///
     /// # Panics
--- a/crates/standins/src/slow_link.rs
+++ b/crates/standins/src/slow_link.rs
@@ -5,6 +5,7 @@
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::StandinError;
@@ -37,12 +38,24 @@
     /// # Errors
     /// [`StandinError::Listen`] when no listener can be opened.
     pub async fn start(&self, target: SocketAddr) -> Result<SocketAddr, StandinError> {
+        Ok(self.start_gated(target).await?.0)
+    }
+
+    /// As [`SlowLink::start`], with a gate. While it is closed, connections are closed at once.
+    ///
+    /// # Errors
+    /// [`StandinError::Listen`] when no listener can be opened.
+    pub async fn start_gated(
+        &self,
+        target: SocketAddr,
+    ) -> Result<(SocketAddr, watch::Sender<bool>), StandinError> {
+        let (gate, open) = watch::channel(true);
         let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let listen_error = |source| StandinError::Listen { address: free_port, source };
         let listener = TcpListener::bind(free_port).await.map_err(listen_error)?;
         let address = listener.local_addr().map_err(listen_error)?;
-        tokio::spawn(self.clone().forward(listener, target));
-        Ok(address)
+        tokio::spawn(self.clone().forward(listener, target, open));
+        Ok((address, gate))
     }
 
     /// Returns the number of bytes that the link has carried.
@@ -50,17 +63,37 @@
         self.carried.load(Ordering::Relaxed)
     }
 
-    async fn forward(self, listener: TcpListener, target: SocketAddr) {
+    async fn forward(self, listener: TcpListener, target: SocketAddr, open: watch::Receiver<bool>) {
         while let Ok((client, _)) = listener.accept().await {
+            if !*open.borrow() {
+                continue;
+            }
             let Ok(server) = TcpStream::connect(target).await else { continue };
-            let (client_read, client_write) = client.into_split();
-            let (server_read, server_write) = server.into_split();
-            tokio::spawn(self.clone().pump(client_read, server_write));
-            tokio::spawn(self.clone().pump(server_read, client_write));
+            tokio::spawn(self.clone().carry(client, server, open.clone()));
+        }
+    }
+
+    /// Carries the bytes of one connection until one side or the gate closes it.
+    async fn carry(self, client: TcpStream, server: TcpStream, mut open: watch::Receiver<bool>) {
+        let (client_read, client_write) = client.into_split();
+        let (server_read, server_write) = server.into_split();
+        let closed = async {
+            // The gate stays open for good when its sender is dropped.
+            if open.wait_for(|open| !*open).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let both = async {
+            tokio::join!(self.pump(client_read, server_write), self.pump(server_read, client_write))
+        };
+        tokio::select! {
+            _ = both => {}
+            () = closed => {}
         }
     }
 
-    async fn pump(self, mut input: impl AsyncRead + Unpin, mut output: impl AsyncWrite + Unpin) {
+    /// Copies bytes in one direction, and closes it when its sender has.
+    async fn pump(&self, mut input: impl AsyncRead + Unpin, mut output: impl AsyncWrite + Unpin) {
         let mut segment = [0; SEGMENT_BYTES];
         while let Ok(length @ 1..) = input.read(&mut segment).await {
             tokio::time::sleep_until(self.reserve(length)).await;
@@ -69,6 +102,8 @@
                 return;
             }
         }
+        // The connection is gone when closing it fails.
+        let _ = output.shutdown().await;
     }
 
     /// Returns the time at which the next `length` bytes have passed.
