--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -148,9 +148,9 @@
         self.availability.borrow().confirmed_at.map(|at| at.elapsed())
     }
 
-    /// Reports whether requests must not be refused or accepted by the tables of this entry: it has none,
-    /// the leader has had newer ones for a while, or neither the leader nor the source of the tables
-    /// answers, so that there may be newer ones.
+    /// Reports whether the tables must not decide about requests: there are none, the leader has had
+    /// newer ones for a while, or neither the leader nor their source answers, so that there may be
+    /// newer ones.
     pub fn has_outdated_tables(&self) -> bool {
         let version = self.tables.borrow().version;
         version == 0
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -57,10 +57,10 @@
     pub shutting_down: AtomicBool,
     /// The current tables.
     pub tables: watch::Receiver<JobTables>,
-    /// Versions of the tables that the leader has and this entry has not.
-    pub tables_lag: TablesLag,
     /// Encodes the tables for other entries.
     pub tables_encoder: TablesEncoder,
+    /// Versions of the tables that the leader has and this entry has not.
+    pub tables_lag: TablesLag,
 }
 
 /// The interface of an entry to other entries and to agents.
--- a/crates/coordination/tests/entries/tables.rs
+++ b/crates/coordination/tests/entries/tables.rs
@@ -4,12 +4,18 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use skylarkpulley_coordination::{Entry, TablesAnswer, TablesSource, TablesSourceError};
+use skylarkpulley_coordination::{
+    Entry, LeaderRecord, TablesAnswer, TablesSource, TablesSourceError,
+};
 use skylarkpulley_jobs::{JobRoute, JobTables, Limits};
 use skylarkpulley_proto::v1;
+use skylarkpulley_proto::v1::coordination_server::{Coordination, CoordinationServer};
 use skylarkpulley_standins::SlowLink;
-use skylarkpulley_store::MemoryTransactor;
+use skylarkpulley_store::{MemoryTransactor, Transaction, Transactor};
 use tokio::net::TcpListener;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
 
 use crate::rig::{ChangingTables, start_from, tables, until_ready};
 use crate::sessions::client;
@@ -65,6 +71,64 @@
     start_from("entry-b", store, Limits::default(), control, announced, source).await.0
 }
 
+/// A leader of a build without the call `ReadTables`.
+struct EarlierLeader;
+
+#[tonic::async_trait]
+impl Coordination for EarlierLeader {
+    type ReadTablesStream = ReceiverStream<Result<v1::TablesChunk, Status>>;
+    type WorkerSessionStream = ReceiverStream<Result<v1::CoordinatorUpdate, Status>>;
+
+    async fn worker_session(
+        &self,
+        _: Request<Streaming<v1::WorkerUpdate>>,
+    ) -> Result<Response<Self::WorkerSessionStream>, Status> {
+        Err(Status::unimplemented("worker_session"))
+    }
+
+    async fn job_call(
+        &self,
+        _: Request<v1::JobCallRequest>,
+    ) -> Result<Response<v1::JobCallReply>, Status> {
+        Err(Status::unimplemented("job_call"))
+    }
+
+    async fn ping(&self, _: Request<v1::PingRequest>) -> Result<Response<v1::PingReply>, Status> {
+        let reply =
+            v1::PingReply { epoch: 1, leads: true, tables_version: 7, ..Default::default() };
+        Ok(Response::new(reply))
+    }
+
+    async fn fetch_tables(
+        &self,
+        _: Request<v1::FetchTablesRequest>,
+    ) -> Result<Response<v1::FetchTablesReply>, Status> {
+        let tables = serde_json::to_vec(&tables(7, "north")).expect("JSON");
+        Ok(Response::new(v1::FetchTablesReply { version: 7, tables }))
+    }
+
+    async fn read_tables(
+        &self,
+        _: Request<v1::ReadTablesRequest>,
+    ) -> Result<Response<Self::ReadTablesStream>, Status> {
+        Err(Status::unimplemented("read_tables"))
+    }
+
+    async fn explain(
+        &self,
+        _: Request<v1::ExplainRequest>,
+    ) -> Result<Response<v1::ExplainReply>, Status> {
+        Err(Status::unimplemented("explain"))
+    }
+
+    async fn system_status(
+        &self,
+        _: Request<v1::SystemStatusRequest>,
+    ) -> Result<Response<v1::SystemStatusReply>, Status> {
+        Err(Status::unimplemented("system_status"))
+    }
+}
+
 /// Waits until the entry has tables of `version`. Returns whether it has them in time.
 async fn has_version(entry: &Entry, version: u64) -> bool {
     let mut tables = entry.tables();
@@ -136,3 +200,22 @@
     }
     assert!(sizes[0] > 100_000 && sizes[1] < 1000, "sizes {sizes:?}");
 }
+
+/// Guards against an entry that gets no tables from an entry of an earlier build during an upgrade.
+#[tokio::test]
+async fn fetch_earlier_build() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let server = Server::builder().add_service(CoordinationServer::new(EarlierLeader));
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let store = Arc::new(MemoryTransactor::new());
+    let name = "entry-a".to_owned();
+    let record = LeaderRecord { address, epoch: 1, name, ..LeaderRecord::default() };
+    let rows = Transaction {
+        puts: vec![(LeaderRecord::key(), record.encode().into())],
+        ..Transaction::default()
+    };
+    store.apply(&rows).await.expect("stored");
+    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
+    assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
+}
