Limit the memory of submissions that are not stored

Callers would lose their entry, which is killed above its memory, while the store is silent. Cause: an accepted submission stays in the leader until the store has taken it. Its caller may leave before that, which frees its part of the memory of connections, so that others bring further ones: each wave of clients within the 1.3 to 2 s until the store counts as down adds its bodies. Repeats are taken. Why: the memory no longer depends on how many clients come and go before the store counts as down.

--- a/crates/coordination/src/calls.rs
+++ b/crates/coordination/src/calls.rs
@@ -41,6 +41,14 @@
         matches!(self, Self::Submit(..) | Self::Cancel(..))
     }
 
+    /// Returns the approximate number of bytes that the submitted job takes in memory.
+    pub fn memory_bytes(&self) -> usize {
+        match self {
+            Self::Submit(job, _) => job.memory_bytes(),
+            Self::State(..) | Self::Cancel(..) | Self::Pending(_) => 0,
+        }
+    }
+
     /// Returns the id of the job that the call names, and who asks about it.
     pub fn access(&self) -> Option<(&str, JobAccess)> {
         match self {
--- a/crates/coordination/src/entry_settings.rs
+++ b/crates/coordination/src/entry_settings.rs
@@ -19,4 +19,6 @@
     pub limits: Limits,
     /// Name of the VM.
     pub name: String,
+    /// Memory in bytes that submissions may take in the leader until they are stored.
+    pub unstored_bytes: usize,
 }
--- a/crates/coordination/src/held_calls.rs
+++ b/crates/coordination/src/held_calls.rs
@@ -29,6 +29,11 @@
         self.calls.push(HeldCall { call, received_at, reply });
     }
 
+    /// Returns the memory of the submissions among the calls.
+    pub fn submitted_bytes(&self) -> usize {
+        self.calls.iter().map(|held| held.call.memory_bytes()).sum()
+    }
+
     /// Reports whether a call has arrived since the confirmation that was sent at `confirmed_at`.
     pub fn is_waiting(&self, confirmed_at: Duration) -> bool {
         self.calls.iter().any(|held| held.received_at > confirmed_at)
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -68,6 +68,10 @@
 /// Delay after which callers are asked to retry while the store is down.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Delay after which callers are asked to retry while submissions that are not stored take all memory
+/// that they may. A usual write takes 15 ms, one to a slow store about a second.
+const UNSTORED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 struct Session {
     acked: u64,
     outbound: mpsc::Sender<Result<v1::CoordinatorUpdate, Status>>,
@@ -500,6 +504,11 @@
     }
 
     fn handle_call(&mut self, now: Timestamp, call: JobCall, reply: oneshot::Sender<JobAnswer>) {
+        if self.lacks_memory(&call) {
+            // Sending fails when the caller has left, which needs no handling.
+            let _ = reply.send(unstored_answer());
+            return;
+        }
         if self.is_confirmed() && self.needs_confirmation(&call) {
             self.held_calls.add(call, boot_time(), reply);
             return;
@@ -558,17 +567,19 @@
             JobCall::Cancel(..) if stuck => store_down_answer(),
             JobCall::Submit(job, _) => {
                 let id = job.id.clone();
+                let is_repeat = self.coordinator.view(&id).is_some();
+                let bytes = if is_repeat { 0 } else { job.memory_bytes() };
                 match self.coordinator.submit(now, *job) {
                     Submission::Refused { reason, retry } => JobAnswer::Refused { reason, retry },
                     Submission::Accepted { version } => {
-                        self.waiting_callers.add(id, version, true, reply);
+                        self.waiting_callers.add_submission(id, version, bytes, reply);
                         return;
                     }
                 }
             }
             JobCall::Cancel(id, _) => match self.coordinator.cancel(now, &id) {
                 Some(version) => {
-                    self.waiting_callers.add(id, version, false, reply);
+                    self.waiting_callers.add(id, version, reply);
                     return;
                 }
                 None => absent_answer(confirmed),
@@ -606,6 +617,19 @@
         Some(answer)
     }
 
+    /// Reports whether there is no memory for a submission until the store has taken others. Their
+    /// callers may have left, so that the limits on connections do not count them.
+    fn lacks_memory(&self, call: &JobCall) -> bool {
+        let JobCall::Submit(job, _) = call else { return false };
+        let held = self.waiting_callers.submitted_bytes() + self.held_calls.submitted_bytes();
+        if held == 0 || held + job.memory_bytes() <= self.context.unstored_bytes {
+            return false;
+        }
+        // A repeat takes no further memory, and its first copy may be part of an open write.
+        let is_repeat = self.coordinator.view(&job.id).is_some() && !self.is_denied(call);
+        !is_repeat
+    }
+
     fn is_stuck(&self) -> bool {
         let now = self.context.clock.now();
         let stuck = self
@@ -676,6 +700,11 @@
     if confirmed { JobAnswer::Absent } else { JobAnswer::NotLeading }
 }
 
+fn unstored_answer() -> JobAnswer {
+    let reason = "submissions that are not stored take all memory that they may".to_owned();
+    JobAnswer::Refused { reason, retry: UNSTORED_RETRY_AFTER }
+}
+
 fn store_down_answer() -> JobAnswer {
     JobAnswer::Refused { reason: "the store is down".to_owned(), retry: STORE_RETRY_AFTER }
 }
--- a/crates/coordination/src/leader_context.rs
+++ b/crates/coordination/src/leader_context.rs
@@ -46,4 +46,6 @@
     pub times: LeaderTimes,
     /// Number of earlier leaders that have not answered this one.
     pub unanswered: watch::Receiver<usize>,
+    /// Memory in bytes that submissions may take until they are stored.
+    pub unstored_bytes: usize,
 }
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -477,6 +477,7 @@
                     lease: self.settings.lease,
                 },
                 unanswered: unanswered.clone(),
+                unstored_bytes: self.settings.unstored_bytes,
             };
             let tables = self.tables.borrow().clone();
             match Leader::load(&journal, context, tables).await {
--- a/crates/coordination/src/waiting_callers.rs
+++ b/crates/coordination/src/waiting_callers.rs
@@ -4,6 +4,8 @@
 use crate::calls::JobAnswer;
 
 struct WaitingCaller {
+    /// Memory that its submission takes; 0 if it is a repeat, or not a submission.
+    bytes: usize,
     id: String,
     reply: oneshot::Sender<JobAnswer>,
     submitted: bool,
@@ -27,16 +29,27 @@
         self.callers.len()
     }
 
-    /// Adds a caller that is answered once `version` of the job `id` is stored. `submitted` tells
-    /// that it has submitted the job.
-    pub fn add(
+    /// Returns the memory of the submissions that are not stored. They count until they are stored or
+    /// withdrawn, also when the caller has left.
+    pub fn submitted_bytes(&self) -> usize {
+        self.callers.iter().map(|caller| caller.bytes).sum()
+    }
+
+    /// Adds a caller that is answered once `version` of the job `id`, which it has cancelled, is stored.
+    pub fn add(&mut self, id: String, version: u64, reply: oneshot::Sender<JobAnswer>) {
+        self.callers.push(WaitingCaller { bytes: 0, id, reply, submitted: false, version });
+    }
+
+    /// Adds a caller that is answered once `version` of the job `id`, which it has submitted, is stored.
+    /// `bytes` is the memory that the job takes; 0 if it was submitted before.
+    pub fn add_submission(
         &mut self,
         id: String,
         version: u64,
-        submitted: bool,
+        bytes: usize,
         reply: oneshot::Sender<JobAnswer>,
     ) {
-        self.callers.push(WaitingCaller { id, reply, submitted, version });
+        self.callers.push(WaitingCaller { bytes, id, reply, submitted: true, version });
     }
 
     /// Returns the ids of the jobs that callers have submitted.
--- a/crates/coordination/tests/entries/rig.rs
+++ b/crates/coordination/tests/entries/rig.rs
@@ -14,6 +14,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, mpsc};
 
+/// Memory that submissions may take in a leader until they are stored.
+pub const UNSTORED_BYTES: usize = 1 << 20;
+
 /// One version of the tables that never changes.
 struct FixedTables;
 
@@ -130,6 +133,7 @@
         lease: Duration::from_secs(8),
         limits,
         name: name.to_owned(),
+        unstored_bytes: UNSTORED_BYTES,
     };
     let (metrics, page) = Metrics::with_page("entry");
     let clock = Arc::new(SystemClock::new());
--- a/crates/coordination/tests/entries/store_faults.rs
+++ b/crates/coordination/tests/entries/store_faults.rs
@@ -7,7 +7,7 @@
 use skylarkpulley_jobs::{Job, JobAccess, RouteKey};
 use skylarkpulley_store::{MemoryTransactor, TransactFault};
 
-use crate::rig::{job, start, until_ready};
+use crate::rig::{UNSTORED_BYTES, job, start, until_ready};
 
 async fn leading_entry(store: Arc<MemoryTransactor>) -> (Arc<Entry>, JobService) {
     let (entry, _) = start("entry-1", store).await;
@@ -91,3 +91,23 @@
         .await;
     assert_eq!(state, JobAnswer::Absent, "the job was not accepted");
 }
+
+/// Guards against submissions that are kept without a bound until the store answers although their
+/// callers have left.
+#[tokio::test]
+async fn submit_unstored_without_memory() {
+    let store = Arc::new(MemoryTransactor::new());
+    let (_entry, service) = leading_entry(store.clone()).await;
+    store.inject(&[TransactFault::Refused; 50]);
+    let large = Job { payload: "x".repeat(UNSTORED_BYTES), ..*job("large") };
+    let large = JobCall::Submit(Box::new(large), false);
+    let left =
+        tokio::time::timeout(Duration::from_millis(100), service.call(&large, deadline_in(10)));
+    assert!(left.await.is_err(), "the store does not take the job");
+    let small = JobCall::Submit(job("small"), false);
+    let refused = service.call(&small, deadline_in(10)).await;
+    let reason = "submissions that are not stored take all memory that they may".to_owned();
+    assert_eq!(refused, JobAnswer::Refused { reason, retry: Duration::from_secs(1) });
+    assert_eq!(service.call(&large, deadline_in(20)).await, JobAnswer::Done, "a repeat waits");
+    assert_eq!(service.call(&small, deadline_in(10)).await, JobAnswer::Done);
+}
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -90,6 +90,14 @@
     pub response_ms: u64,
 }
 
+impl Step {
+    fn memory_bytes(&self) -> usize {
+        let optional = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let texts = self.image.len() + optional(&self.label) + optional(&self.near_rack);
+        size_of::<Self>() + size_of_val(self.after.as_slice()) + texts
+    }
+}
+
 /// Times at which the occurrences of a job are due.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Schedule {
@@ -138,6 +146,12 @@
 }
 
 impl Job {
+    /// Returns the approximate number of bytes that the job takes in memory.
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(Step::memory_bytes).sum::<usize>();
+        size_of::<Self>() + self.payload.len() + steps
+    }
+
     /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times)
