Give programs under test ports that nothing else takes

Any test that starts a program this way could fail like this. Cause: a port was chosen on 127.0.0.1, released, and given to the program, which listens a moment later. In between, an outgoing connection, whose source is 127.0.0.1, or another test can take it. Evidence: the output of the processes, which was discarded, is now kept and shown. Change: each address is on another host of 127.0.0.0/8, on which no connection has its source. The soak uses the same addresses. Why: a port is free on its host until the program takes it, as nothing else uses that host.

--- a/crates/client-crowd/src/lib.rs
+++ b/crates/client-crowd/src/lib.rs
@@ -5,16 +5,17 @@
 mod active_crowd;
 mod control_crowd;
 mod crowd;
+mod loopback;
 mod process;
 mod target;
 
-use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 pub use active_crowd::ActiveCrowd;
 pub use control_crowd::{CONTROL_KINDS, ControlCrowd, ControlKind, ControlTarget};
 pub use crowd::{Crowd, KINDS, Kind, wait_until_read};
+pub use loopback::{free_address, free_addresses};
 pub use process::{Bounds, Process};
 pub use target::Target;
 
@@ -34,15 +35,3 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     runtime.expect("a runtime").block_on(test);
 }
-
-/// Returns addresses of the loopback interface whose ports are free.
-///
-/// # Panics
-/// When no port is free.
-pub async fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let mut listeners = Vec::new();
-    for _ in 0..N {
-        listeners.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
-    }
-    std::array::from_fn(|number| listeners[number].local_addr().expect("an address"))
-}
--- a/crates/client-crowd/src/process.rs
+++ b/crates/client-crowd/src/process.rs
@@ -1,4 +1,5 @@
-use std::process::{Child, Command, Stdio};
+use std::fs::File;
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
 use tempfile::TempDir;
@@ -8,6 +9,12 @@
 /// Name of the settings file in the working folder of a process.
 const SETTINGS_FILE: &str = "settings.toml";
 
+/// Name of the file with its output there.
+const OUTPUT_FILE: &str = "output.log";
+
+/// Number of lines of the output that are shown for a process that has ended.
+const SHOWN_LINES: usize = 20;
+
 /// What a process may use.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -23,7 +30,7 @@
     child: Child,
     /// Largest number of open descriptors that was seen.
     descriptors: usize,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Drop for Process {
@@ -55,14 +62,16 @@
     fn spawn(command: &mut Command, settings: &str, bounds: Bounds) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::write(folder.path().join(SETTINGS_FILE), settings).expect("written settings");
+        let output = File::create(folder.path().join(OUTPUT_FILE)).expect("a file");
+        let errors = output.try_clone().expect("a file");
         let child = command
             .current_dir(folder.path())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
             .spawn()
             .expect("a started program");
-        Self { bounds, child, descriptors: 0, _folder: folder }
+        Self { bounds, child, descriptors: 0, folder }
     }
 
     /// Returns the largest resident memory so far, in KB.
@@ -89,7 +98,9 @@
     /// # Panics
     /// When it has not.
     pub fn check(&mut self, what: &str) {
-        assert!(matches!(self.child.try_wait(), Ok(None)), "{what}: the process has ended");
+        if let Some(status) = self.child.try_wait().expect("a status") {
+            panic!("{what}: the process has ended: {}", self.describe_end(status));
+        }
         self.count_descriptors();
         let (resident_kb, descriptors) = (self.resident_kb(), self.descriptors);
         println!("{what}: {resident_kb} KB, {descriptors} descriptors");
@@ -97,6 +108,15 @@
         assert!(descriptors <= self.bounds.descriptors, "{what}: {descriptors} descriptors");
     }
 
+    /// Returns how the process has ended, and the end of its output.
+    fn describe_end(&self, status: ExitStatus) -> String {
+        let output = std::fs::read(self.folder.path().join(OUTPUT_FILE)).unwrap_or_default();
+        let output = String::from_utf8_lossy(&output);
+        let lines: Vec<&str> = output.lines().collect();
+        let shown = lines[lines.len().saturating_sub(SHOWN_LINES)..].join("\n");
+        format!("{status}; the end of its output:\n{shown}")
+    }
+
     /// Asks the process to end, and waits until it has.
     ///
     /// # Panics
@@ -126,7 +146,9 @@
     /// # Panics
     /// When it has ended by itself before.
     pub fn kill(&mut self) {
-        assert!(matches!(self.child.try_wait(), Ok(None)), "the process has ended");
+        if let Some(status) = self.child.try_wait().expect("a status") {
+            panic!("the process has ended: {}", self.describe_end(status));
+        }
         self.child.kill().and_then(|()| self.child.wait()).expect("a process that can be killed");
     }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
+use skylarkpulley_client_crowd::free_address;
 use skylarkpulley_platform_standins::{
     Callers, EndKind, Gangs, LostAnswers, Observation, Observations, POOL, Store, WorkerHost,
     WorkerLimits, WorkerSettings, listen, tables_document,
 };
-use tokio::net::TcpListener;
 
 use crate::links::Links;
 use crate::processes::{EntryValues, Process, agent_settings, entry_settings};
@@ -206,13 +206,13 @@
         let (mut entries, mut callers, mut readiness) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..settings.entries {
             let party = Party::Entry(index);
-            let control = free_address().await?;
+            let control = new_address().await?;
             let values = EntryValues {
                 announced: links.serve(listen().await?, party, control)?,
-                callers: free_address().await?,
+                callers: new_address().await?,
                 control,
                 lease_ms,
-                readiness: free_address().await?,
+                readiness: new_address().await?,
                 store: store_address,
             };
             let program = settings.programs.join("skylarkpulley-platform-entry");
@@ -225,7 +225,7 @@
         let (mut agents, mut workers, gangs) = (Vec::new(), Vec::new(), Gangs::default());
         for index in 0..settings.workers {
             let party = Party::Agent(index);
-            let announcements = free_address().await?;
+            let announcements = new_address().await?;
             let text = agent_settings(party, announcements, store_address, lease_ms);
             let program = settings.programs.join("skylarkpulley-platform-agent");
             agents.push(Process::start(&program, &settings.folder, party, &text, &links)?);
@@ -392,10 +392,8 @@
     format!("worker-{index}")
 }
 
-/// Returns a loopback address that was free a moment ago. The programs take no port 0.
-async fn free_address() -> Result<SocketAddr, SoakError> {
-    let listener: TcpListener = listen().await?;
-    listener.local_addr().map_err(SoakError::io("a free port"))
+async fn new_address() -> Result<SocketAddr, SoakError> {
+    free_address().await.map_err(SoakError::io("a free port"))
 }
 
 async fn await_ready(
