Name the two kinds of waiting callers

Cause: WaitingCallers::add took only cancellations since submissions have a method with their memory, and its name did not tell so. Change: add_cancellation beside add_submission. Result: no behaviour changes.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -579,7 +579,7 @@
             }
             JobCall::Cancel(id, _) => match self.coordinator.cancel(now, &id) {
                 Some(version) => {
-                    self.waiting_callers.add(id, version, reply);
+                    self.waiting_callers.add_cancellation(id, version, reply);
                     return;
                 }
                 None => absent_answer(confirmed),
--- a/crates/coordination/src/waiting_callers.rs
+++ b/crates/coordination/src/waiting_callers.rs
@@ -36,7 +36,12 @@
     }
 
     /// Adds a caller that is answered once `version` of the job `id`, which it has cancelled, is stored.
-    pub fn add(&mut self, id: String, version: u64, reply: oneshot::Sender<JobAnswer>) {
+    pub fn add_cancellation(
+        &mut self,
+        id: String,
+        version: u64,
+        reply: oneshot::Sender<JobAnswer>,
+    ) {
         self.callers.push(WaitingCaller { bytes: 0, id, reply, submitted: false, version });
     }
 
