--- a/crates/connections/src/client_connections.rs
+++ b/crates/connections/src/client_connections.rs
@@ -57,6 +57,12 @@
     }
 }
 
+/// Returns the part `1 / divisor` of `memory_mb` in bytes; `default` when the memory is not known.
+pub fn memory_share(memory_mb: Option<f64>, divisor: f64, default: usize) -> usize {
+    let known = memory_mb.filter(|memory| *memory > 0.0);
+    known.map_or(default, |mb| (mb * f64::from(1 << 20) / divisor) as usize)
+}
+
 /// Returns the number of descriptors that the process may open, if it is limited.
 fn descriptor_limit() -> Option<f64> {
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
@@ -127,9 +133,7 @@
         limits: Arc<dyn RequestLimitSource>,
         metrics: Metrics,
     ) -> Arc<Self> {
-        let memory = settings.memory_mb.filter(|memory| *memory > 0.0);
-        let budget =
-            memory.map_or(DEFAULT_BUDGET, |mb| (mb * f64::from(1 << 20) / MEMORY_SHARE) as usize);
+        let budget = memory_share(settings.memory_mb, MEMORY_SHARE, DEFAULT_BUDGET);
         let stated = settings.max_fds.filter(|fds| *fds > 0.0);
         // The limit of the process may be lower than that of the VM.
         let allowed = descriptor_limit().map_or(usize::MAX, places);
--- a/crates/connections/src/control/listener.rs
+++ b/crates/connections/src/control/listener.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::stream::{ControlPeer, ControlStream};
-use crate::{ClientConnections, RequestLimits};
+use crate::{ClientConnections, RequestLimits, memory_share};
 
 /// Maximum number of connections that have not sent a complete message. Further ones wait in the queue
 /// of the kernel, so that no process of the system is turned away when many connect at once.
@@ -107,9 +107,7 @@
     /// Returns the control listener at a socket of a VM with the given memory in MB. Unfinished messages
     /// may hold an eighth of it together, 16 MB if it is not known.
     pub fn new(listener: TcpListener, memory_mb: Option<f64>) -> Self {
-        let budget = memory_mb
-            .filter(|memory| *memory > 0.0)
-            .map_or(DEFAULT_MESSAGE_BYTES, |mb| (mb * f64::from(1 << 20) / MESSAGE_SHARE) as usize);
+        let budget = memory_share(memory_mb, MESSAGE_SHARE, DEFAULT_MESSAGE_BYTES);
         let limits = Arc::new(RequestLimits::default());
         let messages =
             ClientConnections::start_limited(budget, MAX_MESSAGES, limits, Metrics::new());
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -13,7 +13,7 @@
 pub use body::{BodyError, read_body};
 pub use body_limit::BodyLimit;
 use client_connections::Ticket;
-pub use client_connections::{ClientConnections, ConnectionSettings};
+pub use client_connections::{ClientConnections, ConnectionSettings, memory_share};
 pub use control::{ControlListener, MessageFraming, control_server};
 pub use memory_budget::{
     CloseCause, ConnectionId, ListenerKind, MemoryBudget, Phase, ShortOfMemory,
--- a/crates/coordination/src/role.rs
+++ b/crates/coordination/src/role.rs
@@ -20,7 +20,7 @@
 use crate::placement_policy::PlacementPolicy;
 use crate::service::Shared;
 use crate::standby::{ping_interval, takeover_delay};
-use crate::tables_task::{PeerTables, TablesAvailability, is_newer, versions};
+use crate::tables_task::{TablesAvailability, versions};
 
 /// Time between two notifications of a predecessor that does not answer, and between the end of a
 /// leadership and the next look at the leader's record.
@@ -312,14 +312,10 @@
         record: &LeaderRecord,
         reply: &v1::PingReply,
     ) -> Option<FollowEnd> {
-        let current = versions(&self.tables.borrow());
+        let current = self.tables.borrow().version;
+        self.shared.tables_lag.report(reply.tables_version, current, Instant::now());
         let reported = (reply.tables_version, reply.evacuations_version);
-        self.shared.tables_lag.report(reply.tables_version, current.0, Instant::now());
-        if is_newer(reported, current) {
-            let report = PeerTables { address: record.address.clone(), versions: reported };
-            // A full queue means that a fetch is already in progress.
-            let _ = self.shared.newer_tables.try_send(report);
-        }
+        self.shared.report_tables(&record.address, reported);
         if reply.epoch > record.epoch {
             return Some(FollowEnd::Changed);
         }
--- a/crates/coordination/src/service.rs
+++ b/crates/coordination/src/service.rs
@@ -63,6 +63,17 @@
     pub tables_lag: TablesLag,
 }
 
+impl Shared {
+    /// Lets the tables of the entry at `address` be fetched if its versions `reported` are newer.
+    pub fn report_tables(&self, address: &str, reported: (u64, u64)) {
+        if is_newer(reported, versions(&self.tables.borrow())) {
+            let report = PeerTables { address: address.to_owned(), versions: reported };
+            // A full queue means that a fetch is already in progress.
+            let _ = self.newer_tables.try_send(report);
+        }
+    }
+}
+
 /// The interface of an entry to other entries and to agents.
 #[derive(Clone)]
 pub struct CoordinationService {
@@ -134,11 +145,7 @@
         });
         let current = versions(&self.shared.tables.borrow());
         let reported = (request.tables_version, request.evacuations_version);
-        if is_newer(reported, current) {
-            let report = PeerTables { address: request.address, versions: reported };
-            // A full queue means that a fetch is already in progress.
-            let _ = self.shared.newer_tables.try_send(report);
-        }
+        self.shared.report_tables(&request.address, reported);
         if request.store_answers {
             self.shared.health.record_peer_success();
         }
