--- a/crates/client-crowd/src/process.rs
+++ b/crates/client-crowd/src/process.rs
@@ -1,5 +1,5 @@
 use std::fs::File;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use tempfile::TempDir;
@@ -98,9 +98,7 @@
     /// # Panics
     /// When it has not.
     pub fn check(&mut self, what: &str) {
-        if let Some(status) = self.child.try_wait().expect("a status") {
-            panic!("{what}: the process has ended: {}", self.describe_end(status));
-        }
+        self.expect_alive(what);
         self.count_descriptors();
         let (resident_kb, descriptors) = (self.resident_kb(), self.descriptors);
         println!("{what}: {resident_kb} KB, {descriptors} descriptors");
@@ -108,13 +106,14 @@
         assert!(descriptors <= self.bounds.descriptors, "{what}: {descriptors} descriptors");
     }
 
-    /// Returns how the process has ended, and the end of its output.
-    fn describe_end(&self, status: ExitStatus) -> String {
+    /// Panics with the end of its output when the process has ended.
+    fn expect_alive(&mut self, what: &str) {
+        let Some(status) = self.child.try_wait().expect("a status") else { return };
         let output = std::fs::read(self.folder.path().join(OUTPUT_FILE)).unwrap_or_default();
         let output = String::from_utf8_lossy(&output);
         let lines: Vec<&str> = output.lines().collect();
         let shown = lines[lines.len().saturating_sub(SHOWN_LINES)..].join("\n");
-        format!("{status}; the end of its output:\n{shown}")
+        panic!("{what}: the process has ended: {status}; the end of its output:\n{shown}");
     }
 
     /// Asks the process to end, and waits until it has.
@@ -146,9 +145,7 @@
     /// # Panics
     /// When it has ended by itself before.
     pub fn kill(&mut self) {
-        if let Some(status) = self.child.try_wait().expect("a status") {
-            panic!("the process has ended: {}", self.describe_end(status));
-        }
+        self.expect_alive("before it is killed");
         self.child.kill().and_then(|()| self.child.wait()).expect("a process that can be killed");
     }
 }
--- a/crates/coordination/tests/entries/tables.rs
+++ b/crates/coordination/tests/entries/tables.rs
@@ -136,14 +136,21 @@
     tokio::time::timeout(WAIT_LIMIT, reached).await.is_ok()
 }
 
+/// Starts a leader, and a follower that fetches the large tables from it over `link`. Returns both when
+/// the follower has the tables.
+async fn fetch_over(link: &SlowLink) -> [Arc<Entry>; 2] {
+    let store = Arc::new(MemoryTransactor::new());
+    let leader = start_leader(store.clone(), link).await;
+    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
+    assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
+    [leader, follower]
+}
+
 /// Guards against tables that never arrive from another entry over a link that needs longer for them
 /// than the time limit of a call.
 #[tokio::test]
 async fn fetch_slow_link() {
-    let store = Arc::new(MemoryTransactor::new());
-    let _leader = start_leader(store.clone(), &SlowLink::new(150_000)).await;
-    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
-    assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
+    fetch_over(&SlowLink::new(150_000)).await;
 }
 
 /// Guards against an entry that answers callers by tables although the leader has had newer ones for
@@ -171,11 +178,8 @@
 /// keeps a slow link busy.
 #[tokio::test]
 async fn fetch_once() {
-    let store = Arc::new(MemoryTransactor::new());
     let link = SlowLink::new(150_000);
-    let _leader = start_leader(store.clone(), &link).await;
-    let follower = start_follower(store, Arc::new(UnavailableTables)).await;
-    assert!(has_version(&follower, 7).await, "version {}", follower.tables().borrow().version);
+    let _entries = fetch_over(&link).await;
     let carried = link.carried();
     tokio::time::sleep(Duration::from_secs(1)).await;
     let further = link.carried() - carried;
